--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Set-up, generated code, checks, demonstration and the one-file program.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+RUN = PYTHONPATH=src:. $(BIN)/python
+SOURCES = src tests tools benchmarks demo
+
+.PHONY: test demo generate check lint format types stale layers unit binary clean
+
+test: check unit
+
+check: lint types stale layers
+
+$(VENV)/.ready: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $(VENV)/.ready
+
+lint: $(VENV)/.ready
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: $(VENV)/.ready
+	$(BIN)/black --quiet $(SOURCES)
+
+types: $(VENV)/.ready
+	$(BIN)/mypy
+
+generate: $(VENV)/.ready
+	$(RUN) tools/generate.py
+
+stale: $(VENV)/.ready
+	$(RUN) tools/generate.py --check
+
+layers: $(VENV)/.ready
+	$(RUN) tools/check_layers.py
+
+unit: $(VENV)/.ready
+	$(RUN) -m pytest
+
+demo: $(VENV)/.ready
+	$(RUN) -m demo
+
+clean:
+	rm -rf build dist .mypy_cache .pytest_cache
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration on loopback: real processes, stand-ins around them."""
--- /dev/null
+++ b/demo/callers.py
@@ -0,0 +1,165 @@
+"""Stand-in callers: one task for each connection, stop and wait."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+
+from demo import segments
+from gentianspoke.codec import ip
+from gentianspoke.core import packets
+from gentianspoke import errors
+from gentianspoke.net import datagrams
+
+FIRST_TIMEOUT_S = 0.3
+TRIES = 7
+SYN = int(packets.Flags.SYN)
+ACK = int(packets.Flags.ACK)
+FIN_ACK = int(packets.Flags.FIN | packets.Flags.ACK)
+PSH_ACK = int(packets.Flags.PSH | packets.Flags.ACK)
+
+
+class Refused(Exception):
+    """The opening was refused as not run."""
+
+
+class Broken(Exception):
+    """The connection was reset or fell silent."""
+
+
+Send = collections.abc.Callable[[bytes], None]
+
+
+class Connection:
+    """One TCP connection of a caller, with one request in flight."""
+
+    def __init__(
+        self, key: packets.FlowKey, send: Send, rng: random.Random
+    ) -> None:
+        """Prepare a connection; :meth:`connect` opens it."""
+        self.key = key
+        self._send = send
+        self._isn = rng.randrange(1 << 32)
+        self._seq = self._isn
+        self._ack = 0
+        self.inbox: asyncio.Queue[packets.Segment] = asyncio.Queue()
+
+    async def connect(self) -> None:
+        """Open the connection.
+
+        Raises ``Refused`` or ``Broken``.
+        """
+        syn = segments.build(self.key, SYN, self._seq, 0)
+        expected = (self._isn + 1) % segments.SEQ_MODULUS
+        answer = await self._exchange(
+            syn, lambda item: item.ack == expected, Refused
+        )
+        self._seq = expected
+        self._ack = (answer.seq + 1) % segments.SEQ_MODULUS
+        self._acknowledge()
+
+    async def request(self, payload: bytes) -> bytes:
+        """Send a request and return its answer; raises ``Broken``."""
+        data = segments.build(self.key, PSH_ACK, self._seq, self._ack, payload)
+        expected = (self._seq + len(payload)) % segments.SEQ_MODULUS
+
+        def answers(item: packets.Segment) -> bool:
+            return (
+                item.payload_bytes > 0
+                and item.seq == self._ack
+                and item.ack == expected
+            )
+
+        answer = await self._exchange(data, answers, Broken)
+        self._seq = expected
+        self._ack += answer.payload_bytes
+        self._ack %= segments.SEQ_MODULUS
+        self._acknowledge()
+        return segments.payload_of(answer)
+
+    async def close(self) -> None:
+        """Close both directions; raises ``Broken``."""
+        fin = segments.build(self.key, FIN_ACK, self._seq, self._ack)
+        await self._exchange(
+            fin, lambda item: bool(item.flags & packets.FIN), Broken
+        )
+        self._seq += 1
+        self._ack += 1
+        self._acknowledge()
+
+    def _acknowledge(self) -> None:
+        self._send(segments.build(self.key, ACK, self._seq, self._ack))
+
+    async def _exchange(
+        self,
+        raw: bytes,
+        is_answer: collections.abc.Callable[[packets.Segment], bool],
+        on_reset: type[Exception],
+    ) -> packets.Segment:
+        timeout_s = FIRST_TIMEOUT_S
+        for _ in range(TRIES):
+            self._send(raw)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._wait_for(is_answer, on_reset)
+            except TimeoutError:
+                timeout_s *= 1.5
+        raise Broken('silent')
+
+    async def _wait_for(
+        self,
+        is_answer: collections.abc.Callable[[packets.Segment], bool],
+        on_reset: type[Exception],
+    ) -> packets.Segment:
+        while True:
+            segment = await self.inbox.get()
+            if segment.flags & packets.RST:
+                raise on_reset('reset')
+            if is_answer(segment):
+                return segment
+
+
+@dataclasses.dataclass(slots=True)
+class CallerHost:
+    """All connections of the stand-in callers, behind one socket."""
+
+    sock: datagrams.DatagramSocket
+    fabric: tuple[str, int]
+    rng: random.Random
+    address: bytes
+    connections: dict[packets.FlowKey, Connection] = dataclasses.field(
+        default_factory=dict
+    )
+    next_port: int = 10_000
+
+    def open(self, service: bytes, port: int) -> Connection:
+        """Return a new connection to a service, not yet connected."""
+        self.next_port += 1
+        key = packets.make_key(
+            packets.TCP, self.address, service, self.next_port, port
+        )
+        connection = Connection(key, self._send, self.rng)
+        self.connections[key] = connection
+        return connection
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a connection that has ended."""
+        self.connections.pop(connection.key, None)
+
+    async def read(self) -> None:
+        """Hand answers to their connections until cancelled."""
+        while True:
+            for raw, _ in await self.sock.receive_burst():
+                self._take(raw)
+
+    def _take(self, raw: bytes) -> None:
+        try:
+            packet = ip.parse(raw, reply=True)
+        except errors.PacketError:
+            return
+        connection = self.connections.get(packet.key)
+        if connection is not None and isinstance(packet, packets.Segment):
+            connection.inbox.put_nowait(packet)
+
+    def _send(self, raw: bytes) -> None:
+        self.sock.send(raw, self.fabric)
--- /dev/null
+++ b/demo/fabric.py
@@ -0,0 +1,78 @@
+"""Stand-in fabric: sprays callers' packets over the ready entries."""
+
+import asyncio
+import random
+
+import h11
+
+from gentianspoke.codec import ip
+from gentianspoke.core import packets
+from gentianspoke import errors
+from gentianspoke.net import datagrams
+from gentianspoke.net import pages
+
+PROBE_S = 0.1
+Address = tuple[str, int]
+
+
+class Fabric:
+    """Carries packets between the callers, the entries and the agents."""
+
+    def __init__(
+        self,
+        sock: datagrams.DatagramSocket,
+        entries: dict[Address, Address],
+        callers: Address,
+        services: set[bytes],
+        rng: random.Random,
+    ) -> None:
+        """Spray over ``entries``, which maps each to its ready page."""
+        self._sock = sock
+        self._entries = entries
+        self._callers = callers
+        self._services = services
+        self._rng = rng
+        self._ready: list[Address] = []
+        self.sprayed = 0
+
+    async def probe(self) -> None:
+        """Keep the list of ready entries current until cancelled."""
+        while True:
+            probes = [_is_ready(page) for page in self._entries.values()]
+            answers = await asyncio.gather(*probes)
+            self._ready = [
+                entry
+                for entry, ready in zip(self._entries, answers, strict=True)
+                if ready
+            ]
+            await asyncio.sleep(PROBE_S)
+
+    async def read(self) -> None:
+        """Carry packets until cancelled."""
+        while True:
+            for raw, _ in await self._sock.receive_burst():
+                self._carry(raw)
+
+    def ready_entries(self) -> int:
+        """Return how many entries take packets."""
+        return len(self._ready)
+
+    def _carry(self, raw: bytes) -> None:
+        try:
+            key = ip.parse(raw).key
+        except errors.PacketError:
+            self._sock.send(raw, self._callers)
+            return
+        if packets.service_address(key) not in self._services:
+            self._sock.send(raw, self._callers)
+        elif self._ready:
+            self.sprayed += 1
+            self._sock.send(raw, self._rng.choice(self._ready))
+
+
+async def _is_ready(page: Address) -> bool:
+    try:
+        status, _ = await pages.fetch_page(page, '/ready')
+    except (OSError, TimeoutError, h11.RemoteProtocolError):
+        return False
+    return status == 200
--- /dev/null
+++ b/demo/upstreams.py
@@ -0,0 +1,170 @@
+"""Stand-in upstreams that speak TCP in the tunnel's form."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import random
+
+from demo import segments
+from gentianspoke.codec import ip
+from gentianspoke.core import packets
+from gentianspoke import errors
+from gentianspoke.net import datagrams
+from gentianspoke.net import pages
+
+SYN_ACK = int(packets.Flags.SYN | packets.Flags.ACK)
+ACK = int(packets.Flags.ACK)
+RST = int(packets.Flags.RST | packets.Flags.ACK)
+FIN_ACK = int(packets.Flags.FIN | packets.Flags.ACK)
+PSH_ACK = int(packets.Flags.PSH | packets.Flags.ACK)
+WORK_S = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class Accepted:
+    """One connection at an upstream."""
+
+    isn: int
+    seq: int
+    ack: int
+    answer: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What the stand-in upstreams saw, over all of them."""
+
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    wrong_service: int = 0
+    opened_while_draining: int = 0
+
+
+class Upstream:
+    """One upstream behind a tunnel on loopback."""
+
+    def __init__(
+        self,
+        name: str,
+        sock: datagrams.DatagramSocket,
+        agent: tuple[str, int],
+        served: set[tuple[bytes, int]],
+        tally: Tally,
+        rng: random.Random,
+    ) -> None:
+        """Serve the endpoints ``served``, replying through ``agent``."""
+        self.name = name
+        self.draining = False
+        self.incarnation = f'{name}-{rng.randrange(1 << 32):x}'
+        self.connections: dict[packets.FlowKey, Accepted] = {}
+        self._sock = sock
+        self._agent = agent
+        self._served = served
+        self._tally = tally
+        self._rng = rng
+
+    def render_status(self, path: str) -> pages.Page:
+        """Return the status page that the agent polls."""
+        status = {
+            'incarnation': self.incarnation,
+            'draining': self.draining,
+            'load': len(self.connections),
+        }
+        return 200, json.dumps(status).encode(), 'application/json'
+
+    async def read(self) -> None:
+        """Answer packets until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                for raw, _ in await self._sock.receive_burst():
+                    self._take(raw, group)
+
+    def _take(self, raw: bytes, group: asyncio.TaskGroup) -> None:
+        try:
+            packet = ip.parse(raw)
+        except errors.PacketError:
+            return
+        key = packet.key
+        endpoint = (packets.service_address(key), packets.service_port(key))
+        if endpoint not in self._served:
+            self._tally.wrong_service += 1
+            return
+        if not isinstance(packet, packets.Segment):
+            return
+        if packets.is_opening(packet):
+            self._accept(packet)
+            return
+        accepted = self.connections.get(key)
+        if accepted is None:
+            if not packet.flags & packets.RST:
+                self._send(key, RST, packet.ack, packet.seq)
+            return
+        self._take_established(packet, accepted, group)
+
+    def _accept(self, packet: packets.Segment) -> None:
+        accepted = self.connections.get(packet.key)
+        if accepted is None:
+            if self.draining:
+                self._tally.opened_while_draining += 1
+            accepted = Accepted(
+                packet.seq,
+                self._rng.randrange(1 << 32),
+                (packet.seq + 1) % segments.SEQ_MODULUS,
+            )
+            self.connections[packet.key] = accepted
+        if accepted.isn != packet.seq:
+            self._send(packet.key, ACK, accepted.seq, accepted.ack)
+            return
+        self._send(packet.key, SYN_ACK, accepted.seq, accepted.ack)
+
+    def _take_established(
+        self,
+        packet: packets.Segment,
+        accepted: Accepted,
+        group: asyncio.TaskGroup,
+    ) -> None:
+        if packet.flags & packets.RST:
+            del self.connections[packet.key]
+        elif packet.flags & packets.FIN:
+            self._send(packet.key, FIN_ACK, accepted.seq + 1, packet.seq + 1)
+            group.create_task(self._forget_later(packet.key))
+        elif packet.payload_bytes and packet.seq == accepted.ack:
+            accepted.ack += packet.payload_bytes
+            accepted.ack %= segments.SEQ_MODULUS
+            accepted.answer = b''
+            group.create_task(self._work(packet, accepted))
+        elif packet.payload_bytes and accepted.answer:
+            self._send(
+                packet.key,
+                PSH_ACK,
+                accepted.seq + 1 - len(accepted.answer),
+                accepted.ack,
+                accepted.answer,
+            )
+
+    async def _work(self, packet: packets.Segment, accepted: Accepted) -> None:
+        request = json.loads(segments.payload_of(packet))
+        if request['kind'] == 'booking':
+            self._tally.runs[request['id']] += 1
+            await asyncio.sleep(WORK_S)
+        answer = json.dumps({'id': request['id'], 'by': self.name}).encode()
+        accepted.answer = answer
+        self._send(packet.key, PSH_ACK, accepted.seq + 1, accepted.ack, answer)
+        accepted.seq += len(answer)
+
+    async def _forget_later(self, key: packets.FlowKey) -> None:
+        await asyncio.sleep(1.0)
+        self.connections.pop(key, None)
+
+    def _send(
+        self,
+        key: packets.FlowKey,
+        flags: int,
+        seq: int,
+        ack: int,
+        payload: bytes = b'',
+    ) -> None:
+        raw = segments.build(key, flags, seq, ack, payload, reply=True)
+        self._sock.send(raw, self._agent)
--- /dev/null
+++ b/src/gentianspoke/clock.py
@@ -0,0 +1,51 @@
+"""Time in whole milliseconds, from one small clock type.
+
+Decisions never read a clock: their callers pass the current time. Only
+the shells own a :class:`Clock`, and tests own a :class:`ManualClock`.
+"""
+
+import time
+
+MS_PER_S = 1000
+NS_PER_MS = 1_000_000
+
+
+class Clock:
+    """The monotonic clock of this process, in milliseconds."""
+
+    def now(self) -> int:
+        """Return the milliseconds since an arbitrary fixed moment."""
+        return time.monotonic_ns() // NS_PER_MS
+
+    def wall(self) -> int:
+        """Return the milliseconds since 1970, for people to read only."""
+        return time.time_ns() // NS_PER_MS
+
+
+class ManualClock(Clock):
+    """A clock that moves only when it is told to."""
+
+    def __init__(self, start: int = 0) -> None:
+        """Begin at ``start`` milliseconds."""
+        self._now = start
+
+    def now(self) -> int:
+        """Return the time that was set, in milliseconds."""
+        return self._now
+
+    def wall(self) -> int:
+        """Return the same time as :meth:`now`."""
+        return self._now
+
+    def advance(self, duration_ms: int) -> int:
+        """Move the clock forward and return the new time.
+
+        Raises ``ValueError`` for a negative duration.
+        """
+        if duration_ms < 0:
+            raise ValueError(
+                f'duration_ms={duration_ms} is negative; a monotonic clock'
+                ' moves forward only, so pass zero or more'
+            )
+        self._now += duration_ms
+        return self._now
--- /dev/null
+++ b/src/gentianspoke/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Between bytes and data classes; nothing is decided here."""
--- /dev/null
+++ b/src/gentianspoke/codec/catalogue.py
@@ -0,0 +1,182 @@
+"""Catalogue entries and edits between protobuf and data classes."""
+
+import dataclasses
+
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+from gentianspoke import errors
+from gentianspoke.generated import catalogue_pb2
+
+ADDRESS_BYTES = (4, 16)
+
+
+def encode_entry(service: services.Service) -> catalogue_pb2.Entry:
+    """Return a service as a message."""
+    kind, idempotent = _encode_traffic(service.traffic)
+    return catalogue_pb2.Entry(
+        service=service.number,
+        name=service.name,
+        owner=service.owner,
+        address=service.address,
+        ports=service.ports,
+        protocol=service.protocol,
+        traffic_class=kind,
+        idempotent=idempotent,
+        limits=catalogue_pb2.Limits(**dataclasses.asdict(service.limits)),
+        version=service.version,
+        retired=service.retired,
+    )
+
+
+def decode_entry(entry: catalogue_pb2.Entry) -> services.Service:
+    """Return a message as a service.
+
+    Raises :class:`gentianspoke.errors.ControlError` where it is invalid.
+    """
+    if len(entry.address) not in ADDRESS_BYTES or not entry.name:
+        raise errors.ControlError(
+            f'entry {entry.name!r}: name or address is invalid; send it with'
+            ' this version of the "gentianspoke" command'
+        )
+    limits = entry.limits
+    service = services.Service(
+        number=entry.service,
+        name=entry.name,
+        owner=entry.owner,
+        address=entry.address,
+        ports=tuple(entry.ports),
+        protocol=entry.protocol,
+        traffic=_decode_traffic(entry),
+        limits=services.Limits(
+            connections=limits.connections,
+            slots=limits.slots,
+            queue=limits.queue,
+            wait_ms=limits.wait_ms,
+            idle_ms=limits.idle_ms,
+            bound_permille=limits.bound_permille,
+            retry_permille=limits.retry_permille,
+        ),
+        version=entry.version,
+        retired=entry.retired,
+    )
+    if entry.protocol == packets.UDP and services.needs_single_decider(
+        service
+    ):
+        raise errors.ControlError(
+            f'entry {entry.name}: non-idempotent work needs TCP; set'
+            ' idempotent: true or protocol: tcp'
+        )
+    return service
+
+
+def encode_request(request: catalogue.Request) -> catalogue_pb2.ApplyRequest:
+    """Return a request as a message."""
+    return catalogue_pb2.ApplyRequest(
+        idempotency_key=request.idempotency_key,
+        operator=request.operator,
+        edits=[_encode_edit(edit) for edit in request.edits],
+    )
+
+
+def decode_request(message: catalogue_pb2.ApplyRequest) -> catalogue.Request:
+    """Return a message as a request.
+
+    Raises :class:`gentianspoke.errors.ControlError` where it is invalid.
+    """
+    if not message.idempotency_key or not message.edits:
+        raise errors.ControlError(
+            'the request has no idempotency key or no edit; send both'
+        )
+    return catalogue.Request(
+        idempotency_key=message.idempotency_key,
+        operator=message.operator,
+        edits=tuple(_decode_edit(edit) for edit in message.edits),
+    )
+
+
+def encode_answer(answer: catalogue.Answer) -> catalogue_pb2.ApplyReply:
+    """Return the answer to a request as a message."""
+    return catalogue_pb2.ApplyReply(
+        accepted=answer.accepted,
+        version=answer.version,
+        conflicts=[_encode_conflict(item) for item in answer.conflicts],
+    )
+
+
+def decode_answer(message: catalogue_pb2.ApplyReply) -> catalogue.Answer:
+    """Return a message as the answer to a request."""
+    return catalogue.Answer(
+        accepted=message.accepted,
+        version=message.version,
+        conflicts=tuple(_decode_conflict(item) for item in message.conflicts),
+    )
+
+
+def _encode_traffic(
+    traffic: services.TrafficClass,
+) -> tuple[catalogue_pb2.TrafficClass, bool]:
+    match traffic:
+        case services.Board():
+            return catalogue_pb2.TRAFFIC_CLASS_BOARD, True
+        case services.Booking(idempotent=idempotent):
+            return catalogue_pb2.TRAFFIC_CLASS_BOOKING, idempotent
+        case services.Upload(idempotent=idempotent):
+            return catalogue_pb2.TRAFFIC_CLASS_UPLOAD, idempotent
+
+
+def _decode_traffic(entry: catalogue_pb2.Entry) -> services.TrafficClass:
+    match entry.traffic_class:
+        case catalogue_pb2.TRAFFIC_CLASS_BOARD:
+            return services.Board()
+        case catalogue_pb2.TRAFFIC_CLASS_BOOKING:
+            return services.Booking(entry.idempotent)
+        case catalogue_pb2.TRAFFIC_CLASS_UPLOAD:
+            return services.Upload(entry.idempotent)
+        case _:
+            raise errors.ControlError(
+                f'entry {entry.name}: unknown class; use board, booking or'
+                ' upload'
+            )
+
+
+def _encode_edit(edit: catalogue.Edit) -> catalogue_pb2.Edit:
+    message = catalogue_pb2.Edit(
+        name=edit.name, base_version=edit.base_version
+    )
+    match edit.change:
+        case catalogue.Put(entry=entry):
+            message.put.CopyFrom(encode_entry(entry))
+        case catalogue.Retire():
+            message.retire = True
+    return message
+
+
+def _decode_edit(message: catalogue_pb2.Edit) -> catalogue.Edit:
+    match message.WhichOneof('change'):
+        case 'put':
+            change: catalogue.Put | catalogue.Retire = catalogue.Put(
+                decode_entry(message.put)
+            )
+        case 'retire':
+            change = catalogue.Retire()
+        case _:
+            raise errors.ControlError(
+                f'edit of {message.name!r}: no change given; send an entry'
+                ' or retire it'
+            )
+    return catalogue.Edit(message.name, message.base_version, change)
+
+
+def _encode_conflict(item: catalogue.Conflict) -> catalogue_pb2.Conflict:
+    current = encode_entry(item.current) if item.current else None
+    return catalogue_pb2.Conflict(
+        name=item.name, reason=item.reason, current=current
+    )
+
+
+def _decode_conflict(message: catalogue_pb2.Conflict) -> catalogue.Conflict:
+    current = (
+        decode_entry(message.current) if message.HasField('current') else None
+    )
+    return catalogue.Conflict(message.name, message.reason, current)
--- /dev/null
+++ b/src/gentianspoke/codec/feed.py
@@ -0,0 +1,136 @@
+"""Announcements and views between protobuf and data classes."""
+
+from gentianspoke.core import views
+from gentianspoke.decisions.control import membership
+from gentianspoke.generated import feed_pb2
+
+STATES = {
+    feed_pb2.MEMBER_STATE_LIVE: views.State.LIVE,
+    feed_pb2.MEMBER_STATE_DRAINING: views.State.DRAINING,
+    feed_pb2.MEMBER_STATE_SUSPECT: views.State.SUSPECT,
+}
+STATE_NUMBERS = {state: number for number, state in STATES.items()}
+
+
+def encode_view(view: views.View) -> feed_pb2.View:
+    """Return a view as a message."""
+    return feed_pb2.View(
+        service=view.service,
+        number=view.number,
+        revision=view.revision,
+        members=[_encode_member(member) for member in view.members],
+    )
+
+
+def decode_view(message: feed_pb2.View) -> views.View:
+    """Return a message as a view, its members ordered by number."""
+    members = sorted(
+        (_decode_member(item) for item in message.members),
+        key=lambda member: member.number,
+    )
+    return views.View(
+        message.service, message.number, tuple(members), message.revision
+    )
+
+
+def encode_announcement(
+    announcement: membership.Announcement, service_names: tuple[str, ...]
+) -> feed_pb2.Announcement:
+    """Return a heartbeat as a message."""
+    member = feed_pb2.Member(
+        id=announcement.number,
+        instance=announcement.instance,
+        host=announcement.host,
+        port=announcement.port,
+        zone=announcement.zone,
+        weight=announcement.weight,
+        state=STATE_NUMBERS[announcement.state],
+        recovering=announcement.recovering,
+    )
+    return feed_pb2.Announcement(
+        member=member,
+        service_names=service_names,
+        reports=[_encode_report(item) for item in announcement.reports],
+        leaving=announcement.leaving,
+    )
+
+
+def decode_announcement(
+    message: feed_pb2.Announcement, numbers: dict[str, int]
+) -> membership.Announcement:
+    """Return a message as a heartbeat.
+
+    ``numbers`` maps the names of known services to their numbers; names
+    that the catalogue does not have are left out.
+    """
+    member = message.member
+    known = [numbers.get(name) for name in message.service_names]
+    return membership.Announcement(
+        number=member.id,
+        instance=member.instance,
+        host=member.host,
+        port=member.port,
+        zone=member.zone,
+        weight=max(1, member.weight),
+        state=STATES.get(member.state, views.State.SUSPECT),
+        recovering=member.recovering,
+        services=tuple(number for number in known if number is not None),
+        reports=tuple(_decode_report(item) for item in message.reports),
+        leaving=message.leaving,
+    )
+
+
+def _encode_member(member: views.Member) -> feed_pb2.Member:
+    return feed_pb2.Member(
+        id=member.number,
+        instance=member.instance,
+        host=member.host,
+        port=member.port,
+        zone=member.zone,
+        weight=member.weight,
+        state=STATE_NUMBERS[member.state],
+        joined_view=member.joined_view,
+        closed_view=member.closed_view,
+        acked_view=member.acked_view,
+        oldest_flow_view=member.oldest_flow_view,
+        recovering=member.recovering,
+    )
+
+
+def _decode_member(message: feed_pb2.Member) -> views.Member:
+    return views.Member(
+        number=message.id,
+        instance=message.instance,
+        host=message.host,
+        port=message.port,
+        zone=message.zone,
+        weight=max(1, message.weight),
+        state=STATES.get(message.state, views.State.SUSPECT),
+        joined_view=message.joined_view,
+        closed_view=message.closed_view,
+        acked_view=message.acked_view,
+        oldest_flow_view=message.oldest_flow_view,
+        recovering=message.recovering,
+    )
+
+
+def _encode_report(
+    report: membership.ServiceReport,
+) -> feed_pb2.ServiceReport:
+    return feed_pb2.ServiceReport(
+        service=report.service,
+        acked_view=report.acked_view,
+        oldest_flow_view=report.oldest_flow_view,
+        open_flows=report.open_flows,
+    )
+
+
+def _decode_report(
+    message: feed_pb2.ServiceReport,
+) -> membership.ServiceReport:
+    return membership.ServiceReport(
+        service=message.service,
+        acked_view=message.acked_view,
+        oldest_flow_view=message.oldest_flow_view,
+        open_flows=message.open_flows,
+    )
--- /dev/null
+++ b/src/gentianspoke/codec/frame.py
@@ -0,0 +1,114 @@
+"""Frames between entries and agents as protobuf envelopes."""
+
+import google.protobuf.message
+
+from gentianspoke.codec import keys
+from gentianspoke.core import frames
+from gentianspoke import errors
+from gentianspoke.generated import envelope_pb2
+
+VERSION = 1
+PURPOSES = {int(purpose): purpose for purpose in frames.Purpose}
+
+
+def encode(frame: frames.Frame, ring: keys.KeyRing) -> bytes:
+    """Return the frame as an authenticated envelope."""
+    match frame:
+        case frames.Forward():
+            body = _encode_forward(frame)
+        case frames.LoadReport():
+            body = _encode_load(frame)
+    packed = body.SerializeToString()
+    envelope = envelope_pb2.Envelope(
+        version=VERSION,
+        key_id=ring.active,
+        tag=ring.tag(packed),
+        body=packed,
+    )
+    return envelope.SerializeToString()
+
+
+def decode(data: bytes, ring: keys.KeyRing) -> frames.Frame:
+    """Return the frame in an envelope.
+
+    Raises :class:`gentianspoke.errors.PacketError` where the bytes are no
+    envelope of this version with a valid tag.
+    """
+    try:
+        envelope = envelope_pb2.Envelope.FromString(data)
+    except google.protobuf.message.DecodeError as exc:
+        raise errors.PacketError('not-an-envelope') from exc
+    if envelope.version != VERSION:
+        raise errors.PacketError('other-version')
+    ring.verify(envelope.key_id, envelope.tag, envelope.body)
+    try:
+        body = envelope_pb2.Body.FromString(envelope.body)
+    except google.protobuf.message.DecodeError as exc:
+        raise errors.PacketError('not-a-frame') from exc
+    match body.WhichOneof('content'):
+        case 'forward':
+            return _decode_forward(body)
+        case 'load':
+            return _decode_load(body)
+        case _:
+            raise errors.PacketError('empty-frame')
+
+
+def _encode_forward(frame: frames.Forward) -> envelope_pb2.Body:
+    return envelope_pb2.Body(
+        sender=frame.sender,
+        forward=envelope_pb2.Forward(
+            service=frame.service,
+            view=frame.view,
+            bucket=frame.bucket,
+            target=frame.target,
+            tried=frame.tried,
+            hops_left=frame.hops_left,
+            packet=frame.packet,
+            purpose=int(frame.purpose),  # type: ignore[arg-type]
+            wait_left_ms=frame.wait_left_ms,
+            offers_left=frame.offers_left,
+        ),
+    )
+
+
+def _decode_forward(body: envelope_pb2.Body) -> frames.Forward:
+    forward = body.forward
+    purpose = PURPOSES.get(forward.purpose)
+    if purpose is None:
+        raise errors.PacketError('unknown-purpose')
+    return frames.Forward(
+        service=forward.service,
+        view=forward.view,
+        bucket=forward.bucket,
+        target=forward.target,
+        packet=forward.packet,
+        purpose=purpose,
+        tried=tuple(forward.tried),
+        hops_left=forward.hops_left,
+        wait_left_ms=forward.wait_left_ms,
+        offers_left=forward.offers_left,
+        sender=body.sender,
+    )
+
+
+def _encode_load(frame: frames.LoadReport) -> envelope_pb2.Body:
+    return envelope_pb2.Body(
+        sender=frame.sender,
+        load=envelope_pb2.LoadReport(
+            service=frame.service,
+            open_flows=frame.open_flows,
+            running=frame.running,
+            queued=frame.queued,
+        ),
+    )
+
+
+def _decode_load(body: envelope_pb2.Body) -> frames.LoadReport:
+    return frames.LoadReport(
+        service=body.load.service,
+        sender=body.sender,
+        open_flows=body.load.open_flows,
+        running=body.load.running,
+        queued=body.load.queued,
+    )
--- /dev/null
+++ b/src/gentianspoke/codec/ip.py
@@ -0,0 +1,214 @@
+"""IP packets: reading what decisions need, and writing resets.
+
+Sources: RFC 791 and 8200 (IP), 9293 (TCP), 768 (UDP), 792 (ICMP).
+``dpkt`` writes headers and checksums. Reading is done on fixed offsets,
+because it happens for every packet and needs eight fields only.
+"""
+
+import struct
+
+import dpkt
+
+from gentianspoke.core import packets
+from gentianspoke import errors
+
+IPV4_HEADER_BYTES = 20
+IPV6_HEADER_BYTES = 40
+TCP_HEADER_BYTES = 20
+UDP_HEADER_BYTES = 8
+LARGEST_PACKET_BYTES = 65_535
+# More-fragments flag and fragment offset of an IPv4 header.
+FRAGMENT_MASK = 0x3FFF
+SEQ_MODULUS = 1 << 32
+RESET_TTL = 64
+ICMP_CODE_ADMIN_PROHIBITED = 13
+ICMP6_CODE_ADMIN_PROHIBITED = 1
+
+_TCP_FIELDS = struct.Struct('!IIBB')
+_U16 = struct.Struct('!H')
+
+
+def parse(raw: bytes, *, reply: bool = False) -> packets.Packet:
+    """Return what the decisions need to know of an IP packet.
+
+    ``reply`` tells that the packet comes from the upstream; its key is
+    then turned to the caller's point of view.
+
+    Raises :class:`gentianspoke.errors.PacketError` for anything else than
+    a whole, unfragmented TCP or UDP packet.
+    """
+    if not raw:
+        raise errors.PacketError('empty')
+    if len(raw) > LARGEST_PACKET_BYTES:
+        raise errors.PacketError('oversized')
+    match raw[0] >> 4:
+        case 4:
+            return _parse_ipv4(raw, reply)
+        case 6:
+            return _parse_ipv6(raw, reply)
+        case _:
+            raise errors.PacketError('not-ip')
+
+
+def reset_for(packet: packets.Packet) -> bytes:
+    """Return the packet that refuses ``packet``, addressed to its caller.
+
+    A TCP opening is answered by a reset, a datagram by ICMP
+    "administratively prohibited"; both mean "not run".
+    """
+    match packet:
+        case packets.Segment():
+            ack = (packet.seq + packet.payload_bytes + 1) % SEQ_MODULUS
+            return reset_to_caller(packet.key, 0, ack)
+        case packets.Datagram():
+            return _prohibited(packet)
+
+
+def reset_to_caller(key: packets.FlowKey, seq: int, ack: int) -> bytes:
+    """Return a TCP reset from the service to the caller of a flow."""
+    return _reset(
+        packets.service_address(key),
+        packets.caller_address(key),
+        packets.service_port(key),
+        packets.caller_port(key),
+        seq,
+        ack,
+    )
+
+
+def reset_to_upstream(key: packets.FlowKey, seq: int, ack: int) -> bytes:
+    """Return a TCP reset from the caller to the service of a flow."""
+    return _reset(
+        packets.caller_address(key),
+        packets.service_address(key),
+        packets.caller_port(key),
+        packets.service_port(key),
+        seq,
+        ack,
+    )
+
+
+def _parse_ipv4(raw: bytes, reply: bool) -> packets.Packet:
+    if len(raw) < IPV4_HEADER_BYTES:
+        raise errors.PacketError('truncated')
+    header_bytes = (raw[0] & 0x0F) * 4
+    total = _U16.unpack_from(raw, 2)[0]
+    if header_bytes < IPV4_HEADER_BYTES or not header_bytes <= total:
+        raise errors.PacketError('bad-header')
+    if total > len(raw):
+        raise errors.PacketError('truncated')
+    if _U16.unpack_from(raw, 6)[0] & FRAGMENT_MASK:
+        raise errors.PacketError('fragment')
+    source, target = raw[12:16], raw[16:20]
+    return _parse_transport(
+        raw[:total], raw[9], source, target, header_bytes, reply
+    )
+
+
+def _parse_ipv6(raw: bytes, reply: bool) -> packets.Packet:
+    if len(raw) < IPV6_HEADER_BYTES:
+        raise errors.PacketError('truncated')
+    total = IPV6_HEADER_BYTES + _U16.unpack_from(raw, 4)[0]
+    if total > len(raw):
+        raise errors.PacketError('truncated')
+    source, target = raw[8:24], raw[24:40]
+    return _parse_transport(
+        raw[:total], raw[6], source, target, IPV6_HEADER_BYTES, reply
+    )
+
+
+def _parse_transport(
+    raw: bytes,
+    protocol: int,
+    source: bytes,
+    target: bytes,
+    start: int,
+    reply: bool,
+) -> packets.Packet:
+    if protocol == packets.TCP:
+        smallest = TCP_HEADER_BYTES
+    elif protocol == packets.UDP:
+        smallest = UDP_HEADER_BYTES
+    else:
+        raise errors.PacketError('not-tcp-or-udp')
+    if len(raw) < start + smallest:
+        raise errors.PacketError('truncated')
+    sport, dport = raw[start : start + 2], raw[start + 2 : start + 4]
+    if reply:
+        addresses, ports = target + source, dport + sport
+    else:
+        addresses, ports = source + target, sport + dport
+    key = packets.FlowKey(bytes((protocol,)) + addresses + ports)
+    if protocol == packets.UDP:
+        return packets.Datagram(key, len(raw) - start - UDP_HEADER_BYTES, raw)
+    return _parse_segment(raw, start, key)
+
+
+def _parse_segment(
+    raw: bytes, start: int, key: packets.FlowKey
+) -> packets.Segment:
+    seq, ack, offset, flags = _TCP_FIELDS.unpack_from(raw, start + 4)
+    header_bytes = (offset >> 4) * 4
+    payload_bytes = len(raw) - start - header_bytes
+    if header_bytes < TCP_HEADER_BYTES or payload_bytes < 0:
+        raise errors.PacketError('bad-header')
+    return packets.Segment(key, flags, seq, ack, payload_bytes, raw)
+
+
+def _reset(
+    source: bytes, target: bytes, sport: int, dport: int, seq: int, ack: int
+) -> bytes:
+    segment = dpkt.tcp.TCP(
+        sport=sport,
+        dport=dport,
+        seq=seq % SEQ_MODULUS,
+        ack=ack % SEQ_MODULUS,
+        flags=int(packets.Flags.RST | packets.Flags.ACK),
+        win=0,
+    )
+    return wrap(source, target, packets.TCP, segment)
+
+
+def wrap(
+    source: bytes, target: bytes, protocol: int, payload: dpkt.Packet
+) -> bytes:
+    """Return an IP packet around a transport payload, with checksums."""
+    if len(source) == 4:
+        packet = dpkt.ip.IP(
+            src=source, dst=target, p=protocol, ttl=RESET_TTL, data=payload
+        )
+        packet.len = len(packet)
+        return bytes(packet)
+    packet6 = dpkt.ip6.IP6(
+        src=source,
+        dst=target,
+        nxt=protocol,
+        hlim=RESET_TTL,
+        plen=len(payload),
+        data=payload,
+    )
+    packet6.extension_hdrs = {}
+    packet6.all_extension_headers = []
+    return bytes(packet6)
+
+
+def _prohibited(packet: packets.Datagram) -> bytes:
+    service = packets.service_address(packet.key)
+    caller = packets.caller_address(packet.key)
+    if len(service) == 4:
+        unreachable = dpkt.icmp.ICMP.Unreach(
+            data=packet.raw[: IPV4_HEADER_BYTES + UDP_HEADER_BYTES]
+        )
+        message = dpkt.icmp.ICMP(
+            type=dpkt.icmp.ICMP_UNREACH,
+            code=ICMP_CODE_ADMIN_PROHIBITED,
+            data=unreachable,
+        )
+        return wrap(service, caller, dpkt.ip.IP_PROTO_ICMP, message)
+    body = bytes(4) + packet.raw[: IPV6_HEADER_BYTES + UDP_HEADER_BYTES]
+    message6 = dpkt.icmp6.ICMP6(
+        type=dpkt.icmp6.ICMP6_DST_UNREACH,
+        code=ICMP6_CODE_ADMIN_PROHIBITED,
+        data=body,
+    )
+    return wrap(service, caller, dpkt.ip.IP_PROTO_ICMP6, message6)
--- /dev/null
+++ b/src/gentianspoke/codec/keys.py
@@ -0,0 +1,43 @@
+"""Shared keys of a deployment, and the tags that they give to frames.
+
+A tag is a keyed BLAKE2b digest (RFC 7693). Several keys may be accepted
+at a time, so that keys can be rotated without losing a frame.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+
+from gentianspoke import errors
+
+TAG_BYTES = 16
+KEY_BYTES_AT_LEAST = 16
+KEY_BYTES_AT_MOST = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRing:
+    """The keys that are accepted, and the one that signs."""
+
+    active: int
+    keys: dict[int, bytes]
+
+    def tag(self, body: bytes) -> bytes:
+        """Return the tag of ``body`` by the active key."""
+        return _digest(self.keys[self.active], body)
+
+    def verify(self, key_id: int, tag: bytes, body: bytes) -> None:
+        """Check a tag.
+
+        Raises :class:`gentianspoke.errors.PacketError` for an unknown key
+        or a tag that does not match.
+        """
+        key = self.keys.get(key_id)
+        if key is None:
+            raise errors.PacketError('unknown-key')
+        if not hmac.compare_digest(_digest(key, body), tag):
+            raise errors.PacketError('bad-tag')
+
+
+def _digest(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=TAG_BYTES, key=key).digest()
--- /dev/null
+++ b/src/gentianspoke/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the program, one module for each group."""
--- /dev/null
+++ b/src/gentianspoke/commands/root.py
@@ -0,0 +1,25 @@
+"""The command line as data classes, read by cappa."""
+
+import dataclasses
+
+import cappa
+
+from gentianspoke.commands import catalogue
+from gentianspoke.commands import config
+from gentianspoke.commands import processes
+
+Command = (
+    processes.RunEntry
+    | processes.RunAgent
+    | processes.RunControl
+    | config.Config
+    | catalogue.Catalogue
+)
+
+
+@cappa.command(name='gentianspoke')
+@dataclasses.dataclass
+class Gentianspoke:
+    """A layer-4 load balancer: its processes and operator commands."""
+
+    command: cappa.Subcommands[Command]
--- /dev/null
+++ b/src/gentianspoke/config/__init__.py
@@ -0,0 +1,1 @@
+"""YAML files at the border: validated models in, data classes out."""
--- /dev/null
+++ b/src/gentianspoke/config/catalogue_file.py
@@ -0,0 +1,109 @@
+"""Catalogue files of operators as data classes."""
+
+import dataclasses
+import ipaddress
+
+from gentianspoke.config import units
+from gentianspoke.config import yaml_files
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke import errors
+from gentianspoke.generated import catalogue_file_model
+
+PERMILLE = 1000
+PROTOCOLS = {'tcp': packets.TCP, 'udp': packets.UDP}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileEntry:
+    """An entry of a file; ``base_version`` is ``None`` for the current."""
+
+    service: services.Service
+    base_version: int | None
+
+
+def load(path: str) -> list[FileEntry]:
+    """Return the entries of the catalogue file at ``path``.
+
+    Raises :class:`gentianspoke.errors.CatalogueFileError`; either all
+    entries are valid or none is returned.
+    """
+    model = yaml_files.load(
+        path, catalogue_file_model.CatalogueFile, errors.CatalogueFileError
+    )
+    entries: list[FileEntry] = []
+    seen: set[str] = set()
+    for position, entry in enumerate(model.services):
+        place = f'services.{position}'
+        if entry.name in seen:
+            raise errors.CatalogueFileError(
+                path, f'{place}.name', f'{entry.name} is given twice'
+            )
+        seen.add(entry.name)
+        entries.append(_entry(path, place, entry))
+    return entries
+
+
+def _entry(
+    path: str, place: str, entry: catalogue_file_model.ServiceEntry
+) -> FileEntry:
+    try:
+        address = ipaddress.ip_address(entry.address).packed
+    except ValueError as exc:
+        raise errors.CatalogueFileError(
+            path, f'{place}.address', f'{entry.address!r} is no IP number'
+        ) from exc
+    protocol = PROTOCOLS[str(entry.protocol)]
+    traffic = _traffic(entry)
+    service = services.Service(
+        number=0,
+        name=entry.name,
+        owner=entry.owner,
+        address=address,
+        ports=tuple(sorted({int(port.root) for port in entry.ports})),
+        protocol=protocol,
+        traffic=traffic,
+        limits=_limits(entry.limits),
+        version=0,
+    )
+    if protocol == packets.UDP and services.needs_single_decider(service):
+        raise errors.CatalogueFileError(
+            path,
+            f'{place}.idempotent',
+            'a repeated datagram cannot be told from a new one; set'
+            ' idempotent: true or use protocol: tcp',
+        )
+    return FileEntry(service, entry.base_version)
+
+
+def _traffic(
+    entry: catalogue_file_model.ServiceEntry,
+) -> services.TrafficClass:
+    idempotent = bool(entry.idempotent)
+    match str(entry.class_):
+        case 'board':
+            return services.Board()
+        case 'booking':
+            return services.Booking(idempotent)
+        case _:
+            return services.Upload(idempotent)
+
+
+def _limits(
+    limits: catalogue_file_model.EntryLimits | None,
+) -> services.Limits:
+    given = limits or catalogue_file_model.EntryLimits()
+    return services.Limits(
+        connections=given.connections,
+        slots=given.slots,
+        queue=given.queue,
+        wait_ms=_duration(given.wait),
+        idle_ms=_duration(given.idle),
+        bound_permille=round(given.bound * PERMILLE),
+        retry_permille=round(given.retry_share * PERMILLE),
+    )
+
+
+def _duration(value: catalogue_file_model.Duration | str) -> int:
+    text = value if isinstance(value, str) else value.root
+    return units.duration_ms(text)
--- /dev/null
+++ b/src/gentianspoke/config/key_file.py
@@ -0,0 +1,34 @@
+"""The file of shared keys: numbered keys in hexadecimal, one active."""
+
+from gentianspoke.codec import keys
+from gentianspoke.config import yaml_files
+from gentianspoke import errors
+from gentianspoke.generated import key_file_model
+
+
+def load(path: str) -> keys.KeyRing:
+    """Return the keys in the file at ``path``.
+
+    Raises :class:`gentianspoke.errors.KeyFileError`.
+    """
+    model = yaml_files.load(path, key_file_model.KeyFile, errors.KeyFileError)
+    ring: dict[int, bytes] = {}
+    for item in model.keys:
+        ring[item.id] = _key(path, item)
+    if model.active not in ring:
+        raise errors.KeyFileError(
+            path, 'active', f'key {model.active} is not listed under keys'
+        )
+    return keys.KeyRing(model.active, ring)
+
+
+def _key(path: str, item: key_file_model.Key) -> bytes:
+    value = bytes.fromhex(item.hex)
+    if not keys.KEY_BYTES_AT_LEAST <= len(value) <= keys.KEY_BYTES_AT_MOST:
+        raise errors.KeyFileError(
+            path,
+            f'keys.{item.id}',
+            f'{len(value)} bytes long; use {keys.KEY_BYTES_AT_LEAST} to'
+            f' {keys.KEY_BYTES_AT_MOST} random bytes',
+        )
+    return value
--- /dev/null
+++ b/src/gentianspoke/config/units.py
@@ -0,0 +1,51 @@
+"""Values with units, as they are written in YAML files."""
+
+import ipaddress
+
+UNITS_MS = {'ms': 1, 's': 1_000, 'm': 60_000, 'h': 3_600_000}
+LARGEST_PORT = 65_535
+
+Address = tuple[str, int]
+
+
+def duration_ms(text: str) -> int:
+    """Return a duration such as ``250ms`` or ``3s`` in milliseconds.
+
+    Raises ``ValueError`` whose message says how to write a duration.
+    """
+    for unit in sorted(UNITS_MS, key=len, reverse=True):
+        digits = text.removesuffix(unit)
+        if digits != text and digits.isdecimal():
+            return int(digits) * UNITS_MS[unit]
+    raise ValueError(
+        f'{text!r} is no duration; write a whole number with its unit, ms,'
+        ' s, m or h, such as 250ms'
+    )
+
+
+def host_port(text: str) -> Address:
+    """Return an address such as ``127.0.0.1:7000`` as host and port.
+
+    Raises ``ValueError`` whose message says how to write an address.
+    """
+    host, _, digits = text.rpartition(':')
+    host = host.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(host)
+        port = int(digits)
+    except ValueError as exc:
+        raise ValueError(
+            f'{text!r} is no address; write an IP number and a port, such'
+            ' as 127.0.0.1:7000'
+        ) from exc
+    if not 0 < port <= LARGEST_PORT:
+        raise ValueError(
+            f'port {port} does not exist; use one from 1 to {LARGEST_PORT}'
+        )
+    return host, port
+
+
+def format_address(address: Address) -> str:
+    """Return host and port as one text, the reverse of host_port."""
+    host, port = address
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- /dev/null
+++ b/src/gentianspoke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes that all parts share; they import no socket or codec."""
--- /dev/null
+++ b/src/gentianspoke/core/frames.py
@@ -0,0 +1,50 @@
+"""Frames that entries and agents exchange, free of their encoding."""
+
+import dataclasses
+import enum
+
+ENTRY_SENDER = 0
+
+
+class Purpose(enum.IntEnum):
+    """What the receiver of a forwarded packet is to do with it."""
+
+    ROUTE = 0
+    OFFER = 1
+    ASK = 2
+    ADOPT = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Forward:
+    """One packet of a flow on its way to the agent that owns the flow.
+
+    ``tried`` lists the members that did not own the flow, oldest first.
+    ``target`` is the member that the frame is meant for.
+    """
+
+    service: int
+    view: int
+    bucket: int
+    target: int
+    packet: bytes
+    purpose: Purpose = Purpose.ROUTE
+    tried: tuple[int, ...] = ()
+    hops_left: int = 0
+    wait_left_ms: int = 0
+    offers_left: int = 0
+    sender: int = ENTRY_SENDER
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The sender's own counts for one service."""
+
+    service: int
+    sender: int
+    open_flows: int
+    running: int
+    queued: int
+
+
+Frame = Forward | LoadReport
--- /dev/null
+++ b/src/gentianspoke/core/verdicts.py
@@ -0,0 +1,38 @@
+"""Who is to blame for a flow that failed, with the evidence."""
+
+import dataclasses
+import enum
+
+
+class Fault(enum.Enum):
+    """The part of the path that a failure is attributed to."""
+
+    NETWORK = 'network'
+    BALANCER = 'balancer'
+    UPSTREAM = 'upstream'
+    CALLER = 'caller'
+    NONE = 'none'
+
+
+class Outcome(enum.Enum):
+    """How a flow ended, as far as an agent can tell."""
+
+    CLOSED = 'closed'
+    REFUSED_NOT_RUN = 'refused-not-run'
+    UNKNOWN = 'unknown'
+    RESET_BY_CALLER = 'reset-by-caller'
+    RESET_BY_UPSTREAM = 'reset-by-upstream'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """The outcome of one flow, the part at fault, and the evidence.
+
+    ``evidence`` maps a short name, such as ``unanswered_ms``, to a value.
+    """
+
+    outcome: Outcome
+    fault: Fault
+    reason: str
+    evidence: tuple[tuple[str, str | int], ...] = ()
--- /dev/null
+++ b/src/gentianspoke/decisions/control/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a control instance."""
--- /dev/null
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -0,0 +1,218 @@
+"""The catalogue as a deterministic state machine over accepted edits.
+
+Every control instance applies the same requests in the same order, so
+all of them give the same answers. Versions grow by one for each accepted
+request. The answer to each idempotency key is kept, so that a request
+that is sent again gets its first answer.
+"""
+
+import collections
+import dataclasses
+
+from gentianspoke.core import services
+
+ANSWERS_KEPT = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Add or replace an entry; number and version are assigned here."""
+
+    entry: services.Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retire:
+    """Retire an entry: no new flow, open flows stay."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edit:
+    """One change, based on ``base_version`` of the entry (0: new)."""
+
+    name: str
+    base_version: int
+    change: Put | Retire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Edits that are accepted together or not at all."""
+
+    idempotency_key: str
+    operator: str
+    edits: tuple[Edit, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Why an edit was not accepted, with the current entry."""
+
+    name: str
+    reason: str
+    current: services.Service | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The result of a request, kept with its idempotency key."""
+
+    accepted: bool
+    version: int
+    conflicts: tuple[Conflict, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryItem:
+    """One accepted text of an entry."""
+
+    version: int
+    operator: str
+    idempotency_key: str
+    entry: services.Service
+
+
+class Catalogue:
+    """All entries with their history and the answers given so far."""
+
+    def __init__(self) -> None:
+        """Begin empty, at version 0."""
+        self.version = 0
+        self.entries: dict[str, services.Service] = {}
+        self.history: list[HistoryItem] = []
+        self.answers: collections.OrderedDict[str, Answer] = (
+            collections.OrderedDict()
+        )
+        self._last_number = 0
+
+    def known_answer(self, idempotency_key: str) -> Answer | None:
+        """Return the first answer to a request that was seen before."""
+        return self.answers.get(idempotency_key)
+
+    def apply(self, request: Request) -> Answer:
+        """Apply a request and return its answer, the first one if repeated."""
+        known = self.known_answer(request.idempotency_key)
+        if known is not None:
+            return known
+        conflicts = self._conflicts(request)
+        if conflicts:
+            answer = Answer(False, self.version, conflicts)
+        else:
+            self.version += 1
+            for edit in request.edits:
+                self._apply_edit(request, edit)
+            answer = Answer(True, self.version)
+        self._remember(request.idempotency_key, answer)
+        return answer
+
+    def entry_list(self) -> list[services.Service]:
+        """Return all entries, retired ones included, by name."""
+        return [self.entries[name] for name in sorted(self.entries)]
+
+    def changed_since(self, version: int) -> list[services.Service]:
+        """Return the entries whose text is newer than ``version``."""
+        return [
+            entry for entry in self.entry_list() if entry.version > version
+        ]
+
+    def _conflicts(self, request: Request) -> tuple[Conflict, ...]:
+        found: list[Conflict] = []
+        after = dict(self.entries)
+        for edit in request.edits:
+            current = self.entries.get(edit.name)
+            reason = _edit_fault(edit, current)
+            if reason:
+                found.append(Conflict(edit.name, reason, current))
+            match edit.change:
+                case Put(entry=entry):
+                    after[edit.name] = entry
+                case Retire():
+                    after.pop(edit.name, None)
+        found.extend(_endpoint_conflicts(request, after))
+        return tuple(found)
+
+    def _apply_edit(self, request: Request, edit: Edit) -> None:
+        current = self.entries.get(edit.name)
+        match edit.change:
+            case Put(entry=entry):
+                number = current.number if current else self._next_number()
+                changed = dataclasses.replace(
+                    entry, number=number, version=self.version, retired=False
+                )
+            case Retire():
+                assert current is not None
+                changed = dataclasses.replace(
+                    current, version=self.version, retired=True
+                )
+        self.entries[edit.name] = changed
+        self.history.append(
+            HistoryItem(
+                self.version,
+                request.operator,
+                request.idempotency_key,
+                changed,
+            )
+        )
+
+    def _next_number(self) -> int:
+        self._last_number += 1
+        return self._last_number
+
+    def _remember(self, key: str, answer: Answer) -> None:
+        self.answers[key] = answer
+        while len(self.answers) > ANSWERS_KEPT:
+            self.answers.popitem(last=False)
+
+
+def _edit_fault(edit: Edit, current: services.Service | None) -> str:
+    version = current.version if current else 0
+    if edit.base_version != version:
+        return (
+            f'based on version {edit.base_version}, but the entry is at'
+            f' {version}; read it again, merge and apply again'
+        )
+    match edit.change:
+        case Retire() if current is None:
+            return 'no such entry; check the name with "catalogue list"'
+        case Put(entry=entry) if current is not None:
+            return _identity_fault(entry, current)
+        case _:
+            return ''
+
+
+def _identity_fault(entry: services.Service, current: services.Service) -> str:
+    if current.retired:
+        return 'retired; a name is not used again, so choose another one'
+    if (entry.address, entry.protocol) != (current.address, current.protocol):
+        return (
+            'address and protocol of a service do not change; add a new'
+            ' entry, then retire this one'
+        )
+    if type(entry.traffic) is not type(current.traffic):
+        return (
+            'the class of a service does not change under open flows; add'
+            ' a new entry, then retire this one'
+        )
+    return ''
+
+
+def _endpoint_conflicts(
+    request: Request, after: dict[str, services.Service]
+) -> list[Conflict]:
+    edited = {edit.name for edit in request.edits}
+    owners: dict[tuple[int, bytes, int], str] = {}
+    found: list[Conflict] = []
+    for name in sorted(after, key=lambda item: (item in edited, item)):
+        entry = after[name]
+        if entry.retired:
+            continue
+        for port in entry.ports:
+            endpoint = (entry.protocol, entry.address, port)
+            owner = owners.setdefault(endpoint, name)
+            if owner != name:
+                reason = (
+                    f'port {port} of this address belongs to {owner};'
+                    ' choose another port or retire that entry first'
+                )
+                found.append(Conflict(name, reason, after[owner]))
+    return found
--- /dev/null
+++ b/src/gentianspoke/decisions/routing.py
@@ -0,0 +1,102 @@
+"""The entry's decision: which agent gets a packet. It keeps no flow."""
+
+import dataclasses
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions import hashing
+
+HOPS_AT_MOST = 24
+OFFERS_AT_MOST = 2
+
+Endpoint = tuple[int, bytes, int]
+
+
+@dataclasses.dataclass(slots=True)
+class RouteTable:
+    """Catalogue and views of an entry, indexed for look-up by packet."""
+
+    catalogue_version: int = 0
+    by_endpoint: dict[Endpoint, services.Service] = dataclasses.field(
+        default_factory=dict
+    )
+    rankings: dict[int, hashing.Ranking] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def set_catalogue(
+        self, version: int, entries: list[services.Service]
+    ) -> bool:
+        """Take a newer catalogue; return whether it was newer."""
+        if version < self.catalogue_version:
+            return False
+        self.catalogue_version = version
+        self.by_endpoint = index_services(entries)
+        return True
+
+    def set_view(self, view: views.View) -> bool:
+        """Take a newer view of a service; return whether it was newer."""
+        known = self.rankings.get(view.service)
+        if known is not None and known.view.order >= view.order:
+            return False
+        self.rankings[view.service] = hashing.Ranking(view)
+        return True
+
+
+def index_services(
+    entries: list[services.Service],
+) -> dict[Endpoint, services.Service]:
+    """Return the services by protocol, address and port.
+
+    A retired service stays routable as long as it is listed, for flows
+    that were open when it was retired; an unretired one goes before it.
+    """
+    index: dict[Endpoint, services.Service] = {}
+    for entry in sorted(entries, key=lambda item: not item.retired):
+        for port in entry.ports:
+            index[(entry.protocol, entry.address, port)] = entry
+    return index
+
+
+def route(table: RouteTable, packet: packets.Packet) -> actions.Action:
+    """Return where an entry sends a packet that the fabric handed to it."""
+    key = packet.key
+    endpoint = (
+        packets.key_protocol(key),
+        packets.service_address(key),
+        packets.service_port(key),
+    )
+    service = table.by_endpoint.get(endpoint)
+    if service is None:
+        return actions.Drop('no-service')
+    ranking = table.rankings.get(service.number)
+    if ranking is None:
+        return actions.Drop('no-view')
+    bucket = hashing.bucket_of(key, service.number)
+    member = ranking.home(bucket) or next(iter(ranking.order(bucket)), None)
+    if member is None:
+        return _answer_without_members(packet)
+    forward = frames.Forward(
+        service=service.number,
+        view=ranking.view.number,
+        bucket=bucket,
+        target=member.number,
+        packet=packet.raw,
+        hops_left=HOPS_AT_MOST,
+        wait_left_ms=service.limits.wait_ms,
+        offers_left=OFFERS_AT_MOST,
+    )
+    return actions.Pass(member, forward)
+
+
+def _answer_without_members(packet: packets.Packet) -> actions.Action:
+    # A reset that answers a SYN acts only on a caller that has sent no
+    # data yet, so it is a truthful "not run" even if a copy was placed.
+    match packet:
+        case packets.Segment() if packets.is_opening(packet):
+            return actions.Refuse(packet, 'no-upstream')
+        case _:
+            return actions.Drop('no-upstream')
--- /dev/null
+++ b/src/gentianspoke/errors.py
@@ -0,0 +1,73 @@
+"""All errors that gentianspoke raises, as one tree.
+
+Every message says what is wrong and what to do about it, because the
+reader is an operator with a stalled service and no source code at hand.
+"""
+
+
+class GentianspokeError(Exception):
+    """Base of all errors of this package."""
+
+
+class SettingsError(GentianspokeError):
+    """A settings file that cannot be used."""
+
+    def __init__(self, file: str, key: str, remedy: str) -> None:
+        """Keep the file, the key in it (empty for all) and the remedy."""
+        self.file = file
+        self.key = key
+        self.remedy = remedy
+        place = f'{file}: {key}' if key else file
+        super().__init__(f'{place}: {remedy}')
+
+
+class CatalogueFileError(SettingsError):
+    """A catalogue file whose entries are not valid."""
+
+
+class KeyFileError(SettingsError):
+    """A file of shared keys that cannot be used."""
+
+
+class PacketError(GentianspokeError):
+    """A packet or frame that is not processed; ``reason`` names why."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the reason, a short word that metrics use as a label."""
+        self.reason = reason
+        super().__init__(
+            f'packet dropped ({reason}); see "packets dropped" in the'
+            ' operators\' pages for the remedy of each reason'
+        )
+
+
+class ControlError(GentianspokeError):
+    """A request that the control instances did not carry out."""
+
+
+class ControlUnreachableError(ControlError):
+    """No control instance answered."""
+
+    def __init__(self, addresses: str) -> None:
+        """Name the addresses that were tried."""
+        super().__init__(
+            f'no control instance answered at {addresses}; check that a'
+            ' majority of them runs and that "feeds" lists their addresses'
+        )
+
+
+class ConflictError(ControlError):
+    """An edit that was based on an older version of its entry."""
+
+    def __init__(self, name: str, version: int) -> None:
+        """Name the entry and its current version."""
+        self.name = name
+        self.version = version
+        super().__init__(
+            f'{name}: changed meanwhile, now at version {version}; read it'
+            ' with "catalogue get", merge, and apply again'
+        )
+
+
+class StorageError(GentianspokeError):
+    """Durable state that cannot be read or written."""
--- /dev/null
+++ b/src/gentianspoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and streams, opened and closed by context managers."""
--- /dev/null
+++ b/src/gentianspoke/net/pages.py
@@ -0,0 +1,106 @@
+"""A small HTTP server and client for metrics and status pages (h11)."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import h11
+
+from gentianspoke.config import units
+
+READ_BYTES = 16_384
+LARGEST_PAGE_BYTES = 4 * 1024 * 1024
+REQUEST_TIMEOUT_S = 2.0
+
+Page = tuple[int, bytes, str]
+Render = collections.abc.Callable[[str], Page]
+
+
+@contextlib.asynccontextmanager
+async def serve_pages(
+    address: units.Address, render: Render
+) -> collections.abc.AsyncIterator[None]:
+    """Serve pages; ``render`` gets the path, returns status, body, type."""
+
+    async def on_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            with contextlib.suppress(
+                OSError, TimeoutError, h11.RemoteProtocolError
+            ):
+                async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                    await _answer_one(reader, writer, render)
+
+    server = await asyncio.start_server(on_connection, *address)
+    async with server:
+        yield
+
+
+async def fetch_page(address: units.Address, path: str) -> tuple[int, bytes]:
+    """Return status and body of a page.
+
+    Raises ``OSError``, ``TimeoutError`` or ``h11.RemoteProtocolError``.
+    """
+    async with asyncio.timeout(REQUEST_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*address)
+        with contextlib.closing(writer):
+            return await _request(reader, writer, path)
+
+
+async def _answer_one(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    render: Render,
+) -> None:
+    connection = h11.Connection(h11.SERVER)
+    request = await _next_event(connection, reader)
+    if not isinstance(request, h11.Request):
+        return
+    status, body, kind = render(request.target.decode('ascii', 'replace'))
+    headers = [
+        ('content-type', kind),
+        ('content-length', str(len(body))),
+        ('connection', 'close'),
+    ]
+    writer.write(
+        connection.send(h11.Response(status_code=status, headers=headers))
+        or b''
+    )
+    writer.write(connection.send(h11.Data(data=body)) or b'')
+    writer.write(connection.send(h11.EndOfMessage()) or b'')
+    await writer.drain()
+
+
+async def _request(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: str
+) -> tuple[int, bytes]:
+    connection = h11.Connection(h11.CLIENT)
+    request = h11.Request(
+        method='GET',
+        target=path,
+        headers=[('host', 'localhost'), ('connection', 'close')],
+    )
+    writer.write(connection.send(request) or b'')
+    writer.write(connection.send(h11.EndOfMessage()) or b'')
+    await writer.drain()
+    status = 0
+    body = b''
+    while True:
+        match await _next_event(connection, reader):
+            case h11.Response(status_code=status):
+                pass
+            case h11.Data(data=data) if len(body) < LARGEST_PAGE_BYTES:
+                body += bytes(data)
+            case _:
+                return status, body
+
+
+async def _next_event(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> object:
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        connection.receive_data(await reader.read(READ_BYTES))
--- /dev/null
+++ b/src/gentianspoke/shells/__init__.py
@@ -0,0 +1,1 @@
+"""Processes: tasks around sockets that carry out decisions."""
--- /dev/null
+++ b/src/gentianspoke/shells/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: catalogue, membership and the feed."""
--- /dev/null
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -0,0 +1,130 @@
+"""The operators' service: edits and reads of the catalogue."""
+
+import typing
+
+import grpclib
+import grpclib.server
+
+from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.decisions.control import catalogue
+from gentianspoke import errors
+from gentianspoke.generated import catalogue_grpc
+from gentianspoke.generated import catalogue_pb2
+from gentianspoke.shells.control import calls
+from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import local_log
+from gentianspoke.shells import process
+
+LAGGARDS_NAMED = 16
+
+
+class CatalogueService(catalogue_grpc.CatalogueBase):
+    """Answers operators from the log of this control instance."""
+
+    def __init__(
+        self,
+        proc: process.Process,
+        log: local_log.LocalLog,
+        consumers: hub.Hub,
+    ) -> None:
+        """Serve the log, and wake the consumers after each edit."""
+        self._proc = proc
+        self._log = log
+        self._hub = consumers
+
+    async def Apply(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[catalogue_pb2.ApplyRequest,'
+            ' catalogue_pb2.ApplyReply]'
+        ),
+    ) -> None:
+        """Accept or refuse edits."""
+        message = await calls.receive(stream)
+        request = _checked(catalogue_codec.decode_request, message)
+        answer = await self._log.submit(request)
+        await stream.send_message(catalogue_codec.encode_answer(answer))
+        self._proc.events.write(
+            'catalogue-answered',
+            accepted=answer.accepted,
+            version=answer.version,
+        )
+        self._hub.wake()
+
+    async def List(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[catalogue_pb2.ListRequest,'
+            ' catalogue_pb2.ListReply]'
+        ),
+    ) -> None:
+        """Return the entries."""
+        request = await calls.receive(stream)
+        entries = [
+            catalogue_codec.encode_entry(entry)
+            for entry in self._log.catalogue.entry_list()
+            if request.include_retired or not entry.retired
+        ]
+        await stream.send_message(
+            catalogue_pb2.ListReply(
+                entries=entries,
+                version=self._log.catalogue.version,
+                confirmed_age_ms=self._log.confirmed_age_ms(),
+            )
+        )
+
+    async def History(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[catalogue_pb2.HistoryRequest,'
+            ' catalogue_pb2.HistoryReply]'
+        ),
+    ) -> None:
+        """Return the accepted texts of an entry."""
+        request = await calls.receive(stream)
+        items = [
+            catalogue_pb2.HistoryItem(
+                version=item.version,
+                operator=item.operator,
+                idempotency_key=item.idempotency_key,
+                entry=catalogue_codec.encode_entry(item.entry),
+            )
+            for item in self._log.catalogue.history
+            if item.entry.name == request.name
+        ]
+        await stream.send_message(catalogue_pb2.HistoryReply(items=items))
+
+    async def Status(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[catalogue_pb2.StatusRequest,'
+            ' catalogue_pb2.StatusReply]'
+        ),
+    ) -> None:
+        """Return how many consumers run a version."""
+        request = await calls.receive(stream)
+        wanted = request.version or self._log.catalogue.version
+        lagging = self._hub.lagging(wanted)
+        consumers = len(self._hub.subscribers)
+        await stream.send_message(
+            catalogue_pb2.StatusReply(
+                version=self._log.catalogue.version,
+                consumers=consumers,
+                in_force=consumers - len(lagging),
+                laggards=lagging[:LAGGARDS_NAMED],
+                confirmed_age_ms=self._log.confirmed_age_ms(),
+                role='leader',
+            )
+        )
+
+
+def _checked(
+    decode: typing.Callable[[typing.Any], catalogue.Request],
+    message: typing.Any,
+) -> catalogue.Request:
+    try:
+        return decode(message)
+    except errors.ControlError as exc:
+        raise grpclib.GRPCError(
+            grpclib.const.Status.INVALID_ARGUMENT, str(exc)
+        ) from exc
--- /dev/null
+++ b/src/gentianspoke/shells/process.py
@@ -0,0 +1,104 @@
+"""What every process has: logs, metrics, signals, its life cycle."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import signal
+
+from gentianspoke import clock
+from gentianspoke.codec import keys
+from gentianspoke.config import key_file
+from gentianspoke.config import settings
+from gentianspoke.decisions import lifecycle
+from gentianspoke.net import pages
+from gentianspoke.telemetry import logs
+from gentianspoke.telemetry import metrics
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """What the tasks of one process share."""
+
+    cfg: settings.Settings
+    clock: clock.Clock
+    ring: keys.KeyRing
+    events: logs.EventLog
+    metrics: metrics.Metrics
+    life: lifecycle.Lifecycle
+    stop: asyncio.Event
+
+    def render_page(self, path: str) -> pages.Page:
+        """Return the page at ``path``: ``/metrics`` or ``/ready``."""
+        match path:
+            case '/metrics':
+                body, headers = self.metrics.render()
+                return 200, body, headers['Content-Type']
+            case '/ready':
+                ready = self.life.state == 'serving'
+                body = self.life.state.encode()
+                return (200 if ready else 503), body, 'text/plain'
+            case _:
+                return 404, b'see /metrics or /ready', 'text/plain'
+
+
+@contextlib.asynccontextmanager
+async def run_process(
+    cfg: settings.Settings, role: str
+) -> collections.abc.AsyncIterator[Process]:
+    """Set up what a process has and report its end on the time line."""
+    logs.configure(cfg.log_file, cfg.log_level)
+    own_clock = clock.Clock()
+    events = logs.EventLog(cfg.instance, role, own_clock)
+    life = lifecycle.Lifecycle(lambda state: events.write(f'process-{state}'))
+    process = Process(
+        cfg=cfg,
+        clock=own_clock,
+        ring=key_file.load(cfg.key_file),
+        events=events,
+        metrics=metrics.Metrics(cfg.instance, role),
+        life=life,
+        stop=asyncio.Event(),
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(_stop_on_signal(process.stop))
+        if cfg.metrics is not None:
+            await stack.enter_async_context(
+                pages.serve_pages(cfg.metrics, process.render_page)
+            )
+        life.advance('sync')
+        yield process
+        if life.state != 'stopping':
+            life.advance('stop')
+        life.advance('finish')
+
+
+@contextlib.contextmanager
+def _stop_on_signal(
+    stop: asyncio.Event,
+) -> collections.abc.Iterator[None]:
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop.set)
+    try:
+        yield
+    finally:
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+
+
+@contextlib.asynccontextmanager
+async def run_tasks(
+    *tasks: collections.abc.Coroutine[object, object, None],
+) -> collections.abc.AsyncIterator[None]:
+    """Run tasks during the context, cancel them at its end.
+
+    An error in a task ends the context with that error.
+    """
+    async with asyncio.TaskGroup() as group:
+        running = [group.create_task(task) for task in tasks]
+        yield
+        for task in running:
+            task.cancel()
--- /dev/null
+++ b/src/gentianspoke/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, events of the time line, and metrics."""
--- /dev/null
+++ b/tests/decisions/test_catalogue.py
@@ -0,0 +1,53 @@
+"""Edits of the catalogue: one winner, one answer, no name used twice."""
+
+import builders
+import pytest
+
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+
+
+def put(name, base, entry=None, key='k'):
+    entry = entry or builders.service()
+    edit = catalogue.Edit(name, base, catalogue.Put(entry))
+    return catalogue.Request(key, 'operator', (edit,))
+
+
+@pytest.mark.parametrize(
+    ('base', 'accepted'), [(0, False), (1, True), (2, False)]
+)
+def test_an_edit_is_accepted_only_on_the_current_version(base, accepted):
+    state = catalogue.Catalogue()
+    state.apply(put('a', 0, key='first'))
+    assert state.apply(put('a', base, key='second')).accepted is accepted
+
+
+def test_a_request_sent_again_gets_its_first_answer():
+    state = catalogue.Catalogue()
+    first = state.apply(put('a', 0, key='same'))
+    state.apply(put('a', 1, key='other'))
+    assert state.apply(put('a', 0, key='same')) == first
+    assert state.version == 2
+
+
+@pytest.mark.parametrize(
+    ('entry', 'word'),
+    [
+        (builders.service(services.Board()), 'class'),
+        (builders.service(), ''),
+    ],
+)
+def test_the_class_of_a_service_does_not_change(entry, word):
+    state = catalogue.Catalogue()
+    state.apply(put('a', 0, key='first'))
+    answer = state.apply(put('a', 1, entry, key='second'))
+    assert answer.accepted is not bool(word)
+    assert all(word in item.reason for item in answer.conflicts)
+
+
+def test_two_services_do_not_share_an_endpoint():
+    state = catalogue.Catalogue()
+    state.apply(put('a', 0, key='first'))
+    answer = state.apply(put('b', 0, key='second'))
+    assert not answer.accepted
+    assert state.version == 1
