--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -69,5 +69,15 @@
         )
 
 
+class NotLeaderError(ControlError):
+    """A request that only the leader can carry out."""
+
+    def __init__(self, leader: str) -> None:
+        """Name the leader's address, empty where none is known."""
+        self.leader = leader
+        remedy = f'ask {leader}' if leader else 'ask again in a second'
+        super().__init__(f'this control instance does not lead; {remedy}')
+
+
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -12,7 +12,7 @@
 from gentianspoke.generated import catalogue_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import hub
-from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import log as log_port
 from gentianspoke.shells import process
 
 LAGGARDS_NAMED = 16
@@ -24,7 +24,7 @@
     def __init__(
         self,
         proc: process.Process,
-        log: local_log.LocalLog,
+        log: log_port.CatalogueLog,
         consumers: hub.Hub,
     ) -> None:
         """Serve the log, and wake the consumers after each edit."""
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -12,7 +12,7 @@
 from gentianspoke.generated import feed_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import hub
-from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import log as log_port
 from gentianspoke.shells import process
 
 TICK_S = 0.1
@@ -26,7 +26,7 @@
     def __init__(
         self,
         proc: process.Process,
-        log: local_log.LocalLog,
+        log: log_port.CatalogueLog,
         consumers: hub.Hub,
         lease_ms: int,
     ) -> None:
--- a/src/gentianspoke/shells/control/local_log.py
+++ b/src/gentianspoke/shells/control/local_log.py
@@ -1,19 +1,35 @@
 """A catalogue log without replicas."""
 
+import asyncio
+
 from gentianspoke.decisions.control import catalogue
 
 
 class LocalLog:
-    """A catalogue without replicas: every request is accepted at once."""
+    """A catalogue in memory: every request is accepted at once."""
 
     def __init__(self) -> None:
-        """Begin with an empty catalogue."""
+        """Begin with an empty catalogue, as leader of term 1."""
         self.catalogue = catalogue.Catalogue()
+        self.term = 1
+        self.is_leader = True
+        self.leader = ''
+        self._applied = asyncio.Condition()
 
     async def submit(self, request: catalogue.Request) -> catalogue.Answer:
         """Apply a request and return its answer."""
-        return self.catalogue.apply(request)
+        answer = self.catalogue.apply(request)
+        async with self._applied:
+            self._applied.notify_all()
+        return answer
+
+    async def wait_applied(self, version: int) -> None:
+        """Return once the catalogue is newer than ``version``."""
+        async with self._applied:
+            await self._applied.wait_for(
+                lambda: self.catalogue.version > version
+            )
 
     def confirmed_age_ms(self) -> int:
-        """Return how long ago a majority confirmed this instance."""
+        """Return 0, since there is no majority to ask."""
         return 0
