--- a/src/gentianspoke/shells/control/log.py
+++ b/src/gentianspoke/shells/control/log.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue as edits
 
 
 class CatalogueLog(typing.Protocol):
@@ -13,7 +13,7 @@
     the leader as "host:port", empty where none is known.
     """
 
-    catalogue: catalogue.Catalogue
+    catalogue: edits.Catalogue
 
     @property
     def term(self) -> int:
@@ -27,7 +27,7 @@
     def leader(self) -> str:
         """Address of the leader, empty where none is known."""
 
-    async def submit(self, request: catalogue.Request) -> catalogue.Answer:
+    async def submit(self, request: edits.Request) -> edits.Answer:
         """Return the answer to a request once a majority has synced it.
 
         Raises :class:`gentianspoke.errors.NotLeaderError` where another
