--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import random
 import sys
@@ -22,7 +23,7 @@
 from gentianspoke.net import pages
 
 SEED = 7
-BASE_PORT = 20_000
+BASE_PORT = int(os.environ.get('DEMO_BASE_PORT', '20000'))
 SERVICE = bytes((10, 1, 0, 1))
 INTAKE = bytes((10, 1, 0, 2))
 CALLER = bytes((10, 9, 0, 1))
