--- /dev/null
+++ b/src/gentianspoke/codec/peers.py
@@ -0,0 +1,148 @@
+"""Messages between control instances, sealed by the shared key."""
+
+from gentianspoke.codec import keys
+from gentianspoke.codec import replica as codec
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke import errors
+from gentianspoke.generated import replica_pb2
+
+
+def seal(
+    ring: keys.KeyRing,
+    message: replica_pb2.PeerRequest | replica_pb2.PeerReply,
+) -> replica_pb2.Sealed:
+    """Return a message with the tag of the active key."""
+    body = message.SerializeToString()
+    return replica_pb2.Sealed(
+        key_id=ring.active, tag=ring.tag(body), body=body
+    )
+
+
+def open_request(
+    ring: keys.KeyRing, sealed: replica_pb2.Sealed
+) -> replica_pb2.PeerRequest:
+    """Return a request whose tag is right.
+
+    Raises :class:`gentianspoke.errors.PacketError` otherwise.
+    """
+    ring.verify(sealed.key_id, sealed.tag, sealed.body)
+    return replica_pb2.PeerRequest.FromString(sealed.body)
+
+
+def open_reply(
+    ring: keys.KeyRing, sealed: replica_pb2.Sealed
+) -> replica_pb2.PeerReply:
+    """Return a reply whose tag is right.
+
+    Raises :class:`gentianspoke.errors.PacketError` otherwise.
+    """
+    ring.verify(sealed.key_id, sealed.tag, sealed.body)
+    return replica_pb2.PeerReply.FromString(sealed.body)
+
+
+def encode_request(
+    request: messages.VoteRequest | messages.AppendRequest,
+) -> replica_pb2.PeerRequest:
+    """Return a request as a message."""
+    match request:
+        case messages.VoteRequest():
+            vote = replica_pb2.VoteRequest(
+                sender=request.sender,
+                to=request.to,
+                term=request.term,
+                last_index=request.last_index,
+                last_term=request.last_term,
+                pre=request.pre,
+            )
+            return replica_pb2.PeerRequest(vote=vote)
+        case messages.AppendRequest():
+            append = replica_pb2.AppendRequest(
+                sender=request.sender,
+                to=request.to,
+                term=request.term,
+                previous_index=request.previous_index,
+                previous_term=request.previous_term,
+                records=[codec.encode_record(r) for r in request.records],
+                commit_index=request.commit_index,
+                echo_ms=request.echo_ms,
+                confirmed_age_ms=request.confirmed_age_ms,
+            )
+            return replica_pb2.PeerRequest(append=append)
+
+
+def decode_vote(message: replica_pb2.VoteRequest) -> messages.VoteRequest:
+    """Return a message as a vote request."""
+    return messages.VoteRequest(
+        sender=message.sender,
+        to=message.to,
+        term=message.term,
+        last_index=message.last_index,
+        last_term=message.last_term,
+        pre=message.pre,
+    )
+
+
+def decode_append(
+    message: replica_pb2.AppendRequest,
+) -> messages.AppendRequest:
+    """Return a message as a heartbeat."""
+    return messages.AppendRequest(
+        sender=message.sender,
+        to=message.to,
+        term=message.term,
+        previous_index=message.previous_index,
+        previous_term=message.previous_term,
+        records=tuple(codec.decode_record(r) for r in message.records),
+        commit_index=message.commit_index,
+        echo_ms=message.echo_ms,
+        confirmed_age_ms=message.confirmed_age_ms,
+    )
+
+
+def encode_reply(reply: messages.Reply) -> replica_pb2.PeerReply:
+    """Return a reply as a message."""
+    match reply:
+        case messages.VoteReply():
+            vote = replica_pb2.VoteReply(
+                sender=reply.sender, term=reply.term, granted=reply.granted
+            )
+            return replica_pb2.PeerReply(vote=vote)
+        case messages.AppendReply():
+            append = replica_pb2.AppendReply(
+                sender=reply.sender,
+                term=reply.term,
+                success=reply.success,
+                match_index=reply.match_index,
+                clock_ms=reply.clock_ms,
+            )
+            return replica_pb2.PeerReply(append=append)
+        case messages.WrongFolder(number=number):
+            wrong = replica_pb2.WrongFolder(number=number)
+            return replica_pb2.PeerReply(wrong_folder=wrong)
+
+
+def decode_reply(message: replica_pb2.PeerReply) -> messages.Reply:
+    """Return a message as a reply.
+
+    Raises :class:`gentianspoke.errors.ControlError` for an unknown one.
+    """
+    match message.WhichOneof('content'):
+        case 'vote':
+            vote = message.vote
+            return messages.VoteReply(vote.sender, vote.term, vote.granted)
+        case 'append':
+            append = message.append
+            return messages.AppendReply(
+                sender=append.sender,
+                term=append.term,
+                success=append.success,
+                match_index=append.match_index,
+                clock_ms=append.clock_ms,
+            )
+        case 'wrong_folder':
+            return messages.WrongFolder(message.wrong_folder.number)
+        case _:
+            raise errors.ControlError(
+                'a control instance gave an unknown reply; run the same'
+                ' version on all of them'
+            )
--- /dev/null
+++ b/src/gentianspoke/codec/replica.py
@@ -0,0 +1,203 @@
+"""What control instances store, between bytes and data classes."""
+
+import dataclasses
+
+from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import records
+from gentianspoke import errors
+from gentianspoke.generated import replica_pb2
+
+FORMAT = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """What one sync adds to a journal."""
+
+    vote: effects.SaveVote | None
+    records: tuple[records.Record, ...]
+
+
+def encode_head(stored: effects.Stored) -> bytes:
+    """Return all that a replica stores as bytes."""
+    return replica_pb2.JournalHead(
+        format=FORMAT,
+        number=stored.number,
+        instance=stored.instance,
+        vote=_encode_vote(stored.vote),
+        snapshot=encode_snapshot(stored.snapshot),
+        base_index=stored.base.index,
+        base_term=stored.base.term,
+        base_group=encode_group(stored.base.group),
+        records=[encode_record(item) for item in stored.records],
+    ).SerializeToString()
+
+
+def decode_head(data: bytes) -> effects.Stored:
+    """Return stored bytes as data classes.
+
+    Raises :class:`gentianspoke.errors.StorageError` for a later format.
+    """
+    head = replica_pb2.JournalHead.FromString(data)
+    if head.format != FORMAT:
+        raise errors.StorageError(
+            f'the journal has format {head.format}, this program reads'
+            f' {FORMAT}; start the version that wrote it'
+        )
+    base = records.Base(
+        head.base_index, head.base_term, decode_group(head.base_group)
+    )
+    return effects.Stored(
+        number=head.number,
+        instance=head.instance,
+        vote=_decode_vote(head.vote),
+        snapshot=decode_snapshot(head.snapshot),
+        base=base,
+        records=tuple(decode_record(item) for item in head.records),
+    )
+
+
+def encode_entry(entry: Entry) -> bytes:
+    """Return an addition to a journal as bytes."""
+    vote = _encode_vote(entry.vote) if entry.vote else None
+    return replica_pb2.JournalEntry(
+        vote=vote, records=[encode_record(item) for item in entry.records]
+    ).SerializeToString()
+
+
+def decode_entry(data: bytes) -> Entry:
+    """Return bytes as an addition to a journal."""
+    entry = replica_pb2.JournalEntry.FromString(data)
+    vote = _decode_vote(entry.vote) if entry.HasField('vote') else None
+    return Entry(vote, tuple(decode_record(item) for item in entry.records))
+
+
+def encode_record(record: records.Record) -> replica_pb2.Record:
+    """Return a record as a message."""
+    message = replica_pb2.Record(index=record.index, term=record.term)
+    match record.payload:
+        case records.NoOp():
+            message.no_op = True
+        case records.Command(request=request):
+            message.command.CopyFrom(catalogue_codec.encode_request(request))
+        case records.SetGroup(group=group):
+            message.group.CopyFrom(encode_group(group))
+    return message
+
+
+def decode_record(message: replica_pb2.Record) -> records.Record:
+    """Return a message as a record.
+
+    Raises :class:`gentianspoke.errors.ControlError` for an unknown one.
+    """
+    payload: records.Payload
+    match message.WhichOneof('payload'):
+        case 'no_op':
+            payload = records.NoOp()
+        case 'command':
+            request = catalogue_codec.decode_request(message.command)
+            payload = records.Command(request)
+        case 'group':
+            payload = records.SetGroup(decode_group(message.group))
+        case _:
+            raise errors.ControlError(
+                f'record {message.index} is of an unknown kind; run the same'
+                ' version on all control instances'
+            )
+    return records.Record(message.index, message.term, payload)
+
+
+def encode_group(group: groups.Group) -> replica_pb2.Group:
+    """Return members as a message."""
+    return replica_pb2.Group(
+        members=[encode_member(item) for item in group.members]
+    )
+
+
+def encode_member(member: groups.Member) -> replica_pb2.GroupMember:
+    """Return a member as a message."""
+    return replica_pb2.GroupMember(**dataclasses.asdict(member))
+
+
+def decode_group(message: replica_pb2.Group) -> groups.Group:
+    """Return a message as members."""
+    return groups.Group(
+        tuple(
+            groups.Member(item.number, item.instance, item.address, item.voter)
+            for item in message.members
+        )
+    )
+
+
+def encode_snapshot(snapshot: records.Snapshot) -> replica_pb2.Snapshot:
+    """Return a snapshot as a message."""
+    return replica_pb2.Snapshot(
+        index=snapshot.index,
+        term=snapshot.term,
+        group=encode_group(snapshot.group),
+        state=_encode_state(snapshot.state),
+    )
+
+
+def decode_snapshot(message: replica_pb2.Snapshot) -> records.Snapshot:
+    """Return a message as a snapshot."""
+    return records.Snapshot(
+        index=message.index,
+        term=message.term,
+        group=decode_group(message.group),
+        state=_decode_state(message.state),
+    )
+
+
+def _encode_vote(vote: effects.SaveVote) -> replica_pb2.Vote:
+    return replica_pb2.Vote(term=vote.term, voted_for=vote.voted_for)
+
+
+def _decode_vote(message: replica_pb2.Vote) -> effects.SaveVote:
+    return effects.SaveVote(message.term, message.voted_for)
+
+
+def _encode_state(
+    state: catalogue.CatalogueState,
+) -> replica_pb2.CatalogueState:
+    return replica_pb2.CatalogueState(
+        version=state.version,
+        last_number=state.last_number,
+        entries=[catalogue_codec.encode_entry(item) for item in state.entries],
+        history=[
+            catalogue_codec.encode_history_item(item) for item in state.history
+        ],
+        answers=[
+            replica_pb2.KeptAnswer(
+                idempotency_key=item.idempotency_key,
+                answer=catalogue_codec.encode_answer(item.answer),
+            )
+            for item in state.answers
+        ],
+    )
+
+
+def _decode_state(
+    message: replica_pb2.CatalogueState,
+) -> catalogue.CatalogueState:
+    return catalogue.CatalogueState(
+        version=message.version,
+        last_number=message.last_number,
+        entries=tuple(
+            catalogue_codec.decode_entry(item) for item in message.entries
+        ),
+        history=tuple(
+            catalogue_codec.decode_history_item(item)
+            for item in message.history
+        ),
+        answers=tuple(
+            catalogue.KeptAnswer(
+                item.idempotency_key,
+                catalogue_codec.decode_answer(item.answer),
+            )
+            for item in message.answers
+        ),
+    )
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -39,6 +39,7 @@
     data_folder: str
     members: tuple[tuple[str, units.Address], ...]
     lease_ms: int
+    join: bool = False
 
 
 Role = EntrySettings | AgentSettings | ControlSettings
@@ -146,6 +147,7 @@
         data_folder=role.data_folder,
         members=members,
         lease_ms=_duration(role.lease),
+        join=bool(role.join),
     )
 
 
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -12,6 +12,7 @@
 from gentianspoke.core import services
 
 ANSWERS_KEPT = 10_000
+HISTORY_KEPT = 50_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +73,25 @@
     entry: services.Service
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """The first answer to an idempotency key."""
+
+    idempotency_key: str
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CatalogueState:
+    """All of a catalogue, for a snapshot; history and answers oldest first."""
+
+    version: int = 0
+    last_number: int = 0
+    entries: tuple[services.Service, ...] = ()
+    history: tuple[HistoryItem, ...] = ()
+    answers: tuple[KeptAnswer, ...] = ()
+
+
 class Catalogue:
     """All entries with their history and the answers given so far."""
 
@@ -85,6 +105,28 @@
         )
         self._last_number = 0
 
+    def export(self) -> CatalogueState:
+        """Return everything that later answers depend on."""
+        return CatalogueState(
+            version=self.version,
+            last_number=self._last_number,
+            entries=tuple(self.entry_list()),
+            history=tuple(self.history),
+            answers=tuple(
+                KeptAnswer(key, answer) for key, answer in self.answers.items()
+            ),
+        )
+
+    def restore(self, state: CatalogueState) -> None:
+        """Replace everything by what was exported."""
+        self.version = state.version
+        self.entries = {entry.name: entry for entry in state.entries}
+        self.history = list(state.history)
+        self.answers.clear()
+        for kept in state.answers:
+            self.answers[kept.idempotency_key] = kept.answer
+        self._last_number = state.last_number
+
     def known_answer(self, idempotency_key: str) -> Answer | None:
         """Return the first answer to a request that was seen before."""
         return self.answers.get(idempotency_key)
@@ -153,6 +195,9 @@
                 changed,
             )
         )
+        if len(self.history) > HISTORY_KEPT:
+            # Cut a tenth at a time: a cut of one moves the whole list.
+            del self.history[: HISTORY_KEPT // 10]
 
     def _next_number(self) -> int:
         self._last_number += 1
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/commits.py
@@ -0,0 +1,119 @@
+"""Appending to the own log, and committing what a majority has synced."""
+
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import roles
+from gentianspoke.decisions.control.replica import state as states
+
+Effects = list[effects.Effect]
+
+
+def append_own(
+    state: states.State, payloads: tuple[records.Payload, ...]
+) -> Effects:
+    """Append payloads of the leader's own term."""
+    begin = state.log.last_index + 1
+    new = tuple(
+        records.Record(begin + offset, state.term, payload)
+        for offset, payload in enumerate(payloads)
+    )
+    before = state.group
+    state.log.append(new)
+    found: Effects = [effects.SaveRecords(new)]
+    if state.group != before:
+        track_members(state)
+        found.append(effects.GroupChanged())
+    return found
+
+
+def track_members(state: states.State) -> None:
+    """Keep the progress of just the members in force."""
+    others = {item.number for item in state.group.others(state.number)}
+    for number in tuple(state.progress):
+        if number not in others:
+            del state.progress[number]
+    for number in others:
+        following = state.log.last_index + 1
+        state.progress.setdefault(number, states.Progress(following))
+
+
+def take_synced(state: states.State, index: int) -> Effects:
+    """Count the own log, which is durable up to ``index``."""
+    state.synced_index = max(state.synced_index, index)
+    return commit_agreed(state)
+
+
+def commit_agreed(state: states.State) -> Effects:
+    """As leader, commit what a majority has synced.
+
+    Only a record of the own term is committed by counting (section 5.4.2
+    of the paper): an older one could still be replaced.
+    """
+    if state.role.state != roles.LEADER:
+        return []
+    matches = {
+        number: item.match_index for number, item in state.progress.items()
+    }
+    matches[state.number] = state.synced_index
+    agreed = state.group.majority_value(matches, 0)
+    if agreed <= state.commit_index:
+        return []
+    if state.log.term_at(agreed) != state.term:
+        return []
+    found = commit(state, agreed)
+    removed = not state.group.find(state.number)
+    if removed and state.log.group_index <= state.commit_index:
+        found.extend(_retire(state))
+    return found
+
+
+def commit(state: states.State, index: int) -> Effects:
+    """Apply the records up to ``index``, and compact where it is time."""
+    found: Effects = []
+    state.commit_index = max(state.commit_index, index)
+    while state.applied_index < state.commit_index:
+        record = state.log.get(state.applied_index + 1)
+        found.append(_apply(state, record))
+        state.applied_index = record.index
+    return found + _compact(state)
+
+
+def _apply(state: states.State, record: records.Record) -> effects.Effect:
+    answer = None
+    match record.payload:
+        case records.Command(request=request):
+            answer = state.catalogue.apply(request)
+    return effects.Committed(record.index, record.term, answer)
+
+
+def _compact(state: states.State) -> Effects:
+    since = state.applied_index - state.snapshot.index
+    if since < state.limits.compact_records:
+        return []
+    index = state.applied_index
+    state.snapshot = records.Snapshot(
+        index=index,
+        term=state.log.get(index).term,
+        group=_group_at(state, index),
+        state=state.catalogue.export(),
+    )
+    state.log.drop_until(index - state.limits.kept_records)
+    return [effects.SaveAll(state.stored())]
+
+
+def _group_at(state: states.State, index: int) -> groups.Group:
+    group = state.log.base.group
+    for record in state.log.records[: index - state.log.base.index]:
+        match record.payload:
+            case records.SetGroup(group=changed):
+                group = changed
+    return group
+
+
+def _retire(state: states.State) -> Effects:
+    # The record that removes this leader is committed: its work is done,
+    # and the others elect one of themselves.
+    state.role.advance('follow')
+    state.leader = groups.NOBODY
+    return [effects.RoleChanged(state.role.state, state.term)]
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -0,0 +1,164 @@
+"""Terms, votes and the wish to lead."""
+
+from gentianspoke.decisions.control.replica import commits
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import roles
+from gentianspoke.decisions.control.replica import state as states
+
+Effects = list[effects.Effect]
+
+
+def tick(state: states.State, now: int) -> Effects:
+    """Miss the leader, or as leader the majority."""
+    if state.role.state == roles.LEADER:
+        return _check_quorum(state, now)
+    if not state.is_voter:
+        return []
+    alone = len(state.group.voters) == 1
+    if now < state.election_due_ms and not alone:
+        return []
+    state.reset_election(now)
+    state.leader = groups.NOBODY
+    state.role.advance('suspect')
+    state.answered = {state.number}
+    state.votes = {state.number}
+    return _role_changed(state) + _count(state, now)
+
+
+def follow(state: states.State, term: int, leader: int, now: int) -> Effects:
+    """Follow a leader, or nobody yet, in a term that is not older."""
+    found: Effects = []
+    if term > state.term:
+        state.term = term
+        state.voted_for = groups.NOBODY
+        found.append(state.vote())
+    was = state.role.state
+    state.leader = leader
+    if was != roles.FOLLOWER:
+        state.role.advance('follow')
+        state.reset_election(now)
+        found.extend(_role_changed(state))
+    return found
+
+
+def take_vote_request(
+    state: states.State, request: messages.VoteRequest, now: int
+) -> Effects:
+    """Give or refuse a vote, or say whether it would be given."""
+    if _hears_leader(state, now) or request.term < state.term:
+        return [_reply(state, False)]
+    if request.pre:
+        newer = request.term > state.term
+        return [_reply(state, newer and _is_current(state, request))]
+    found: Effects = []
+    if request.term > state.term:
+        found = follow(state, request.term, groups.NOBODY, now)
+    free = state.voted_for in (groups.NOBODY, request.sender)
+    granted = free and _is_current(state, request)
+    if granted:
+        if state.voted_for == groups.NOBODY:
+            state.voted_for = request.sender
+            found.append(state.vote())
+        state.reset_election(now)
+    return [*found, _reply(state, granted)]
+
+
+def take_vote_reply(
+    state: states.State,
+    request: messages.VoteRequest,
+    reply: messages.VoteReply,
+    now: int,
+) -> Effects:
+    """Count a vote."""
+    if reply.term > state.term and not reply.granted:
+        return follow(state, reply.term, groups.NOBODY, now)
+    if request != vote_request(state, reply.sender):
+        return []
+    state.answered.add(reply.sender)
+    if reply.granted:
+        state.votes.add(reply.sender)
+    return _count(state, now)
+
+
+def vote_request(
+    state: states.State, peer: int
+) -> messages.VoteRequest | None:
+    """Return what this replica asks of a peer now."""
+    pre = state.role.state == roles.PRE_CANDIDATE
+    if not pre and state.role.state != roles.CANDIDATE:
+        return None
+    return messages.VoteRequest(
+        sender=state.number,
+        to=peer,
+        term=state.term + 1 if pre else state.term,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre=pre,
+    )
+
+
+def _count(state: states.State, now: int) -> Effects:
+    if not state.group.is_majority(state.votes):
+        return []
+    match state.role.state:
+        case roles.PRE_CANDIDATE:
+            return _campaign(state, now)
+        case roles.CANDIDATE:
+            return _win(state, now)
+        case _:
+            return []
+
+
+def _campaign(state: states.State, now: int) -> Effects:
+    state.term += 1
+    state.voted_for = state.number
+    state.role.advance('campaign')
+    state.answered = {state.number}
+    state.votes = {state.number}
+    found: Effects = [state.vote()]
+    return found + _role_changed(state) + _count(state, now)
+
+
+def _win(state: states.State, now: int) -> Effects:
+    state.role.advance('win')
+    state.leader = state.number
+    state.elected_ms = now
+    state.progress = {}
+    commits.track_members(state)
+    found = _role_changed(state)
+    # The first record of all writes the first members down, so that all
+    # replicas agree on them whatever each one learned while forming.
+    first = state.log.last_index == 0
+    payload = records.SetGroup(state.group) if first else records.NoOp()
+    return found + commits.append_own(state, (payload,))
+
+
+def _check_quorum(state: states.State, now: int) -> Effects:
+    contact_ms = max(state.majority_contact_ms(now), state.elected_ms)
+    if now - contact_ms < state.timing.election_min_ms:
+        return []
+    return follow(state, state.term, groups.NOBODY, now)
+
+
+def _hears_leader(state: states.State, now: int) -> bool:
+    if state.role.state == roles.LEADER:
+        return state.leads(now)
+    return now - state.heard_ms < state.timing.election_min_ms
+
+
+def _is_current(state: states.State, request: messages.VoteRequest) -> bool:
+    theirs = (request.last_term, request.last_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+def _reply(state: states.State, granted: bool) -> effects.Respond:
+    return effects.Respond(
+        messages.VoteReply(state.number, state.term, granted)
+    )
+
+
+def _role_changed(state: states.State) -> Effects:
+    return [effects.RoleChanged(state.role.state, state.term)]
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/members.py
@@ -0,0 +1,102 @@
+"""Changes of the group, one member and one change at a time."""
+
+import dataclasses
+
+from gentianspoke.decisions.control.replica import commits
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import state as states
+
+Effects = list[effects.Effect]
+
+
+def form(state: states.State, group: groups.Group) -> Effects:
+    """Begin with the first members, unless a group is known already."""
+    if state.group.members:
+        return []
+    base = records.Base(0, 0, group)
+    state.log = records.RecordLog(base)
+    state.snapshot = dataclasses.replace(state.snapshot, group=group)
+    return [effects.SaveAll(state.stored()), effects.GroupChanged()]
+
+
+def add_learner(
+    state: states.State, member: groups.Member, now: int
+) -> Effects:
+    """Add a member that does not vote yet."""
+    known = state.group.find(member.number)
+    if known is not None:
+        # The operator sent the change again after losing the answer.
+        return []
+    fault = _fault(state, now)
+    if state.group.find_instance(member.instance):
+        fault = fault or (
+            f'{member.instance} is a member with another data folder; give'
+            ' the new instance a new name'
+        )
+    if fault:
+        return [effects.Refused(fault, state.leads(now))]
+    learner = dataclasses.replace(member, voter=False)
+    return _set(state, (*state.group.members, learner))
+
+
+def remove(state: states.State, instance: str, now: int) -> Effects:
+    """Remove a member."""
+    member = state.group.find_instance(instance)
+    if member is None:
+        return []
+    fault = _fault(state, now)
+    rest = state.group.others(member.number)
+    if not any(item.voter for item in rest):
+        fault = fault or (
+            f'{instance} is the last member that votes; add another first'
+        )
+    if fault:
+        return [effects.Refused(fault, state.leads(now))]
+    return _set(state, rest)
+
+
+def promote_ready(state: states.State, number: int, now: int) -> Effects:
+    """Let a learner vote once it has all that is committed."""
+    member = state.group.find(number)
+    if member is None or member.voter or _fault(state, now):
+        return []
+    if state.progress[number].match_index < state.commit_index:
+        return []
+    voter = dataclasses.replace(member, voter=True)
+    changed = tuple(
+        voter if item.number == number else item
+        for item in state.group.members
+    )
+    return _set(state, changed)
+
+
+def take(
+    state: states.State,
+    event: messages.AddLearner | messages.RemoveMember,
+    now: int,
+) -> Effects:
+    """Carry out an operator's change."""
+    match event:
+        case messages.AddLearner(member=member):
+            return add_learner(state, member, now)
+        case messages.RemoveMember(instance=instance):
+            return remove(state, instance, now)
+
+
+def _fault(state: states.State, now: int) -> str:
+    if not state.leads(now):
+        return 'this control instance does not lead; ask the leader'
+    if state.log.group_index > state.commit_index:
+        return (
+            'the change of members before this one is not committed yet;'
+            ' ask again in a second'
+        )
+    return ''
+
+
+def _set(state: states.State, members: tuple[groups.Member, ...]) -> Effects:
+    change = records.SetGroup(groups.Group(members))
+    return commits.append_own(state, (change,))
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/records.py
@@ -0,0 +1,151 @@
+"""Records of the log, and the part of it that is kept in memory."""
+
+import dataclasses
+
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control.replica import group as groups
+
+# A batch is one message and one sync; a single larger request is a batch.
+BATCH_EDITS = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoOp:
+    """Begins a term: what lies before it is committed with it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """A request of an operator."""
+
+    request: catalogue.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetGroup:
+    """A change of members, in force once it is in the log."""
+
+    group: groups.Group
+
+
+Payload = NoOp | Command | SetGroup
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One place of the log."""
+
+    index: int
+    term: int
+    payload: Payload
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Base:
+    """The last place before the records that are kept."""
+
+    index: int = 0
+    term: int = 0
+    group: groups.Group = groups.Group()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All that the records up to ``index`` have led to."""
+
+    index: int
+    term: int
+    group: groups.Group
+    state: catalogue.CatalogueState
+
+
+class RecordLog:
+    """The records after a base, without gaps."""
+
+    def __init__(self, base: Base, records: tuple[Record, ...] = ()) -> None:
+        """Begin with what was stored."""
+        self.base = base
+        self.records: list[Record] = []
+        self.group = base.group
+        self.group_index = base.index
+        self.append(records)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest record."""
+        return self.base.index + len(self.records)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest record."""
+        return self.records[-1].term if self.records else self.base.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at an index, ``None`` where it is not kept."""
+        if index == self.base.index:
+            return self.base.term
+        if self.base.index < index <= self.last_index:
+            return self.get(index).term
+        return None
+
+    def get(self, index: int) -> Record:
+        """Return the record at an index that is kept."""
+        return self.records[index - self.base.index - 1]
+
+    def batch_from(self, index: int) -> tuple[Record, ...]:
+        """Return the next records from ``index``, at most one batch."""
+        found: list[Record] = []
+        edits = 0
+        for record in self.records[index - self.base.index - 1 :]:
+            edits += _edits(record)
+            if found and edits > BATCH_EDITS:
+                break
+            found.append(record)
+            if len(found) >= BATCH_EDITS:
+                break
+        return tuple(found)
+
+    def append(self, records: tuple[Record, ...]) -> None:
+        """Add records; the first replaces all of its index and above."""
+        if not records:
+            return
+        kept = records[0].index - self.base.index - 1
+        if kept < len(self.records):
+            del self.records[kept:]
+            self._find_group()
+        for record in records:
+            self.records.append(record)
+            self._take_group(record)
+
+    def drop_until(self, index: int) -> None:
+        """Forget the records up to ``index``, which a snapshot holds."""
+        if index <= self.base.index:
+            return
+        group = self.base.group
+        for record in self.records[: index - self.base.index]:
+            match record.payload:
+                case SetGroup(group=changed):
+                    group = changed
+        term = self.get(index).term
+        del self.records[: index - self.base.index]
+        self.base = Base(index, term, group)
+
+    def _find_group(self) -> None:
+        self.group = self.base.group
+        self.group_index = self.base.index
+        for record in self.records:
+            self._take_group(record)
+
+    def _take_group(self, record: Record) -> None:
+        match record.payload:
+            case SetGroup(group=group):
+                self.group = group
+                self.group_index = record.index
+
+
+def _edits(record: Record) -> int:
+    match record.payload:
+        case Command(request=request):
+            return len(request.edits)
+        case _:
+            return 1
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -0,0 +1,115 @@
+"""One replica of the catalogue log: events and a time in, effects out."""
+
+import random
+
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control.replica import commits
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import elections
+from gentianspoke.decisions.control.replica import members
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import replication
+from gentianspoke.decisions.control.replica import roles
+from gentianspoke.decisions.control.replica import state as states
+
+NOT_LEADING = 'this control instance does not lead; ask the leader'
+
+
+class Replica:
+    """A replica; its shell carries out the effects in their order."""
+
+    def __init__(
+        self,
+        stored: effects.Stored,
+        timing: states.Timing,
+        limits: states.Limits,
+        rng: random.Random,
+        now: int,
+    ) -> None:
+        """Begin with what was stored, as a follower."""
+        self.state = states.State(stored, timing, limits, rng, now)
+
+    def handle(self, event: messages.Event, now: int) -> list[effects.Effect]:
+        """Take an event at the time ``now`` (ms) and return the effects."""
+        state = self.state
+        match event:
+            case messages.Tick():
+                return elections.tick(state, now)
+            case messages.Asked(request=request):
+                return self._take_request(request, now)
+            case messages.Answered(request=request, reply=reply):
+                return self._take_reply(request, reply, now)
+            case messages.Unanswered(request=request):
+                replication.forget_echo(state, request.to)
+                return []
+            case messages.Propose(requests=requests):
+                return self._propose(requests, now)
+            case messages.AddLearner() | messages.RemoveMember():
+                return members.take(state, event, now)
+            case messages.Form(group=group):
+                return members.form(state, group)
+            case messages.Synced(index=index):
+                return commits.take_synced(state, index)
+
+    def request_for(self, peer: int, now: int) -> messages.Request | None:
+        """Return what to send to a peer now, ``None`` for nothing."""
+        state = self.state
+        match state.role.state:
+            case roles.LEADER:
+                return replication.next_request(state, peer, now)
+            case roles.FOLLOWER:
+                return None
+            case _:
+                if peer in state.answered or not state.group.is_voter(peer):
+                    return None
+                return elections.vote_request(state, peer)
+
+    def _take_request(
+        self, request: messages.Request, now: int
+    ) -> list[effects.Effect]:
+        state = self.state
+        if request.to != state.number:
+            wrong = messages.WrongFolder(state.number)
+            return [effects.Respond(wrong)]
+        match request:
+            case messages.VoteRequest():
+                return elections.take_vote_request(state, request, now)
+            case messages.AppendRequest():
+                return replication.take_append(state, request, now)
+            case messages.InstallRequest():
+                return replication.take_install(state, request, now)
+
+    def _take_reply(
+        self, request: messages.Request, reply: messages.Reply, now: int
+    ) -> list[effects.Effect]:
+        state = self.state
+        match request, reply:
+            case messages.VoteRequest(), messages.VoteReply():
+                return elections.take_vote_reply(state, request, reply, now)
+            case (
+                messages.AppendRequest() | messages.InstallRequest(),
+                messages.AppendReply(),
+            ):
+                return replication.take_append_reply(
+                    state, request, reply, now
+                )
+            case _:
+                return []
+
+    def _propose(
+        self, requests: tuple[catalogue.Request, ...], now: int
+    ) -> list[effects.Effect]:
+        state = self.state
+        if not state.leads(now):
+            return [effects.Refused(NOT_LEADING, False)]
+        begin = state.log.last_index + 1
+        payloads = tuple(records.Command(item) for item in requests)
+        found = commits.append_own(state, payloads)
+        for offset, item in enumerate(requests):
+            found.append(
+                effects.Proposed(
+                    begin + offset, state.term, item.idempotency_key
+                )
+            )
+        return found
--- /dev/null
+++ b/src/gentianspoke/decisions/control/replica/replication.py
@@ -0,0 +1,191 @@
+"""The leader's heartbeats with records or a snapshot, and their replies."""
+
+from gentianspoke.decisions.control.replica import commits
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import elections
+from gentianspoke.decisions.control.replica import members
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import state as states
+from gentianspoke import errors
+
+Effects = list[effects.Effect]
+
+
+def next_request(
+    state: states.State, peer: int, now: int
+) -> messages.AppendRequest | messages.InstallRequest | None:
+    """Return what the leader sends to a peer now, ``None`` for nothing."""
+    progress = state.progress.get(peer)
+    if progress is None:
+        return None
+    behind = progress.next_index <= state.log.last_index
+    due = now - progress.sent_ms >= state.timing.heartbeat_ms
+    news = progress.commit_sent < state.commit_index
+    if not behind and not due and not news:
+        return None
+    progress.sent_ms = now
+    progress.commit_sent = state.commit_index
+    previous = progress.next_index - 1
+    previous_term = state.log.term_at(previous)
+    if previous_term is None:
+        return messages.InstallRequest(
+            state.number, peer, state.term, state.snapshot, now
+        )
+    return messages.AppendRequest(
+        sender=state.number,
+        to=peer,
+        term=state.term,
+        previous_index=previous,
+        previous_term=previous_term,
+        records=state.log.batch_from(progress.next_index),
+        commit_index=state.commit_index,
+        echo_ms=progress.echo_ms,
+        confirmed_age_ms=state.confirmed_age_ms(now),
+        sent_ms=now,
+    )
+
+
+def take_append(
+    state: states.State, request: messages.AppendRequest, now: int
+) -> Effects:
+    """Follow the leader and take its records where they fit."""
+    if request.term < state.term:
+        return [_reply(state, False, state.log.last_index, now)]
+    found = _hear(state, request, now)
+    hint = _mismatch(state, request)
+    if hint is not None:
+        return [*found, _reply(state, False, hint, now)]
+    found.extend(_take_records(state, request.records))
+    match_index = request.previous_index + len(request.records)
+    committed = min(request.commit_index, match_index)
+    if committed > state.commit_index:
+        found.extend(commits.commit(state, committed))
+    return [*found, _reply(state, True, match_index, now)]
+
+
+def take_install(
+    state: states.State, request: messages.InstallRequest, now: int
+) -> Effects:
+    """Begin anew from the leader's snapshot, unless it is no news."""
+    if request.term < state.term:
+        return [_reply(state, False, state.log.last_index, now)]
+    found = _hear(state, request, now)
+    snapshot = request.snapshot
+    if snapshot.index <= state.commit_index:
+        return [*found, _reply(state, True, snapshot.index, now)]
+    base = records.Base(snapshot.index, snapshot.term, snapshot.group)
+    state.log = records.RecordLog(base)
+    state.snapshot = snapshot
+    state.catalogue.restore(snapshot.state)
+    state.commit_index = snapshot.index
+    state.applied_index = snapshot.index
+    state.synced_index = snapshot.index
+    found.append(effects.SaveAll(state.stored()))
+    found.append(effects.Restored(snapshot.index))
+    found.append(effects.GroupChanged())
+    return [*found, _reply(state, True, snapshot.index, now)]
+
+
+def take_append_reply(
+    state: states.State,
+    request: messages.AppendRequest | messages.InstallRequest,
+    reply: messages.AppendReply,
+    now: int,
+) -> Effects:
+    """Note how far a member has come, and commit what is agreed."""
+    if reply.term > state.term:
+        return elections.follow(state, reply.term, 0, now)
+    progress = state.progress.get(reply.sender)
+    if progress is None or request.term != state.term:
+        return []
+    progress.contact_ms = max(progress.contact_ms, request.sent_ms)
+    progress.echo_ms = reply.clock_ms
+    if not reply.success:
+        last = min(reply.match_index, progress.next_index - 2)
+        progress.next_index = max(progress.match_index, last) + 1
+        return []
+    progress.match_index = max(progress.match_index, reply.match_index)
+    progress.next_index = progress.match_index + 1
+    found = commits.commit_agreed(state)
+    return found + members.promote_ready(state, reply.sender, now)
+
+
+def forget_echo(state: states.State, peer: int) -> None:
+    """Forget a peer's clock, since it may have restarted meanwhile."""
+    progress = state.progress.get(peer)
+    if progress is not None:
+        progress.echo_ms = 0
+
+
+def _hear(
+    state: states.State,
+    request: messages.AppendRequest | messages.InstallRequest,
+    now: int,
+) -> Effects:
+    found = elections.follow(state, request.term, request.sender, now)
+    state.heard_ms = now
+    state.reset_election(now)
+    match request:
+        case messages.AppendRequest(echo_ms=echo_ms, confirmed_age_ms=age_ms):
+            # The echo proves that the leader got a reply sent at that
+            # time, so neither direction is cut, and delay only ages it.
+            if state.started_ms <= echo_ms <= now:
+                confirmed_ms = echo_ms - age_ms
+                state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
+    return found
+
+
+def _mismatch(
+    state: states.State, request: messages.AppendRequest
+) -> int | None:
+    """Return where the leader tries next, ``None`` where the logs meet."""
+    previous = request.previous_index
+    if previous < state.log.base.index:
+        return None
+    term = state.log.term_at(previous)
+    if term is None:
+        return state.log.last_index
+    if term == request.previous_term:
+        return None
+    # Skip the whole term that differs, not one record in each exchange.
+    while state.log.term_at(previous) == term:
+        previous -= 1
+    return max(previous, state.commit_index)
+
+
+def _take_records(
+    state: states.State, given: tuple[records.Record, ...]
+) -> Effects:
+    new = tuple(
+        item
+        for item in given
+        if item.index > state.log.base.index
+        and state.log.term_at(item.index) != item.term
+    )
+    if not new:
+        return []
+    first = new[0].index
+    if first <= state.commit_index:
+        raise errors.StorageError(
+            f'record {first} differs from the one committed here; this data'
+            ' folder was changed or restored: replace this control instance'
+        )
+    new = tuple(item for item in given if item.index >= first)
+    before = state.group
+    state.log.append(new)
+    state.synced_index = min(state.synced_index, first - 1)
+    found: Effects = [effects.SaveRecords(new)]
+    if state.group != before:
+        found.append(effects.GroupChanged())
+    return found
+
+
+def _reply(
+    state: states.State, success: bool, match_index: int, now: int
+) -> effects.Respond:
+    return effects.Respond(
+        messages.AppendReply(
+            state.number, state.term, success, match_index, now
+        )
+    )
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -79,5 +79,73 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class OutcomeUnknownError(ControlError):
+    """A request that may or may not be carried out."""
+
+    def __init__(self) -> None:
+        """Name the remedy: the same idempotency key again."""
+        super().__init__(
+            'the leader changed or no majority answered, so the outcome is'
+            ' unknown; send the request again with the same idempotency'
+            ' key, which is carried out once'
+        )
+
+
+class BusyError(ControlError):
+    """More requests wait for the log than it takes at a time."""
+
+    def __init__(self) -> None:
+        """Say that the request was not taken."""
+        super().__init__(
+            'too many requests wait for the catalogue log, so this one was'
+            ' not taken; send it again in a second'
+        )
+
+
+class MemberChangeError(ControlError):
+    """A change of control members that was refused."""
+
+
+class IdentityError(GentianspokeError):
+    """A control instance whose data folder is not that of its member."""
+
+
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
+
+
+class FolderInUseError(StorageError):
+    """A data folder that another process uses."""
+
+    def __init__(self, path: str) -> None:
+        """Name the folder."""
+        super().__init__(
+            f'{path}: another process uses this data folder; stop it first,'
+            ' or give this instance a folder of its own'
+        )
+
+
+class DamageError(StorageError):
+    """A journal file that is damaged before its end."""
+
+    def __init__(self, file: str, offset: int) -> None:
+        """Name the file and the byte at which the damage begins."""
+        self.file = file
+        self.offset = offset
+        super().__init__(
+            f'{file}: damaged at byte {offset}, with valid data after it,'
+            ' so accepted changes may be missing; do not repair the file:'
+            ' replace this control instance with "gentianspoke control'
+            ' replace"'
+        )
+
+
+class WriteError(StorageError):
+    """A write or sync of durable state that failed."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and the system's reason."""
+        super().__init__(
+            f'{file}: cannot be made durable ({reason}); check space and'
+            ' health of the disk, then start this instance again'
+        )
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -42,7 +42,11 @@
         """Accept or refuse edits."""
         message = await calls.receive(stream)
         request = _checked(catalogue_codec.decode_request, message)
-        answer = await self._log.submit(request)
+        try:
+            answer = await self._log.submit(request)
+        except errors.ControlError as exc:
+            await stream.send_message(_not_answered(exc))
+            return
         await stream.send_message(catalogue_codec.encode_answer(answer))
         self._proc.events.write(
             'catalogue-answered',
@@ -83,12 +87,7 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
-            catalogue_pb2.HistoryItem(
-                version=item.version,
-                operator=item.operator,
-                idempotency_key=item.idempotency_key,
-                entry=catalogue_codec.encode_entry(item.entry),
-            )
+            catalogue_codec.encode_history_item(item)
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
@@ -118,6 +117,17 @@
         )
 
 
+def _not_answered(exc: errors.ControlError) -> catalogue_pb2.ApplyReply:
+    """Return the reply that names the leader, or raise where none does."""
+    match exc:
+        case errors.NotLeaderError(leader=str(leader)) if leader:
+            return catalogue_pb2.ApplyReply(leader=leader)
+        case _:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.UNAVAILABLE, str(exc)
+            ) from exc
+
+
 def _checked(
     decode: typing.Callable[[typing.Any], catalogue.Request],
     message: typing.Any,
--- /dev/null
+++ b/src/gentianspoke/shells/control/forming.py
@@ -0,0 +1,92 @@
+"""A new instance finds its group, or learns that it must not start."""
+
+import asyncio
+
+from gentianspoke.codec import replica as replica_codec
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.decisions.control.replica import forming
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke import errors
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells.control import peers
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+
+ASK_PAUSE_S = 0.2
+
+
+async def identify(
+    proc: process.Process, address: units.Address
+) -> forming.Identity:
+    """Ask the instance at an address who it is.
+
+    Raises one of ``peers.PEER_ERRORS``.
+    """
+    request = replica_pb2.PeerRequest(identify=replica_pb2.IdentifyRequest())
+    async with feed_client.open_channel(address) as channel:
+        reply = await peers.exchange(proc.ring, channel, request)
+    if reply.WhichOneof('content') != 'identify':
+        raise errors.ControlError(
+            f'{units.format_address(address)} did not say who it is; run the'
+            ' same version there'
+        )
+    found = reply.identify
+    group = replica_codec.decode_group(found.group)
+    return forming.Identity(found.number, found.instance, group)
+
+
+async def find_group(
+    proc: process.Process,
+    log: replicated_log.ReplicatedLog,
+    role: settings.ControlSettings,
+) -> None:
+    """Return once the log has a group.
+
+    Raises :class:`gentianspoke.errors.IdentityError` where this instance
+    must not take part.
+    """
+    if log.group.members or role.join:
+        return
+    first = _first_members(proc, role)
+    while not log.group.members:
+        match await _decide(proc, log, first):
+            case forming.Begin(group=group):
+                await log.step(messages.Form(group))
+            case forming.Refuse(reason=reason):
+                raise errors.IdentityError(f'{proc.cfg.instance}: {reason}')
+            case forming.Wait(missing=missing):
+                proc.events.write('group-waits', missing=' '.join(missing))
+                await asyncio.sleep(ASK_PAUSE_S)
+
+
+async def _decide(
+    proc: process.Process,
+    log: replicated_log.ReplicatedLog,
+    first: tuple[forming.FirstMember, ...],
+) -> forming.Decision:
+    state = log.replica.state
+    own = forming.Identity(state.number, state.instance)
+    replies: dict[str, forming.Identity] = {}
+    for member in first:
+        if member.instance == own.instance:
+            continue
+        try:
+            address = units.host_port(member.address)
+            replies[member.instance] = await identify(proc, address)
+        except peers.PEER_ERRORS:
+            continue
+    return forming.decide(own, first, replies)
+
+
+def _first_members(
+    proc: process.Process, role: settings.ControlSettings
+) -> tuple[forming.FirstMember, ...]:
+    if not role.members:
+        address = units.format_address(role.listen)
+        return (forming.FirstMember(proc.cfg.instance, address),)
+    return tuple(
+        forming.FirstMember(instance, units.format_address(address))
+        for instance, address in role.members
+    )
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -1,13 +1,20 @@
 """The control process itself."""
 
+import typing
+
 import grpclib.server
 
 from gentianspoke.config import settings
 from gentianspoke import errors
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
+from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
-from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import log as log_port
+from gentianspoke.shells.control import members_service
+from gentianspoke.shells.control import open_log
+from gentianspoke.shells.control import peers
+from gentianspoke.shells.control import replica_service
 from gentianspoke.shells import process
 
 
@@ -21,15 +28,39 @@
                 'settings', 'control', 'missing; add it'
             )
     async with process.run_process(cfg, 'control') as proc:
-        log = local_log.LocalLog()
-        consumers = hub.Hub()
-        feed = feed_service.FeedService(proc, log, consumers, role.lease_ms)
-        operators = catalogue_service.CatalogueService(proc, log, consumers)
-        server = grpclib.server.Server([feed, operators])
-        await server.start(*role.listen)
-        proc.life.advance('serve')
-        async with process.run_tasks(feed.tick()):
-            await proc.stop.wait()
-            proc.life.advance('stop')
-        server.close()
-        await server.wait_closed()
+        with open_log.open_log(proc, role.data_folder) as log:
+            consumers = hub.Hub()
+            feed = feed_service.FeedService(
+                proc, log, consumers, role.lease_ms
+            )
+            services: list[typing.Any] = [
+                feed,
+                catalogue_service.CatalogueService(proc, log, consumers),
+                replica_service.ReplicaService(proc, log),
+                members_service.MembersService(proc, log),
+            ]
+            server = grpclib.server.Server(services)
+            await server.start(*role.listen)
+            async with process.run_tasks(
+                log.run(),
+                log.tick(),
+                log.propose(),
+                peers.Peers(proc, log).run(),
+                forming.find_group(proc, log, role),
+                wake_consumers(log, consumers),
+                feed.tick(),
+            ):
+                proc.life.advance('serve')
+                await proc.stop.wait()
+                proc.life.advance('stop')
+            server.close()
+            await server.wait_closed()
+
+
+async def wake_consumers(
+    log: log_port.CatalogueLog, consumers: hub.Hub
+) -> None:
+    """Let consumers see each change, also those that others accepted."""
+    while True:
+        await log.wait_applied(log.catalogue.version)
+        consumers.wake()
--- /dev/null
+++ b/src/gentianspoke/shells/control/members_service.py
@@ -0,0 +1,120 @@
+"""The operators' service for the group of control instances."""
+
+import grpclib.server
+
+from gentianspoke.codec import replica as codec
+from gentianspoke.config import units
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.generated import replica_grpc
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells.control import calls
+from gentianspoke.shells.control import forming
+from gentianspoke.shells.control import peers
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import process
+
+
+class MembersService(replica_grpc.ControlMembersBase):
+    """Lists, adds and removes control members."""
+
+    def __init__(
+        self, proc: process.Process, log: replicated_log.ReplicatedLog
+    ) -> None:
+        """Answer from a log."""
+        self._proc = proc
+        self._log = log
+
+    async def Members(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[replica_pb2.MembersRequest,'
+            ' replica_pb2.MembersReply]'
+        ),
+    ) -> None:
+        """Return the members and how far each has come."""
+        await calls.receive(stream)
+        state = self._log.replica.state
+        await stream.send_message(
+            replica_pb2.MembersReply(
+                leader='' if self._log.is_leader else self._log.leader,
+                term=state.term,
+                commit_index=state.commit_index,
+                members=[self._status(item) for item in state.group.members],
+                confirmed_age_ms=self._log.confirmed_age_ms(),
+            )
+        )
+
+    async def Add(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[replica_pb2.AddMemberRequest,'
+            ' replica_pb2.MemberChangeReply]'
+        ),
+    ) -> None:
+        """Add an instance that waits for it, as a learner."""
+        request = await calls.receive(stream)
+        try:
+            address = units.host_port(request.address)
+            found = await forming.identify(self._proc, address)
+        except (ValueError, *peers.PEER_ERRORS) as exc:
+            reason = (
+                f'{request.address}: no control instance answered there'
+                f' ({exc!r}); start it with control.join: true'
+            )
+            await stream.send_message(
+                replica_pb2.MemberChangeReply(accepted=False, reason=reason)
+            )
+            return
+        member = groups.Member(
+            found.number, found.instance, request.address, False
+        )
+        await self._change(stream, messages.AddLearner(member))
+
+    async def Remove(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[replica_pb2.RemoveMemberRequest,'
+            ' replica_pb2.MemberChangeReply]'
+        ),
+    ) -> None:
+        """Remove a member."""
+        request = await calls.receive(stream)
+        await self._change(stream, messages.RemoveMember(request.instance))
+
+    async def _change(
+        self,
+        stream: (
+            'grpclib.server.Stream[replica_pb2.AddMemberRequest,'
+            ' replica_pb2.MemberChangeReply]'
+            ' | grpclib.server.Stream[replica_pb2.RemoveMemberRequest,'
+            ' replica_pb2.MemberChangeReply]'
+        ),
+        event: messages.AddLearner | messages.RemoveMember,
+    ) -> None:
+        reply = replica_pb2.MemberChangeReply(accepted=True)
+        if not self._log.is_leader:
+            reply = replica_pb2.MemberChangeReply(leader=self._log.leader)
+        else:
+            for effect in await self._log.step(event):
+                match effect:
+                    case effects.Refused(reason=reason):
+                        reply = replica_pb2.MemberChangeReply(reason=reason)
+        await stream.send_message(reply)
+
+    def _status(self, member: groups.Member) -> replica_pb2.MemberStatus:
+        state = self._log.replica.state
+        progress = state.progress.get(member.number)
+        is_own = member.number == state.number
+        message = replica_pb2.MemberStatus(
+            member=codec.encode_member(member),
+            leads=member.number == state.leader,
+        )
+        if is_own:
+            message.match_index = state.synced_index
+        elif progress is not None:
+            age_ms = self._proc.clock.now() - progress.contact_ms
+            message.match_index = progress.match_index
+            message.answered_age_ms = age_ms
+        return message
--- /dev/null
+++ b/src/gentianspoke/shells/control/open_log.py
@@ -0,0 +1,71 @@
+"""Opening the catalogue log from the data folder of this instance."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import random
+import secrets
+
+from gentianspoke.decisions.control.replica import replica
+from gentianspoke.decisions.control.replica import state as states
+from gentianspoke import errors
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import process
+from gentianspoke.storage import folder as folders
+from gentianspoke.storage import journal as journals
+from gentianspoke.storage import replica_store
+
+NUMBER_BITS = 63
+
+
+@contextlib.contextmanager
+def open_log(
+    proc: process.Process, data_folder: str
+) -> collections.abc.Iterator[replicated_log.ReplicatedLog]:
+    """Lock the data folder and open the log in it, new or not.
+
+    Raises :class:`gentianspoke.errors.StorageError`, and
+    :class:`gentianspoke.errors.IdentityError` for another's folder.
+    """
+    with (
+        folders.open_folder(data_folder) as folder,
+        concurrent.futures.ThreadPoolExecutor(1) as executor,
+    ):
+        store = replica_store.ReplicaStore(journals.Journal(folder))
+        own = _load(proc, store, data_folder)
+        yield replicated_log.ReplicatedLog(
+            own, store, executor, proc.clock, proc.events
+        )
+
+
+def _load(
+    proc: process.Process, store: replica_store.ReplicaStore, path: str
+) -> replica.Replica:
+    loaded = store.load()
+    if loaded is None:
+        number = secrets.randbits(NUMBER_BITS) | 1
+        stored = states.fresh(number, proc.cfg.instance)
+    else:
+        stored = loaded.stored
+    if stored.instance != proc.cfg.instance:
+        raise errors.IdentityError(
+            f'{path}: this data folder belongs to {stored.instance}; give'
+            f' {proc.cfg.instance} a folder of its own'
+        )
+    # All of it is written anew, so that what was read lasts, even if it
+    # was only in the system's memory when a sync failed.
+    store.save_all(stored)
+    proc.events.write(
+        'log-opened',
+        is_new=loaded is None,
+        cut_bytes=loaded.cut_bytes if loaded else 0,
+        term=stored.vote.term,
+        records=len(stored.records),
+    )
+    return replica.Replica(
+        stored,
+        states.Timing(),
+        states.Limits(),
+        random.Random(stored.number ^ proc.clock.now()),
+        proc.clock.now(),
+    )
--- /dev/null
+++ b/src/gentianspoke/shells/control/peers.py
@@ -0,0 +1,168 @@
+"""One task for each other member: requests out, replies in."""
+
+import asyncio
+import contextlib
+import typing
+
+import grpclib.client
+
+from gentianspoke.codec import keys
+from gentianspoke.codec import peers as codec
+from gentianspoke.codec import replica as replica_codec
+from gentianspoke.config import units
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import roles
+from gentianspoke import errors
+from gentianspoke.generated import replica_grpc
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+
+HEARTBEAT_CHECK_S = 0.075
+REPLY_TIMEOUT_S = 0.6
+RECONNECT_PAUSE_S = 0.2
+SNAPSHOT_PART_BYTES = 256 * 1024
+# A foreign or damaged reply ends the channel like silence does.
+PEER_ERRORS = (
+    *feed_client.CHANNEL_ERRORS,
+    errors.PacketError,
+    errors.ControlError,
+)
+
+
+async def exchange(
+    ring: keys.KeyRing,
+    channel: grpclib.client.Channel,
+    request: replica_pb2.PeerRequest,
+) -> replica_pb2.PeerReply:
+    """Send one sealed request and return the reply.
+
+    Raises one of ``PEER_ERRORS``.
+    """
+    stub = replica_grpc.ReplicaStub(channel)
+    sealed = codec.seal(ring, request)
+    reply = await stub.Exchange(sealed, timeout=REPLY_TIMEOUT_S)
+    return codec.open_reply(ring, reply)
+
+
+class Peers:
+    """Keeps one task for each other member in force."""
+
+    def __init__(
+        self, proc: process.Process, log: replicated_log.ReplicatedLog
+    ) -> None:
+        """Talk to the members of the log's group."""
+        self._proc = proc
+        self._log = log
+        self._tasks: dict[groups.Member, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Start and end tasks as members come and go, without end."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self._log.group_changed.clear()
+                self._adjust(group)
+                await self._log.group_changed.wait()
+
+    def _adjust(self, group: asyncio.TaskGroup) -> None:
+        own_number = self._log.replica.state.number
+        # A promotion changes the vote, not whom the task talks to.
+        wanted = {
+            groups.Member(item.number, item.instance, item.address, False)
+            for item in self._log.group.others(own_number)
+        }
+        for member in self._tasks.keys() - wanted:
+            self._tasks.pop(member).cancel()
+            self._log.wakes.pop(member.number, None)
+        for member in wanted - self._tasks.keys():
+            wake = asyncio.Event()
+            self._log.wakes[member.number] = wake
+            task = group.create_task(self._talk(member, wake))
+            self._tasks[member] = task
+
+    async def _talk(self, member: groups.Member, wake: asyncio.Event) -> None:
+        address = units.host_port(member.address)
+        while True:
+            try:
+                async with feed_client.open_channel(address) as channel:
+                    await self._serve(channel, member, wake)
+            except PEER_ERRORS as exc:
+                self._proc.events.write(
+                    'peer-lost', peer=member.instance, reason=repr(exc)
+                )
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    async def _serve(
+        self,
+        channel: grpclib.client.Channel,
+        member: groups.Member,
+        wake: asyncio.Event,
+    ) -> typing.Never:
+        while True:
+            wake.clear()
+            request = await self._log.next_request(member.number)
+            if request is None:
+                await self._pause(wake)
+                continue
+            try:
+                reply = await self._send(channel, request)
+            except PEER_ERRORS:
+                await self._log.step(messages.Unanswered(request))
+                raise
+            match reply:
+                case messages.WrongFolder():
+                    raise errors.ControlError(
+                        f'{member.instance} has another data folder than'
+                        ' the member; replace it under a new name'
+                    )
+            await self._log.step(messages.Answered(request, reply))
+
+    async def _pause(self, wake: asyncio.Event) -> None:
+        if self._log.role == roles.FOLLOWER:
+            await wake.wait()
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HEARTBEAT_CHECK_S):
+                await wake.wait()
+
+    async def _send(
+        self, channel: grpclib.client.Channel, request: messages.Request
+    ) -> messages.Reply:
+        match request:
+            case messages.InstallRequest():
+                return await self._send_snapshot(channel, request)
+            case _:
+                message = codec.encode_request(request)
+                reply = await exchange(self._proc.ring, channel, message)
+                return codec.decode_reply(reply)
+
+    async def _send_snapshot(
+        self,
+        channel: grpclib.client.Channel,
+        request: messages.InstallRequest,
+    ) -> messages.Reply:
+        snapshot = replica_codec.encode_snapshot(request.snapshot)
+        data = snapshot.SerializeToString()
+        self._proc.events.write(
+            'snapshot-sent', index=request.snapshot.index, bytes=len(data)
+        )
+        for offset in range(0, len(data), SNAPSHOT_PART_BYTES):
+            part = replica_pb2.InstallRequest(
+                sender=request.sender,
+                to=request.to,
+                term=request.term,
+                snapshot_index=request.snapshot.index,
+                offset=offset,
+                total=len(data),
+                data=data[offset : offset + SNAPSHOT_PART_BYTES],
+            )
+            message = replica_pb2.PeerRequest(install=part)
+            reply = await exchange(self._proc.ring, channel, message)
+            if reply.WhichOneof('content') != 'part_taken':
+                return codec.decode_reply(reply)
+        raise errors.ControlError(
+            'a peer did not answer the last part of a snapshot; run the'
+            ' same version on all control instances'
+        )
--- /dev/null
+++ b/src/gentianspoke/shells/control/replica_service.py
@@ -0,0 +1,132 @@
+"""The service that other control instances call."""
+
+import dataclasses
+import typing
+
+import google.protobuf.message
+import grpclib
+import grpclib.server
+
+from gentianspoke.codec import peers as codec
+from gentianspoke.codec import replica as replica_codec
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke import errors
+from gentianspoke.generated import replica_grpc
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells.control import calls
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import process
+
+SNAPSHOT_BYTES_AT_MOST = 1 << 28
+BAD_MESSAGES = (
+    errors.PacketError,
+    errors.ControlError,
+    google.protobuf.message.DecodeError,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class PartialSnapshot:
+    """A snapshot of which some parts have come."""
+
+    sender: int
+    index: int
+    data: bytearray
+
+
+class ReplicaService(replica_grpc.ReplicaBase):
+    """Answers the requests of other control instances."""
+
+    def __init__(
+        self, proc: process.Process, log: replicated_log.ReplicatedLog
+    ) -> None:
+        """Answer from a log."""
+        self._proc = proc
+        self._log = log
+        self._partial = PartialSnapshot(0, 0, bytearray())
+
+    async def Exchange(  # noqa: N802
+        self,
+        stream: (
+            'grpclib.server.Stream[replica_pb2.Sealed, replica_pb2.Sealed]'
+        ),
+    ) -> None:
+        """Answer one sealed request."""
+        sealed = await calls.receive(stream)
+        try:
+            request = codec.open_request(self._proc.ring, sealed)
+            reply = await self._answer(request)
+        except BAD_MESSAGES as exc:
+            self._proc.events.write('peer-refused', reason=repr(exc))
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT, str(exc)
+            ) from exc
+        await stream.send_message(codec.seal(self._proc.ring, reply))
+
+    async def _answer(
+        self, request: replica_pb2.PeerRequest
+    ) -> replica_pb2.PeerReply:
+        match request.WhichOneof('content'):
+            case 'vote':
+                return await self._ask(codec.decode_vote(request.vote))
+            case 'append':
+                return await self._ask(codec.decode_append(request.append))
+            case 'install':
+                return await self._take_part(request.install)
+            case 'identify':
+                return self._identify()
+            case _:
+                raise errors.ControlError(
+                    'unknown request; run the same version on all control'
+                    ' instances'
+                )
+
+    async def _ask(self, request: messages.Request) -> replica_pb2.PeerReply:
+        done = await self._log.step(messages.Asked(request))
+        for effect in done:
+            match effect:
+                case effects.Respond(reply=reply):
+                    return codec.encode_reply(reply)
+        typing.assert_never(typing.cast(typing.Never, done))
+
+    def _identify(self) -> replica_pb2.PeerReply:
+        state = self._log.replica.state
+        identify = replica_pb2.IdentifyReply(
+            number=state.number,
+            instance=state.instance,
+            group=replica_codec.encode_group(state.group),
+        )
+        return replica_pb2.PeerReply(identify=identify)
+
+    async def _take_part(
+        self, part: replica_pb2.InstallRequest
+    ) -> replica_pb2.PeerReply:
+        if part.offset == 0:
+            self._partial = PartialSnapshot(
+                part.sender, part.snapshot_index, bytearray()
+            )
+        partial = self._partial
+        is_next = (partial.sender, partial.index, len(partial.data)) == (
+            part.sender,
+            part.snapshot_index,
+            part.offset,
+        )
+        if not is_next or part.total > SNAPSHOT_BYTES_AT_MOST:
+            raise errors.ControlError(
+                'not the next part of a snapshot; send it from its beginning'
+            )
+        partial.data += part.data
+        if len(partial.data) < part.total:
+            taken = replica_pb2.InstallPartTaken()
+            return replica_pb2.PeerReply(part_taken=taken)
+        data = bytes(partial.data)
+        partial.data.clear()
+        message = replica_pb2.Snapshot.FromString(data)
+        request = messages.InstallRequest(
+            sender=part.sender,
+            to=part.to,
+            term=part.term,
+            snapshot=replica_codec.decode_snapshot(message),
+        )
+        return await self._ask(request)
--- /dev/null
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -0,0 +1,300 @@
+"""The catalogue log of one control instance among others.
+
+One task takes all events in turn: it lets the replica decide, makes
+durable what has to be, and only then answers or lets messages go out.
+"""
+
+import asyncio
+import collections
+import concurrent.futures
+import dataclasses
+import typing
+
+from gentianspoke import clock
+from gentianspoke.codec import replica as codec
+from gentianspoke.decisions.control import catalogue as edits
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import group as groups
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import replica
+from gentianspoke.decisions.control.replica import roles
+from gentianspoke import errors
+from gentianspoke.storage import replica_store
+from gentianspoke.telemetry import logs
+
+TICK_S = 0.05
+SUBMIT_TIMEOUT_S = 4.0
+BATCH_REQUESTS = 64
+WAITING_AT_MOST = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NextRequest:
+    """Asks what to send to a peer now."""
+
+    peer: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProposeQueued:
+    """Proposes the operators' requests that are queued, as one batch."""
+
+
+Work = messages.Event | NextRequest | ProposeQueued
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """Work for the task of the log, and where its result goes."""
+
+    work: Work
+    done: asyncio.Future[typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request of an operator whose answer is awaited."""
+
+    request: edits.Request
+    done: asyncio.Future[edits.Answer]
+    term: int = 0
+
+
+class ReplicatedLog:
+    """Implements :class:`gentianspoke.shells.control.log.CatalogueLog`."""
+
+    def __init__(
+        self,
+        own: replica.Replica,
+        store: replica_store.ReplicaStore,
+        executor: concurrent.futures.Executor,
+        time: clock.Clock,
+        events: logs.EventLog,
+    ) -> None:
+        """Carry out a replica's decisions; saving runs in ``executor``."""
+        self.replica = own
+        self.catalogue = own.state.catalogue
+        self._store = store
+        self._executor = executor
+        self._clock = time
+        self._events = events
+        self._jobs: asyncio.Queue[Job] = asyncio.Queue()
+        self._queued: collections.deque[Waiting] = collections.deque()
+        self._queue_filled = asyncio.Event()
+        self._proposed: dict[int, Waiting] = {}
+        self._applied = asyncio.Condition()
+        self.group_changed = asyncio.Event()
+        self.wakes: dict[int, asyncio.Event] = {}
+
+    @property
+    def term(self) -> int:
+        """The newest term that this instance knows."""
+        return self.replica.state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this instance leads and a majority follows it now."""
+        return self.replica.state.leads(self._clock.now())
+
+    @property
+    def role(self) -> str:
+        """The role of the replica, for people to read."""
+        return self.replica.state.role.state
+
+    @property
+    def group(self) -> groups.Group:
+        """The members in force."""
+        return self.replica.state.group
+
+    @property
+    def leader(self) -> str:
+        """Address of the leader, empty where none is known."""
+        member = self.group.find(self.replica.state.leader)
+        return member.address if member else ''
+
+    def confirmed_age_ms(self) -> int:
+        """Return how long ago a majority confirmed this instance."""
+        return self.replica.state.confirmed_age_ms(self._clock.now())
+
+    async def submit(self, request: edits.Request) -> edits.Answer:
+        """Return the answer to a request once a majority has synced it.
+
+        Raises :class:`gentianspoke.errors.NotLeaderError`,
+        :class:`gentianspoke.errors.BusyError` and
+        :class:`gentianspoke.errors.OutcomeUnknownError`.
+        """
+        known = self.catalogue.known_answer(request.idempotency_key)
+        if known is not None:
+            return known
+        if not self.is_leader:
+            raise errors.NotLeaderError(self.leader)
+        if len(self._queued) + len(self._proposed) >= WAITING_AT_MOST:
+            raise errors.BusyError()
+        waiting = Waiting(request, _future())
+        self._queued.append(waiting)
+        self._queue_filled.set()
+        try:
+            async with asyncio.timeout(SUBMIT_TIMEOUT_S):
+                return await waiting.done
+        except TimeoutError as exc:
+            raise errors.OutcomeUnknownError() from exc
+
+    async def wait_applied(self, version: int) -> None:
+        """Return once the catalogue is newer than ``version``."""
+        async with self._applied:
+            await self._applied.wait_for(
+                lambda: self.catalogue.version > version
+            )
+
+    async def step(self, event: messages.Event) -> list[effects.Effect]:
+        """Let the replica take an event; return the effects when done."""
+        return await self._do(event)
+
+    async def next_request(self, peer: int) -> messages.Request | None:
+        """Return what to send to a peer now, ``None`` for nothing."""
+        return await self._do(NextRequest(peer))
+
+    async def run(self) -> None:
+        """Take all work in turn, without end.
+
+        Raises :class:`gentianspoke.errors.StorageError` where something
+        cannot be made durable: the instance has to stop then.
+        """
+        while True:
+            job = await self._jobs.get()
+            result: typing.Any
+            match job.work:
+                case NextRequest(peer=peer):
+                    now = self._clock.now()
+                    result = self.replica.request_for(peer, now)
+                case ProposeQueued():
+                    result = None
+                    await self._propose_batch()
+                case event:
+                    result = await self._take(event)
+            if not job.done.done():
+                job.done.set_result(result)
+
+    async def tick(self) -> None:
+        """Let the replica notice that time passes, without end."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            await self.step(messages.Tick())
+
+    async def propose(self) -> None:
+        """Propose the operators' requests in batches, without end."""
+        while True:
+            await self._queue_filled.wait()
+            await self._do(ProposeQueued())
+
+    async def _do(self, work: Work) -> typing.Any:
+        # The caller may be cancelled at any time, the work may not.
+        job = Job(work, _future())
+        self._jobs.put_nowait(job)
+        return await job.done
+
+    async def _take(self, event: messages.Event) -> list[effects.Effect]:
+        done: list[effects.Effect] = []
+        found = self.replica.handle(event, self._clock.now())
+        while found:
+            is_saved = await self._save(found)
+            for effect in found:
+                self._carry_out(effect)
+            done += found
+            found = []
+            if is_saved:
+                last_index = self.replica.state.log.last_index
+                synced = messages.Synced(last_index)
+                found = self.replica.handle(synced, self._clock.now())
+        if done:
+            await self._notify()
+        return done
+
+    async def _save(self, found: list[effects.Effect]) -> bool:
+        vote: effects.SaveVote | None = None
+        new: tuple[records.Record, ...] = ()
+        is_saved = False
+        for effect in found:
+            match effect:
+                case effects.SaveVote():
+                    vote = effect
+                case effects.SaveRecords(records=more):
+                    new = (*new, *more)
+                case effects.SaveAll(stored=stored):
+                    # It holds whatever came before it in this step.
+                    vote, new, is_saved = None, (), True
+                    await self._run(self._store.save_all, stored)
+        if vote is None and not new:
+            return is_saved
+        await self._run(self._store.save, codec.Entry(vote, new))
+        return True
+
+    async def _run(
+        self, save: typing.Callable[[typing.Any], None], what: typing.Any
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._executor, save, what)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.Proposed(index=index, term=term):
+                waiting = self._queued.popleft()
+                self._proposed[index] = dataclasses.replace(waiting, term=term)
+            case effects.Committed():
+                self._answer(effect)
+            case effects.RoleChanged(role=role, term=term):
+                self._events.write(f'replica-{role}', term=term)
+                if role != roles.LEADER:
+                    self._give_up()
+            case effects.GroupChanged():
+                self._events.write(
+                    'group-changed',
+                    members=' '.join(m.instance for m in self.group.members),
+                    voters=len(self.group.voters),
+                )
+                self.group_changed.set()
+
+    def _answer(self, committed: effects.Committed) -> None:
+        waiting = self._proposed.pop(committed.index, None)
+        if waiting is None or waiting.done.done():
+            return
+        if waiting.term == committed.term and committed.answer is not None:
+            waiting.done.set_result(committed.answer)
+        else:
+            waiting.done.set_exception(errors.OutcomeUnknownError())
+
+    def _give_up(self) -> None:
+        for waiting in self._proposed.values():
+            if not waiting.done.done():
+                waiting.done.set_exception(errors.OutcomeUnknownError())
+        self._proposed.clear()
+        self._refuse(len(self._queued))
+
+    def _refuse(self, count: int) -> None:
+        for _ in range(count):
+            waiting = self._queued.popleft()
+            if not waiting.done.done():
+                error = errors.NotLeaderError(self.leader)
+                waiting.done.set_exception(error)
+
+    async def _propose_batch(self) -> None:
+        first = list(self._queued)[:BATCH_REQUESTS]
+        if first:
+            batch = tuple(item.request for item in first)
+            for effect in await self._take(messages.Propose(batch)):
+                match effect:
+                    case effects.Refused():
+                        self._refuse(len(batch))
+        if not self._queued:
+            self._queue_filled.clear()
+
+    async def _notify(self) -> None:
+        for wake in self.wakes.values():
+            wake.set()
+        async with self._applied:
+            self._applied.notify_all()
+
+
+def _future() -> asyncio.Future[typing.Any]:
+    return asyncio.get_running_loop().create_future()
--- a/src/gentianspoke/shells/process.py
+++ b/src/gentianspoke/shells/process.py
@@ -11,6 +11,7 @@
 from gentianspoke.config import key_file
 from gentianspoke.config import settings
 from gentianspoke.decisions import lifecycle
+from gentianspoke import errors
 from gentianspoke.net import pages
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
@@ -97,8 +98,26 @@
 
     An error in a task ends the context with that error.
     """
-    async with asyncio.TaskGroup() as group:
-        running = [group.create_task(task) for task in tasks]
-        yield
-        for task in running:
-            task.cancel()
+    try:
+        async with asyncio.TaskGroup() as group:
+            running = [group.create_task(task) for task in tasks]
+            yield
+            for task in running:
+                task.cancel()
+    except BaseExceptionGroup as exc:
+        # The command line prints an own error as one line, so it must not
+        # come wrapped in a group of errors.
+        own = exc.subgroup(errors.GentianspokeError)
+        if own is None:
+            raise
+        raise _first(own) from exc
+
+
+def _first(group: BaseExceptionGroup[errors.GentianspokeError]) -> Exception:
+    for exc in group.exceptions:
+        match exc:
+            case BaseExceptionGroup():
+                return _first(exc)
+            case _:
+                return exc
+    raise group
--- /dev/null
+++ b/src/gentianspoke/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files below one data folder."""
--- /dev/null
+++ b/src/gentianspoke/storage/journal.py
@@ -0,0 +1,114 @@
+"""A journal: a head that says everything, then entries that add to it.
+
+Each file holds one head and the entries after it. A new head is written
+to a new file, synced, and only then renamed to the next number; so the
+file with the greatest number always begins with a whole head.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+from gentianspoke import errors
+from gentianspoke.storage import folder as folders
+from gentianspoke.storage import frames
+
+PREFIX = 'journal-'
+UNFINISHED = 'unfinished'
+NUMBER_DIGITS = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """What a journal held: ``cut_bytes`` of a torn last entry are lost."""
+
+    head: bytes
+    entries: tuple[bytes, ...]
+    cut_bytes: int
+
+
+class Journal:
+    """The journal in a folder. Every method returns when it has synced."""
+
+    def __init__(self, folder: folders.Folder) -> None:
+        """Use the newest file of the folder."""
+        self._folder = folder
+        self._failed = False
+        self._number = max(self._numbers(), default=0)
+
+    @property
+    def file(self) -> str:
+        """Path of the file in use, for messages."""
+        return f'{self._folder.path}/{_name(self._number)}'
+
+    def load(self) -> Content | None:
+        """Return what the journal holds, ``None`` where it has no file.
+
+        Raises :class:`gentianspoke.errors.DamageError` where anything but
+        a torn last entry is missing.
+        """
+        if self._number == 0:
+            return None
+        try:
+            data = self._folder.read(_name(self._number))
+        except OSError as exc:
+            raise errors.StorageError(
+                f'{self.file}: cannot be read ({exc.strerror}); check disk'
+                ' and rights'
+            ) from exc
+        found = frames.scan_frames(data)
+        if found.is_damaged or not found.bodies:
+            raise errors.DamageError(self.file, found.end)
+        cut = len(data) - found.end
+        return Content(found.bodies[0], found.bodies[1:], cut)
+
+    def append(self, entry: bytes) -> None:
+        """Add an entry."""
+        name = _name(self._number)
+        with self._failing(name):
+            self._folder.append(name, frames.encode_frame(entry))
+            self._folder.sync(name)
+
+    def rewrite(self, head: bytes) -> None:
+        """Begin a new file with ``head`` and remove the older ones."""
+        with self._failing(UNFINISHED):
+            if UNFINISHED in self._folder.names():
+                self._folder.remove(UNFINISHED)
+            self._folder.append(UNFINISHED, frames.encode_frame(head))
+            self._folder.sync(UNFINISHED)
+            self._folder.rename(UNFINISHED, _name(self._number + 1))
+            self._folder.sync_names()
+            self._number += 1
+            self._remove_older()
+
+    def _remove_older(self) -> None:
+        older = [item for item in self._numbers() if item < self._number]
+        for number in older:
+            self._folder.remove(_name(number))
+        if older:
+            self._folder.sync_names()
+
+    def _numbers(self) -> list[int]:
+        return [
+            int(name.removeprefix(PREFIX))
+            for name in self._folder.names()
+            if name.startswith(PREFIX)
+        ]
+
+    @contextlib.contextmanager
+    def _failing(self, name: str) -> collections.abc.Iterator[None]:
+        # After a failed sync the system may drop what was written and
+        # report the next sync as good, so nothing is tried again here:
+        # a restart reads what there is and writes all of it anew.
+        path = f'{self._folder.path}/{name}'
+        if self._failed:
+            raise errors.WriteError(path, 'an earlier write failed')
+        try:
+            yield
+        except OSError as exc:
+            self._failed = True
+            raise errors.WriteError(path, exc.strerror or str(exc)) from exc
+
+
+def _name(number: int) -> str:
+    return f'{PREFIX}{number:0{NUMBER_DIGITS}}'
