--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -109,6 +109,7 @@
                     reply = await stream.recv_message()
                 update = _decode(reply) if reply is not None else None
                 if update is None or _is_stale(update):
+                    await stream.cancel()
                     return version
                 in_force = take(update)
                 if in_force != version:
