Keep leases safe across leaders and authenticate calls between processes

Cause: the membership granted leases and issued views without regard to leadership; a call needed no key. Found while writing the tests, each seen to fail without its rule on a scratch copy: a lease that outlives its leader's majority; a removal by a leader that is already deposed; an agent that restarts and gets an older view from a stale relay; a changed weight under one view number; a drained newcomer without a closing view; a service that an agent no longer announces.

Ruled out: granting no lease during a new leader's grace (placement of non-idempotent work would stop for 3 s at each change of leader); agents that claim in the heartbeat to hold a lease (the claim is checked at the reply instead, since the heartbeat may have been delayed).

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -188,6 +188,7 @@
     command = [sys.executable, '-m', 'gentianspoke', 'catalogue', 'apply']
     command += [str(path), '--wait', '--control']
     command += [','.join(deployment.text(item) for item in plan.control)]
+    command += ['--key-file', str(plan.folder / 'keys.yaml')]
     running = await asyncio.create_subprocess_exec(*command)
     if await running.wait():
         raise SystemExit('the catalogue was not accepted')
--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -80,6 +80,15 @@
     )
 
 
+def encode_grant(grant: membership.Grant) -> feed_pb2.AnnouncementReply:
+    """Return the answer to a heartbeat as a message."""
+    return feed_pb2.AnnouncementReply(
+        granted=True,
+        lease_ms=grant.lease_ms,
+        renewal_only=grant.renewal_only,
+    )
+
+
 def _encode_member(member: views.Member) -> feed_pb2.Member:
     return feed_pb2.Member(
         id=member.number,
--- a/src/gentianspoke/commands/catalogue.py
+++ b/src/gentianspoke/commands/catalogue.py
@@ -11,16 +11,19 @@
 
 from gentianspoke.codec import catalogue as codec
 from gentianspoke.config import catalogue_file
+from gentianspoke.config import key_file
 from gentianspoke.config import units
 from gentianspoke.decisions.control import catalogue
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_grpc
 from gentianspoke.generated import catalogue_pb2
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells import feed_client
 
 REQUEST_TIMEOUT_S = 5.0
 WAIT_POLL_S = 0.1
 WAIT_AT_MOST_S = 20.0
+OPERATOR = 'operator'
 
 Control = typing.Annotated[
     str, cappa.Arg(long='--control', help='Control addresses, with commas.')
@@ -31,11 +34,22 @@
 ]
 
 
-async def ask(control: str, call: Call[Reply]) -> Reply:
+KeyFile = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--key-file',
+        default=cappa.Env('GENTIANSPOKE_KEY_FILE'),
+        help='Key file; the environment may name it instead.',
+    ),
+]
+
+
+async def ask(control: str, key_path: str, call: Call[Reply]) -> Reply:
     """Return the answer of the first control instance that gives one.
 
     Raises :class:`gentianspoke.errors.ControlUnreachableError`.
     """
+    ring = key_file.load(key_path)
     for text in control.split(','):
         try:
             address = units.host_port(text)
@@ -44,7 +58,9 @@
                 'command line', '--control', str(exc)
             ) from exc
         try:
-            async with feed_client.open_channel(address) as channel:
+            async with channel_auth.open_channel(
+                address, lambda: ring, OPERATOR
+            ) as channel:
                 return await call(catalogue_grpc.CatalogueStub(channel))
         except feed_client.CHANNEL_ERRORS:
             continue
@@ -58,6 +74,7 @@
 
     file: str
     control: Control
+    key_file: KeyFile
     wait: typing.Annotated[
         bool, cappa.Arg(long=True, help='Wait until in force everywhere.')
     ] = False
@@ -70,6 +87,7 @@
         entries = catalogue_file.load(self.file)
         listed = await ask(
             self.control,
+            self.key_file,
             lambda stub: stub.List(
                 catalogue_pb2.ListRequest(include_retired=True),
                 timeout=REQUEST_TIMEOUT_S,
@@ -84,6 +102,7 @@
         message = codec.encode_request(request)
         reply = await ask(
             self.control,
+            self.key_file,
             lambda stub: stub.Apply(message, timeout=REQUEST_TIMEOUT_S),
         )
         answer = codec.decode_answer(reply)
@@ -93,7 +112,7 @@
             )
         print(f'accepted as version {answer.version}')
         if self.wait:
-            await _wait_in_force(self.control, answer.version)
+            await _wait_in_force(self.control, self.key_file, answer.version)
 
 
 @cappa.command(name='list')
@@ -102,12 +121,14 @@
     """List the entries."""
 
     control: Control
+    key_file: KeyFile
 
     def __call__(self) -> None:
         """Print one line for each entry."""
         reply = asyncio.run(
             ask(
                 self.control,
+                self.key_file,
                 lambda stub: stub.List(
                     catalogue_pb2.ListRequest(), timeout=REQUEST_TIMEOUT_S
                 ),
@@ -134,11 +155,12 @@
     return catalogue.Edit(item.service.name, base, catalogue.Put(item.service))
 
 
-async def _wait_in_force(control: str, version: int) -> None:
+async def _wait_in_force(control: str, key_path: str, version: int) -> None:
     async with asyncio.timeout(WAIT_AT_MOST_S):
         while True:
             status = await ask(
                 control,
+                key_path,
                 lambda stub: stub.Status(
                     catalogue_pb2.StatusRequest(version=version),
                     timeout=REQUEST_TIMEOUT_S,
--- a/src/gentianspoke/decisions/control/membership.py
+++ b/src/gentianspoke/decisions/control/membership.py
@@ -1,44 +1,38 @@
 """Membership of services: soft state from announcements, issued as views.
 
-Only the leader of the control instances keeps it. A member is suspect
-once heartbeats are missing and is removed only after the longest lease
-that this leader, or the one before it, may have granted has run out.
+Only the leader of the control instances keeps it, anew in each term. A
+member is suspect once heartbeats are missing, and is removed only after
+the longest lease that this leader may have granted has run out.
+
+Three rules keep two agents from deciding for one bucket while leaders
+change; docs/design/membership-and-feeds.md gives the reasons.
+
+* A lease counts from the last time at which a majority confirmed the
+  leader, so it ends before a later leader's grace does.
+* During its grace a leader issues no view, since leases that an earlier
+  leader granted may still run.
+* An agent that has not yet applied the view that lists it may extend a
+  lease that it still holds, but gets no new one.
 """
 
+import collections.abc
 import dataclasses
 
 from gentianspoke.core import views
+from gentianspoke.decisions.control import service_members
 
-# A member's clock may run slower than the leader's by this share.
+# Difference of two clocks' rates that leases allow for.
 CLOCK_DRIFT_PERMILLE = 50
 PERMILLE = 1000
+# A longer pause between two ticks means that this process stood still and
+# could not take heartbeats.
+STALL_MS = 1_000
+# Members of a service without a live one stay listed this long: their
+# silence may be the leader's own isolation.
+KEEP_LAST_MS = 60_000
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceReport:
-    """What an agent reports of one service with each heartbeat."""
-
-    service: int
-    acked_view: int = 0
-    oldest_flow_view: int = 0
-    open_flows: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Announcement:
-    """A heartbeat of an agent; it asks for a lease."""
-
-    number: int
-    instance: str
-    host: str
-    port: int
-    zone: str
-    weight: int
-    state: views.State
-    recovering: bool
-    services: tuple[int, ...]
-    reports: tuple[ServiceReport, ...] = ()
-    leaving: bool = False
+Announcement = service_members.Announcement
+ServiceReport = service_members.ServiceReport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,11 +48,17 @@
         return self.lease_ms * (PERMILLE + CLOCK_DRIFT_PERMILLE) // PERMILLE
 
 
-@dataclasses.dataclass(slots=True)
-class _ServiceMembers:
-    number: int
-    revision: int = 0
-    members: dict[int, views.Member] = dataclasses.field(default_factory=dict)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """The answer to a heartbeat.
+
+    ``lease_ms`` counts from the moment at which the heartbeat was sent.
+    With ``renewal_only`` it may only extend a lease that the agent still
+    holds when the answer arrives.
+    """
+
+    lease_ms: int
+    renewal_only: bool
 
 
 class Membership:
@@ -66,121 +66,126 @@
 
     def __init__(self, term: int, limits: MembershipLimits, now: int) -> None:
         """Begin a term; the views of earlier terms are all older."""
+        self.term = term
         self.limits = limits
         self.started_ms = now
-        self._term = term
+        self._ticked_ms = now
         self._sequence = 0
-        self._services: dict[int, _ServiceMembers] = {}
-        self._heard: dict[int, int] = {}
+        self._services: dict[int, service_members.ServiceMembers] = {}
         self._changed: set[int] = set()
 
-    def announce(self, announcement: Announcement, now: int) -> None:
-        """Take a heartbeat and remember which views it changes."""
-        self._heard[announcement.number] = now
+    def adopt(
+        self, known: collections.abc.Iterable[views.View], now: int
+    ) -> None:
+        """List the members of earlier terms' views as suspect.
+
+        They keep their flows in reach until they announce themselves or
+        their leases have run out; also a service whose members have all
+        gone gets a view of this term.
+        """
+        for view in known:
+            record = self._record(view.service)
+            for member in view.members:
+                if member.number not in record.listings:
+                    record.adopt(member, now)
+            self._changed.add(view.service)
+
+    def announce(
+        self, announcement: Announcement, now: int, confirmed_age_ms: int = 0
+    ) -> Grant:
+        """Take a heartbeat and return what lease the agent gets.
+
+        ``confirmed_age_ms`` tells how long ago a majority confirmed that
+        this instance leads.
+        """
         reports = {item.service: item for item in announcement.reports}
+        caught_up = True
         for service in announcement.services:
             report = reports.get(service, ServiceReport(service))
-            self._update(service, announcement, report)
+            record = self._record(service)
+            if record.announce(announcement, report, now):
+                self._changed.add(service)
+            if not record.has_caught_up(announcement.number, report):
+                caught_up = False
         if announcement.leaving:
-            self._remove(announcement.number)
-
-    def tick(self, now: int) -> None:
-        """Suspect or remove the members whose heartbeats are missing."""
-        for number, heard_ms in tuple(self._heard.items()):
-            silent_ms = now - heard_ms
-            if silent_ms >= self.limits.removal_ms:
-                self._remove(number)
-            elif silent_ms >= self.limits.suspect_ms:
-                self._suspect(number)
-
-    def take_changed(self) -> list[views.View]:
-        """Return the views that changed since the last call."""
+            return Grant(0, renewal_only=True)
+        lease_ms = max(0, self.limits.lease_ms - confirmed_age_ms)
+        return Grant(lease_ms, renewal_only=not caught_up)
+
+    def tick(self, now: int, confirmed_age_ms: int = 0) -> None:
+        """Suspect or remove the members whose heartbeats are missing.
+
+        Silence counts up to the last confirmation by a majority: a later
+        leader may have granted leases since then.
+        """
+        paused_ms = now - self._ticked_ms
+        self._ticked_ms = now
+        if paused_ms >= STALL_MS:
+            self._excuse(paused_ms)
+        confirmed_ms = now - confirmed_age_ms
+        for record in self._services.values():
+            if self._tick_service(record, confirmed_ms):
+                self._changed.add(record.service)
+
+    def is_complete(self, now: int) -> bool:
+        """Return whether the grace is over and views may be issued."""
+        return now - self.started_ms >= self.limits.removal_ms
+
+    def take_changed(self, now: int) -> list[views.View]:
+        """Return the views that changed since the last call.
+
+        There are none during the grace, and all of them after it.
+        """
+        if not self.is_complete(now):
+            return []
         changed = [self.view(service) for service in sorted(self._changed)]
         self._changed.clear()
         return changed
 
     def view(self, service: int) -> views.View:
-        """Return the current view of a service, empty if unknown."""
+        """Return the present view of a service, empty if unknown."""
         record = self._services.get(service)
-        if record is None:
-            return views.View(service, 0, ())
-        members = tuple(
-            record.members[number] for number in sorted(record.members)
-        )
-        return views.View(service, record.number, members, record.revision)
+        return record.view() if record else views.View(service, 0, ())
 
     def all_views(self) -> list[views.View]:
-        """Return the current views of all services."""
+        """Return the present views of all services, issued or not."""
         return [self.view(service) for service in sorted(self._services)]
 
-    def _update(
-        self,
-        service: int,
-        announcement: Announcement,
-        report: ServiceReport,
-    ) -> None:
-        record = self._services.setdefault(service, _ServiceMembers(0))
-        known = record.members.get(announcement.number)
-        member = _member(announcement, report, known)
-        was_live = known is not None and known.is_live
-        if member.is_live != was_live:
+    def _record(self, service: int) -> service_members.ServiceMembers:
+        record = self._services.get(service)
+        if record is None:
+            record = service_members.ServiceMembers(service, self._next_number)
             record.number = self._next_number()
-            member = _with_change(member, record.number)
-        elif known is None:
-            member = dataclasses.replace(member, closed_view=record.number)
-        if member != known:
-            record.members[member.number] = member
-            record.revision += 1
-            self._changed.add(service)
-
-    def _suspect(self, number: int) -> None:
-        for service, record in self._services.items():
-            known = record.members.get(number)
-            if known is None or known.state is views.State.SUSPECT:
-                continue
-            suspect = dataclasses.replace(known, state=views.State.SUSPECT)
-            if known.is_live:
-                record.number = self._next_number()
-                suspect = _with_change(suspect, record.number)
-            record.members[number] = suspect
-            record.revision += 1
-            self._changed.add(service)
-
-    def _remove(self, number: int) -> None:
-        self._heard.pop(number, None)
-        for service, record in self._services.items():
-            if record.members.pop(number, None) is not None:
-                record.number = self._next_number()
-                record.revision += 1
-                self._changed.add(service)
+            self._services[service] = record
+        return record
 
     def _next_number(self) -> int:
         self._sequence += 1
-        return views.make_view_number(self._term, self._sequence)
-
-
-def _member(
-    announcement: Announcement,
-    report: ServiceReport,
-    known: views.Member | None,
-) -> views.Member:
-    return views.Member(
-        number=announcement.number,
-        instance=announcement.instance,
-        host=announcement.host,
-        port=announcement.port,
-        zone=announcement.zone,
-        weight=announcement.weight,
-        state=announcement.state,
-        joined_view=known.joined_view if known else 0,
-        closed_view=known.closed_view if known else 0,
-        acked_view=report.acked_view,
-        oldest_flow_view=report.oldest_flow_view,
-        recovering=announcement.recovering,
-    )
-
-
-def _with_change(member: views.Member, number: int) -> views.Member:
-    if member.is_live:
-        return dataclasses.replace(member, joined_view=number, closed_view=0)
-    return dataclasses.replace(member, closed_view=number)
+        return views.make_view_number(self.term, self._sequence)
+
+    def _excuse(self, paused_ms: int) -> None:
+        for record in self._services.values():
+            for listing in record.listings.values():
+                listing.heard_ms += paused_ms
+
+    def _tick_service(
+        self, record: service_members.ServiceMembers, confirmed_ms: int
+    ) -> bool:
+        changed = False
+        for number, listing in tuple(record.listings.items()):
+            silent_ms = confirmed_ms - listing.heard_ms
+            if silent_ms >= self._removal_ms(record, listing):
+                record.remove(number)
+                changed = True
+            elif silent_ms >= self.limits.suspect_ms:
+                changed |= record.suspect(number)
+        return changed
+
+    def _removal_ms(
+        self,
+        record: service_members.ServiceMembers,
+        listing: service_members.Listing,
+    ) -> int:
+        if listing.leaving or record.has_live():
+            return self.limits.removal_ms
+        return max(KEEP_LAST_MS, self.limits.removal_ms)
--- /dev/null
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -0,0 +1,194 @@
+"""The members of one service, as the leader of one term lists them."""
+
+import collections.abc
+import dataclasses
+
+from gentianspoke.core import views
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """What an agent reports of one service with each heartbeat."""
+
+    service: int
+    acked_view: int = 0
+    oldest_flow_view: int = 0
+    open_flows: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """A heartbeat of an agent; it asks for a lease.
+
+    An agent that announces itself as ``leaving`` asks for no further
+    lease, and is listed until its last one has run out.
+    """
+
+    number: int
+    instance: str
+    host: str
+    port: int
+    zone: str
+    weight: int
+    state: views.State
+    recovering: bool
+    services: tuple[int, ...]
+    reports: tuple[ServiceReport, ...] = ()
+    leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Listing:
+    """A listed member, with what only the leader needs of it.
+
+    ``lease_floor`` is the oldest view by which the member may act with a
+    lease that does not extend an older one: the view that listed it, or
+    the newest one that it has acknowledged since. One that is
+    ``leaving`` has said that it goes for good.
+    """
+
+    member: views.Member
+    heard_ms: int
+    lease_floor: int
+    leaving: bool = False
+
+
+class ServiceMembers:
+    """The listed members of one service, with the number of its view."""
+
+    def __init__(
+        self, service: int, next_number: collections.abc.Callable[[], int]
+    ) -> None:
+        """Begin without members; ``next_number`` gives new view numbers."""
+        self.service = service
+        self.number = 0
+        self.revision = 0
+        self.listings: dict[int, Listing] = {}
+        self._next_number = next_number
+
+    def view(self) -> views.View:
+        """Return the members as a view."""
+        members = tuple(
+            self.listings[number].member for number in sorted(self.listings)
+        )
+        return views.View(self.service, self.number, members, self.revision)
+
+    def adopt(self, member: views.Member, now: int) -> None:
+        """List a member of an earlier term's view as suspect."""
+        suspect = dataclasses.replace(
+            member, state=views.State.SUSPECT, acked_view=0
+        )
+        self._list(suspect, now)
+
+    def announce(
+        self, announcement: Announcement, report: ServiceReport, now: int
+    ) -> bool:
+        """Take a heartbeat; return whether it changes the view."""
+        listing = self.listings.get(announcement.number)
+        if listing is None:
+            self._list(_new_member(announcement, report), now)
+            return True
+        listing.leaving = announcement.leaving
+        if not announcement.leaving:
+            listing.heard_ms = now
+        acked = min(report.acked_view, self.number)
+        listing.lease_floor = max(listing.lease_floor, acked)
+        member = _changed_member(announcement, report, listing.member)
+        return self._replace(listing, member)
+
+    def has_caught_up(self, number: int, report: ServiceReport) -> bool:
+        """Return whether a member acts by views that allow a new lease."""
+        listing = self.listings[number]
+        return min(report.acked_view, self.number) >= listing.lease_floor
+
+    def has_live(self) -> bool:
+        """Return whether any member gets new flows."""
+        return any(item.member.is_live for item in self.listings.values())
+
+    def suspect(self, number: int) -> bool:
+        """Close a silent member; return whether that changes the view."""
+        listing = self.listings[number]
+        member = dataclasses.replace(listing.member, state=views.State.SUSPECT)
+        return self._replace(listing, member)
+
+    def remove(self, number: int) -> None:
+        """Remove a member whose lease has run out."""
+        if self.listings.pop(number).member.is_live:
+            self.number = self._next_number()
+        self.revision += 1
+
+    def _list(self, member: views.Member, now: int) -> None:
+        # Always a new number: no ack of an earlier listing can reach it,
+        # and a member that is not live needs one as its closed_view.
+        self.number = self._next_number()
+        self.revision += 1
+        self.listings[member.number] = Listing(
+            _with_change(member, self.number), now, self.number
+        )
+
+    def _replace(self, listing: Listing, member: views.Member) -> bool:
+        if member.is_live != listing.member.is_live:
+            self.number = self._next_number()
+            member = _with_change(member, self.number)
+        if member == listing.member:
+            return False
+        listing.member = member
+        self.revision += 1
+        return True
+
+
+def _announced_state(announcement: Announcement) -> views.State:
+    if announcement.leaving and announcement.state is views.State.LIVE:
+        return views.State.DRAINING
+    return announcement.state
+
+
+def _new_member(
+    announcement: Announcement, report: ServiceReport
+) -> views.Member:
+    return views.Member(
+        number=announcement.number,
+        instance=announcement.instance,
+        host=announcement.host,
+        port=announcement.port,
+        zone=announcement.zone,
+        weight=announcement.weight,
+        state=_announced_state(announcement),
+        joined_view=0,
+        acked_view=report.acked_view,
+        oldest_flow_view=report.oldest_flow_view,
+        recovering=announcement.recovering,
+    )
+
+
+def _changed_member(
+    announcement: Announcement, report: ServiceReport, known: views.Member
+) -> views.Member:
+    # An acknowledgement is never taken back: an agent that restarted and
+    # acts by older views has no lease until it has caught up.
+    acked = max(known.acked_view, report.acked_view)
+    state = _announced_state(announcement)
+    weight = announcement.weight
+    if weight != known.weight and (known.is_live or acked < known.closed_view):
+        # A weight moves buckets between members under one view number, so
+        # it changes only while the member knows that it decides nothing.
+        state = views.State.DRAINING
+        weight = known.weight
+    return dataclasses.replace(
+        known,
+        instance=announcement.instance,
+        host=announcement.host,
+        port=announcement.port,
+        zone=announcement.zone,
+        weight=weight,
+        state=state,
+        acked_view=acked,
+        oldest_flow_view=report.oldest_flow_view,
+        recovering=announcement.recovering,
+    )
+
+
+def _with_change(member: views.Member, number: int) -> views.Member:
+    if member.is_live:
+        return dataclasses.replace(member, joined_view=number, closed_view=0)
+    return dataclasses.replace(member, closed_view=number)
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -79,5 +79,18 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class ChannelError(GentianspokeError):
+    """The other end of a channel did not show that it holds a key."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the reason, a few words for people to read."""
+        self.reason = reason
+        super().__init__(
+            f'the other end is not authenticated ({reason}); check that both'
+            ' have the key files of one deployment and that their clocks'
+            ' agree'
+        )
+
+
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
--- a/src/gentianspoke/shells/agent.py
+++ b/src/gentianspoke/shells/agent.py
@@ -24,6 +24,7 @@
 from gentianspoke.generated import feed_grpc
 from gentianspoke.net import datagrams
 from gentianspoke.net import pages
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
 
@@ -150,7 +151,9 @@
         )
 
     async def _announce_to(self, address: tuple[str, int]) -> None:
-        async with feed_client.open_channel(address) as channel:
+        async with channel_auth.open_channel(
+            address, self._proc.current_ring, self._proc.cfg.instance
+        ) as channel:
             stub = feed_grpc.FeedStub(channel)
             while True:
                 sent_ms = self._proc.clock.now()
@@ -162,6 +165,10 @@
                 )
                 if not reply.granted:
                     return
+                held = self.state.lease_until_ms > self._proc.clock.now()
+                if reply.renewal_only and not held:
+                    await asyncio.sleep(HEARTBEAT_S)
+                    continue
                 margin = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
                 until = sent_ms + reply.lease_ms - margin
                 self.state.lease_until_ms = max(
--- /dev/null
+++ b/src/gentianspoke/shells/channel_auth.py
@@ -0,0 +1,181 @@
+"""Authenticated calls between processes, by the deployment's shared keys.
+
+``open_channel`` and ``protect_server`` are all that a caller and a server
+need: each call carries a token, each answer a proof, and what lacks them
+is refused on either side. The keys are read anew for each call, so that a
+rotation takes effect at once.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import contextvars
+
+import grpclib
+import grpclib.client
+import grpclib.events
+import grpclib.server
+
+from gentianspoke import clock
+from gentianspoke.codec import keys
+from gentianspoke.codec import tokens
+from gentianspoke.config import units
+from gentianspoke import errors
+
+TOKEN_KEY = 'gentianspoke-token'
+CALLER_KEY = 'gentianspoke-caller'
+PROOF_KEY = 'gentianspoke-proof'
+# Calls of one channel whose answers are awaited.
+PENDING_AT_MOST = 1_024
+
+CurrentRing = collections.abc.Callable[[], keys.KeyRing]
+
+# Nonce of the call that this server task answers.
+_answered_nonce: contextvars.ContextVar[str] = contextvars.ContextVar(
+    'answered_nonce', default=''
+)
+# Whether the answer that this client task reads began with a proof.
+_proven: contextvars.ContextVar[bool] = contextvars.ContextVar(
+    'proven', default=False
+)
+
+
+@contextlib.asynccontextmanager
+async def open_channel(
+    address: units.Address,
+    ring: CurrentRing,
+    instance: str,
+    time: clock.Clock | None = None,
+) -> collections.abc.AsyncIterator[grpclib.client.Channel]:
+    """Open a new channel that authenticates its calls; close it at the end.
+
+    ``ring`` returns the keys in force and ``instance`` names the caller.
+    A call raises ``grpclib.GRPCError`` with status ``UNAUTHENTICATED``
+    where either side does not hold a key. A task reads the answer to one
+    call at a time.
+    """
+    channel = grpclib.client.Channel(*address)
+    caller = _Caller(ring, instance, time or clock.Clock())
+    grpclib.events.listen(
+        channel, grpclib.events.SendRequest, caller.send_request
+    )
+    grpclib.events.listen(
+        channel,
+        grpclib.events.RecvInitialMetadata,
+        caller.receive_initial_metadata,
+    )
+    grpclib.events.listen(
+        channel, grpclib.events.RecvMessage, caller.receive_message
+    )
+    try:
+        yield channel
+    finally:
+        channel.close()
+
+
+def protect_server(
+    server: grpclib.server.Server,
+    ring: CurrentRing,
+    time: clock.Clock | None = None,
+    on_refused: collections.abc.Callable[[str, str], None] | None = None,
+) -> None:
+    """Refuse all calls to ``server`` that carry no valid token.
+
+    ``on_refused`` gets the method and the reason of each refused call.
+    """
+    guard = _Guard(ring, time or clock.Clock(), on_refused)
+    grpclib.events.listen(
+        server, grpclib.events.RecvRequest, guard.receive_request
+    )
+    grpclib.events.listen(
+        server,
+        grpclib.events.SendInitialMetadata,
+        guard.send_initial_metadata,
+    )
+
+
+class _Caller:
+    """The caller's side of one channel."""
+
+    def __init__(
+        self, ring: CurrentRing, instance: str, time: clock.Clock
+    ) -> None:
+        self._ring = ring
+        self._instance = instance
+        self._clock = time
+        self._pending: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    async def send_request(self, event: grpclib.events.SendRequest) -> None:
+        token = tokens.make_token(
+            self._ring(), event.method_name, self._instance, self._clock.wall()
+        )
+        self._pending[token.nonce] = None
+        while len(self._pending) > PENDING_AT_MOST:
+            self._pending.popitem(last=False)
+        event.metadata[TOKEN_KEY] = token.render()
+        event.metadata[CALLER_KEY] = self._instance
+
+    async def receive_initial_metadata(
+        self, event: grpclib.events.RecvInitialMetadata
+    ) -> None:
+        proof = event.metadata.get(PROOF_KEY)
+        _proven.set(proof is not None)
+        if proof is None:
+            # An answer that is only an error has no proof; see below.
+            return
+        try:
+            nonce = tokens.check_proof(self._ring(), str(proof))
+            if nonce not in self._pending:
+                raise errors.ChannelError('its proof is for another call')
+        except errors.ChannelError as exc:
+            raise _refusal(exc) from exc
+        del self._pending[nonce]
+
+    async def receive_message(self, event: grpclib.events.RecvMessage) -> None:
+        if not _proven.get():
+            raise _refusal(errors.ChannelError('no proof of a key'))
+
+
+class _Guard:
+    """The server's side."""
+
+    def __init__(
+        self,
+        ring: CurrentRing,
+        time: clock.Clock,
+        on_refused: collections.abc.Callable[[str, str], None] | None,
+    ) -> None:
+        self._ring = ring
+        self._clock = time
+        self._on_refused = on_refused
+        self._tokens = tokens.TokenGuard()
+
+    async def receive_request(self, event: grpclib.events.RecvRequest) -> None:
+        try:
+            token = tokens.parse_token(str(event.metadata.get(TOKEN_KEY, '')))
+            self._tokens.check(
+                self._ring(),
+                token,
+                event.method_name,
+                str(event.metadata.get(CALLER_KEY, '')),
+                self._clock.wall(),
+            )
+        except errors.ChannelError as exc:
+            if self._on_refused is not None:
+                self._on_refused(event.method_name, exc.reason)
+            raise _refusal(exc) from exc
+        _answered_nonce.set(token.nonce)
+
+    async def send_initial_metadata(
+        self, event: grpclib.events.SendInitialMetadata
+    ) -> None:
+        # A refused call has no nonce; its answer is an error anyway.
+        nonce = _answered_nonce.get()
+        if nonce:
+            event.metadata[PROOF_KEY] = tokens.make_proof(self._ring(), nonce)
+
+
+def _refusal(exc: errors.ChannelError) -> grpclib.GRPCError:
+    return grpclib.GRPCError(grpclib.const.Status.UNAUTHENTICATED, str(exc))
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -38,7 +38,7 @@
             lease_ms, int(lease_ms * SUSPECT_SHARE)
         )
         self._limits = limits
-        self._members = membership.Membership(1, limits, proc.clock.now())
+        self._members = membership.Membership(0, limits, proc.clock.now())
 
     async def Announce(  # noqa: N802
         self,
@@ -53,14 +53,17 @@
             entry.name: entry.number
             for entry in self._log.catalogue.entry_list()
         }
-        announcement = feed_codec.decode_announcement(message, numbers)
-        self._members.announce(announcement, self._proc.clock.now())
-        self._hub.publish(self._members.take_changed())
-        await stream.send_message(
-            feed_pb2.AnnouncementReply(
-                granted=True, lease_ms=self._limits.lease_ms
+        if not self._log.is_leader:
+            await stream.send_message(
+                feed_pb2.AnnouncementReply(leader=self._log.leader)
             )
+            return
+        announcement = feed_codec.decode_announcement(message, numbers)
+        now = self._proc.clock.now()
+        grant = self._lead(now).announce(
+            announcement, now, self._log.confirmed_age_ms()
         )
+        await stream.send_message(feed_codec.encode_grant(grant))
 
     async def Follow(  # noqa: N802
         self,
@@ -73,6 +76,8 @@
         first = await calls.receive(stream)
         subscriber = hub.Subscriber(first.subscribe)
         for view in self._members.all_views():
+            if not self._members.is_complete(self._proc.clock.now()):
+                break
             subscriber.views[view.service] = feed_codec.encode_view(view)
         self._hub.subscribers.add(subscriber)
         try:
@@ -87,8 +92,18 @@
         """Suspect and remove members whose heartbeats are missing."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._members.tick(self._proc.clock.now())
-            self._hub.publish(self._members.take_changed())
+            if self._log.is_leader:
+                now = self._proc.clock.now()
+                members = self._lead(now)
+                members.tick(now, self._log.confirmed_age_ms())
+                self._hub.publish(members.take_changed(now))
+
+    def _lead(self, now: int) -> membership.Membership:
+        if self._members.term != self._log.term:
+            self._members = membership.Membership(
+                self._log.term, self._limits, now
+            )
+        return self._members
 
     async def _send_feed(
         self,
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -4,6 +4,7 @@
 
 from gentianspoke.config import settings
 from gentianspoke import errors
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import hub
@@ -26,6 +27,9 @@
         feed = feed_service.FeedService(proc, log, consumers, role.lease_ms)
         operators = catalogue_service.CatalogueService(proc, log, consumers)
         server = grpclib.server.Server([feed, operators])
+        channel_auth.protect_server(
+            server, proc.current_ring, on_refused=proc.write_refused_call
+        )
         await server.start(*role.listen)
         proc.life.advance('serve')
         async with process.run_tasks(feed.tick()):
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 
 import grpclib
-import grpclib.client
 import h2.exceptions
 
 from gentianspoke.codec import catalogue
@@ -16,6 +14,7 @@
 from gentianspoke.core import views
 from gentianspoke.generated import feed_grpc
 from gentianspoke.generated import feed_pb2
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells import process
 
 STALE_MS = 3_000
@@ -53,18 +52,6 @@
 Take = collections.abc.Callable[[Update], int]
 
 
-@contextlib.asynccontextmanager
-async def open_channel(
-    address: units.Address,
-) -> collections.abc.AsyncIterator[grpclib.client.Channel]:
-    """Open a new channel to a control instance and close it at the end."""
-    channel = grpclib.client.Channel(*address)
-    try:
-        yield channel
-    finally:
-        channel.close()
-
-
 async def follow_feeds(proc: process.Process, role: str, take: Take) -> None:
     """Follow one source after the other, without end.
 
@@ -92,7 +79,9 @@
     take: Take,
     version: int,
 ) -> int:
-    async with open_channel(address) as channel:
+    async with channel_auth.open_channel(
+        address, proc.current_ring, proc.cfg.instance
+    ) as channel:
         stub = feed_grpc.FeedStub(channel)
         async with stub.Follow.open() as stream:
             subscribe = feed_pb2.Subscribe(
--- a/src/gentianspoke/shells/process.py
+++ b/src/gentianspoke/shells/process.py
@@ -11,11 +11,13 @@
 from gentianspoke.config import key_file
 from gentianspoke.config import settings
 from gentianspoke.decisions import lifecycle
+from gentianspoke import errors
 from gentianspoke.net import pages
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +32,26 @@
     life: lifecycle.Lifecycle
     stop: asyncio.Event
 
+    def current_ring(self) -> keys.KeyRing:
+        """Return the keys in force; a rotation changes them."""
+        return self.ring
+
+    def reload_keys(self) -> None:
+        """Read the key file again; keep the keys where it is not valid."""
+        try:
+            self.ring = key_file.load(self.cfg.key_file)
+        except errors.KeyFileError as exc:
+            self.events.write('keys-not-read', reason=str(exc))
+        else:
+            ids = ' '.join(str(number) for number in sorted(self.ring.keys))
+            self.events.write(
+                'keys-read', active=self.ring.active, accepted=ids
+            )
+
+    def write_refused_call(self, method: str, reason: str) -> None:
+        """Note a call that was refused because it holds no valid token."""
+        self.events.write('call-refused', method=method, reason=reason)
+
     def render_page(self, path: str) -> pages.Page:
         """Return the page at ``path``: ``/metrics`` or ``/ready``."""
         match path:
@@ -64,6 +86,7 @@
     )
     async with contextlib.AsyncExitStack() as stack:
         stack.enter_context(_stop_on_signal(process.stop))
+        stack.enter_context(_reload_on_signal(process))
         if cfg.metrics is not None:
             await stack.enter_async_context(
                 pages.serve_pages(cfg.metrics, process.render_page)
@@ -89,6 +112,18 @@
             loop.remove_signal_handler(number)
 
 
+@contextlib.contextmanager
+def _reload_on_signal(
+    process: Process,
+) -> collections.abc.Iterator[None]:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(RELOAD_SIGNAL, process.reload_keys)
+    try:
+        yield
+    finally:
+        loop.remove_signal_handler(RELOAD_SIGNAL)
+
+
 @contextlib.asynccontextmanager
 async def run_tasks(
     *tasks: collections.abc.Coroutine[object, object, None],
--- /dev/null
+++ b/tests/membership/test_leases.py
@@ -0,0 +1,204 @@
+"""Leases across leaders: never two agents that decide for one bucket.
+
+Two agents, the control instances' memberships and the time are driven by
+hand; an agent holds what it was granted and the newest view it was given.
+"""
+
+import dataclasses
+
+import builders
+import pytest
+
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.control import membership
+from membership import test_views
+
+LIMITS = test_views.LIMITS
+GRACE_MS = LIMITS.removal_ms
+SERVICE = builders.service()
+BUCKETS = range(32)
+AGENT_MARGIN_PERMILLE = 50
+
+
+@dataclasses.dataclass
+class Agent:
+    """The part of an agent that leases and views concern."""
+
+    number: int
+    weight: int = 100
+    state: agent_state.AgentState = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.restart()
+
+    def restart(self):
+        self.state = agent_state.AgentState(
+            self.number, 'zone-a', agent_state.Capacity(4, 100, 0), 0
+        )
+
+    def announce_to(self, leader, now, age=0, sent=None):
+        ranking = self.state.rankings.get(1)
+        acked = ranking.view.number if ranking else 0
+        grant = leader.announce(
+            test_views.heartbeat(self.number, acked=acked, weight=self.weight),
+            now,
+            age,
+        )
+        if grant.renewal_only and self.state.lease_until_ms <= now:
+            return
+        lease = grant.lease_ms * (1_000 - AGENT_MARGIN_PERMILLE) // 1_000
+        until = (now if sent is None else sent) + lease
+        self.state.lease_until_ms = max(self.state.lease_until_ms, until)
+
+    def decides(self, bucket, now):
+        ranking = self.state.rankings.get(1)
+        home = ranking.home(bucket) if ranking else None
+        if home is None or home.number != self.number:
+            return False
+        return ownership.may_place(self.state, SERVICE, ranking, bucket, now)
+
+
+def deciders(agents, now):
+    """Return the greatest number of agents that decide for one bucket."""
+    return max(
+        sum(agent.decides(bucket, now) for agent in agents)
+        for bucket in BUCKETS
+    )
+
+
+def give(leader, now, *agents):
+    for view in leader.take_changed(now):
+        for agent in agents:
+            agent.state.set_view(view)
+
+
+def settled(agents, until=GRACE_MS + 3_000):
+    """Return the leader of term 1, long in office, with both agents."""
+    leader = membership.Membership(1, LIMITS, 0)
+    for now in range(0, until + 1, 100):
+        for agent in agents:
+            agent.announce_to(leader, now)
+        leader.tick(now)
+        give(leader, now, *agents)
+    return leader, until
+
+
+def test_both_agents_decide_once_they_are_settled():
+    agents = [Agent(1), Agent(2)]
+    _, now = settled(agents)
+    assert deciders(agents, now) == 1
+    counts = [
+        sum(agent.decides(bucket, now) for bucket in BUCKETS)
+        for agent in agents
+    ]
+    assert all(counts) and sum(counts) == len(BUCKETS)
+
+
+@pytest.mark.parametrize(
+    ('with_grace', 'most'),
+    [pytest.param(True, 1, id='grace'), pytest.param(False, 2, id='none')],
+)
+def test_a_new_leader_without_its_grace_lets_two_agents_decide(
+    with_grace, most
+):
+    first, second = agents = [Agent(1), Agent(2)]
+    _, now = settled(agents)
+    # The second agent hears nothing more, but its lease still runs.
+    leader = membership.Membership(2, LIMITS, now)
+    seen = 0
+    for later in range(now, now + 2 * GRACE_MS, 100):
+        first.announce_to(leader, later)
+        leader.tick(later)
+        issued = leader.take_changed(later)
+        for view in issued if with_grace else leader.all_views():
+            first.state.set_view(view)
+        seen = max(seen, deciders(agents, later))
+    assert seen == most
+
+
+@pytest.mark.parametrize('leave_ms', [100, 1_500])
+@pytest.mark.parametrize('age_ms', [0, 400, 1_200])
+def test_a_deposed_leader_and_its_successor_never_allow_two(age_ms, leave_ms):
+    first, second = agents = [Agent(1), Agent(2)]
+    old, now = settled(agents)
+    left_ms = now
+    # The second agent leaves the old leader before that one is deposed;
+    # the old leader goes on until it notices that it has no majority.
+    deposed_ms = now + leave_ms
+    new = membership.Membership(2, LIMITS, deposed_ms)
+    for later in range(left_ms, deposed_ms + 3 * GRACE_MS, 100):
+        age = age_ms + max(0, later - deposed_ms)
+        if age <= LIMITS.lease_ms:
+            first.announce_to(old, later, age)
+        if later >= deposed_ms:
+            second.announce_to(new, later)
+            new.tick(later)
+            give(new, later, second)
+        old.tick(later, age)
+        give(old, later, first)
+        assert deciders(agents, later) <= 1
+
+
+@pytest.mark.parametrize('rounds', [1, 3])
+def test_an_agent_that_restarts_with_an_older_view_does_not_decide(rounds):
+    first, second = agents = [Agent(1), Agent(2)]
+    leader, now = settled(agents)
+    stale = leader.view(1)
+    now += 1
+    leader.announce(test_views.heartbeat(2, views.State.DRAINING), now)
+    for _ in range(rounds):
+        give(leader, now, *agents)
+        now += 100
+        first.announce_to(leader, now)
+        leader.announce(
+            test_views.heartbeat(
+                2, views.State.DRAINING, acked=leader.view(1).number
+            ),
+            now,
+        )
+        give(leader, now, first)
+    assert any(first.decides(bucket, now) for bucket in BUCKETS)
+    second.restart()
+    # A stale relay gives it the view in which it was live.
+    second.state.set_view(stale)
+    second.announce_to(leader, now + 100)
+    assert deciders(agents, now + 100) <= 1
+
+
+@pytest.mark.parametrize('drift_permille', [-40, 0, 40])
+@pytest.mark.parametrize('step', [100, 300])
+def test_a_clock_that_drifts_within_its_bound_is_harmless(
+    drift_permille, step
+):
+    first, second = agents = [Agent(1), Agent(2)]
+    leader, now = settled(agents)
+    start = now
+    for later in range(now, now + 3 * GRACE_MS, step):
+        first.announce_to(leader, later)
+        leader.tick(later)
+        give(leader, later, first)
+        own = start + (later - start) * (1_000 + drift_permille) // 1_000
+        both = [
+            bucket
+            for bucket in BUCKETS
+            if first.decides(bucket, later) and second.decides(bucket, own)
+        ]
+        assert not both
+
+
+@pytest.mark.parametrize('weight', [1, 50, 1_000])
+def test_a_new_weight_never_lets_two_agents_decide(weight):
+    first, second = agents = [Agent(1), Agent(2)]
+    leader, now = settled(agents)
+    first.weight = weight
+    for later in range(now, now + 4_000, 100):
+        # The second agent gets every view a little later than the first.
+        first.announce_to(leader, later)
+        give(leader, later, first)
+        assert deciders(agents, later) <= 1
+        second.announce_to(leader, later + 50)
+        second.state.set_view(leader.view(1))
+        assert deciders(agents, later + 50) <= 1
+    assert leader.view(1).members[0].weight == weight
