Measure placement rules on broken flows and imbalance

Cause: the chosen rule had no figures. Ruled out: counting a packet sent to a dead agent as a broken flow (the caller's TCP sends it again, up to 15 times, through any entry); counting diversions of the fill with those of the steady state.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo generate check lint format types stale layers unit binary clean
+.PHONY: test demo bench-policy generate check lint format types stale layers unit binary clean
 
 test: check unit
 
@@ -43,3 +43,6 @@
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
+
+bench-policy: $(VENV)/.ready
+	$(RUN) -m benchmarks.policy
--- /dev/null
+++ b/benchmarks/policy/__main__.py
@@ -0,0 +1,83 @@
+"""Measure broken flows and imbalance of placement rules.
+
+Command: ``make bench-policy``. Both users have 7 endpoints of about 2,000
+connections behind 3 entries; their bounds differ, since Tirnica weighs
+broken flows and hops, and Aromas del Plata imbalance.
+"""
+
+import collections.abc
+import pathlib
+import time
+
+from benchmarks.policy import baselines
+from benchmarks.policy import chosen
+from benchmarks.policy import scenarios
+from benchmarks.policy import schemes
+
+SEED = 20_261_204
+MEMBERS = 7
+ENTRIES = 3
+FLOWS = 14_000
+BOUNDS_PERMILLE = (1_050, 1_020)
+RESULT = pathlib.Path(__file__).parent.parent / 'results' / 'policy.md'
+HEADER = (
+    '| scenario | rule | broken | lost with upstream | refused |'
+    ' imbalance | hops | diverted |\n'
+    '| --- | --- | --- | --- | --- | --- | --- | --- |\n'
+)
+
+Make = collections.abc.Callable[[], schemes.Scheme]
+
+
+def makers() -> list[Make]:
+    """Return makers of the schemes that are compared."""
+    found: list[Make] = [
+        lambda: baselines.PlainHash(MEMBERS, ENTRIES),
+        lambda: baselines.Pairs(MEMBERS, ENTRIES),
+    ]
+    for bound in BOUNDS_PERMILLE:
+        found.append(
+            lambda bound=bound: chosen.Chosen(MEMBERS, ENTRIES, bound)
+        )
+    return found
+
+
+def row(scenario: scenarios.Scenario, make: Make) -> str:
+    """Return the table row of one scheme under one scenario."""
+    scheme = make()
+    run = scenarios.Run(scheme, ENTRIES, FLOWS, SEED)
+    figures = run.run(scenario)
+    diverted = figures.diverted / figures.opened
+    return (
+        f'| {scenario.name} | {scheme.name} | {figures.broken} |'
+        f' {figures.lost_with_upstream} | {figures.refused} |'
+        f' {figures.mean_imbalance():.3f} | {figures.mean_hops():.2f} |'
+        f' {diverted:.1%} |'
+    )
+
+
+def main() -> None:
+    """Print the table and keep it with its command and seed."""
+    lines = [
+        '# Broken flows and imbalance of placement rules\n',
+        f'Command: `make bench-policy`; seed {SEED}; {MEMBERS} upstreams,'
+        f' {ENTRIES} entries, {FLOWS} flows, {scenarios.NEW_FLOWS_A_STEP}'
+        f' new and closed each {scenarios.STEP_MS} ms.',
+        'Imbalance is the mean over time of greatest over mean open flows;'
+        ' hops are those of later packets after the entry; diverted is the'
+        ' share of openings after the fill. Two-choice pairs are given fresh'
+        ' counts, which no real entry has.\n',
+    ]
+    print(HEADER, end='')
+    rows: list[str] = []
+    for scenario in scenarios.scenarios(MEMBERS):
+        for make in makers():
+            began = time.perf_counter()
+            rows.append(row(scenario, make))
+            print(rows[-1], f'{time.perf_counter() - began:.1f} s', flush=True)
+    text = '\n'.join(lines) + '\n' + HEADER + '\n'.join(rows) + '\n'
+    RESULT.write_text(text)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/policy/baselines.py
@@ -0,0 +1,156 @@
+"""Baselines: plain hashing with per-entry tables, two-choice pairs."""
+
+import collections
+
+from benchmarks.policy import schemes
+from gentianspoke.core import packets
+from gentianspoke.core import views
+from gentianspoke.decisions import hashing
+
+SERVICE = 1
+WEIGHT = 100
+
+
+def view_of(live: set[int], number: int) -> views.View:
+    """Return a view in which the given members are live."""
+    members = tuple(
+        views.Member(
+            number=item,
+            instance=f'agent-{item}',
+            host='127.0.0.1',
+            port=1,
+            zone='zone',
+            weight=WEIGHT,
+            state=views.State.LIVE,
+            joined_view=1,
+        )
+        for item in sorted(live)
+    )
+    return views.View(SERVICE, number, members)
+
+
+class _Baseline:
+    """Entries that learn the live members one after the other."""
+
+    def __init__(self, members: int, entries: int) -> None:
+        """Begin with members 1 to ``members``, known to all entries."""
+        self._live = set(range(1, members + 1))
+        self._crashed: set[int] = set()
+        self._version = 1
+        self._owners: dict[packets.FlowKey, int] = {}
+        self._loads: collections.Counter[int] = collections.Counter()
+        ranking = hashing.Ranking(view_of(self._live, 1))
+        self._rankings = [ranking for _ in range(entries)]
+
+    def change(self, change: schemes.Change) -> None:
+        """Change the live members; the first entry learns of it."""
+        match change:
+            case schemes.Drain(member=member):
+                self._live.discard(member)
+            case schemes.Crash(member=member):
+                self._live.discard(member)
+                self._crashed.add(member)
+                self._lose(member)
+            case schemes.Join(member=member):
+                self._live.add(member)
+            case schemes.Lie():
+                return
+        self._version += 1
+        view = view_of(self._live, self._version)
+        self._rankings[0] = hashing.Ranking(view)
+
+    def settle(self) -> None:
+        """Let all entries know what the first one knows."""
+        self._rankings = [self._rankings[0] for _ in self._rankings]
+
+    def step(self, duration_ms: int) -> None:
+        """Do nothing: the baselines' counts are fresh at any time."""
+
+    def close(self, key: packets.FlowKey, entry: int) -> None:
+        """Close a flow at its owner."""
+        owner = self._owners.pop(key, 0)
+        if owner:
+            self._loads[owner] -= 1
+
+    def live_loads(self) -> dict[int, int]:
+        """Return the open flows of each live member."""
+        return {member: self._loads[member] for member in self._live}
+
+    def diverted(self) -> int:
+        """Return 0: the baselines have no home to divert from."""
+        return 0
+
+    def _own(self, key: packets.FlowKey, member: int) -> int:
+        self._owners[key] = member
+        self._loads[member] += 1
+        return member
+
+    def _reach(self, member: int, hops: int) -> tuple[int, int]:
+        return (0 if member in self._crashed else member), hops
+
+    def _lose(self, member: int) -> None:
+        lost = [key for key, owner in self._owners.items() if owner == member]
+        for key in lost:
+            del self._owners[key]
+        self._loads[member] = 0
+
+    def _order(
+        self, key: packets.FlowKey, entry: int
+    ) -> tuple[views.Member, ...]:
+        bucket = hashing.bucket_of(key, SERVICE)
+        return self._rankings[entry].order(bucket)
+
+
+class PlainHash(_Baseline):
+    """Each entry hashes new flows and keeps a table of its own."""
+
+    name = 'plain hash, per-entry tables'
+
+    def __init__(self, members: int, entries: int) -> None:
+        """Begin with empty tables."""
+        super().__init__(members, entries)
+        self._tables: list[dict[packets.FlowKey, int]] = [
+            {} for _ in range(entries)
+        ]
+
+    def open(self, key: packets.FlowKey, entry: int) -> int:
+        """Place a flow at the member that the entry hashes it to."""
+        member = self._order(key, entry)[0].number
+        if member in self._crashed:
+            return 0
+        self._tables[entry][key] = member
+        return self._own(key, member)
+
+    def deliver(self, key: packets.FlowKey, entry: int) -> tuple[int, int]:
+        """Return the member in the entry's table, else the hashed one."""
+        known = self._tables[entry].get(key)
+        if known is None:
+            known = self._order(key, entry)[0].number
+            self._tables[entry][key] = known
+        return self._reach(known, 1)
+
+
+class Pairs(_Baseline):
+    """The less loaded of a bucket's first two members takes the flow.
+
+    A later packet goes to the first, which passes it to the second when
+    it does not know the flow. Loads are always fresh, which is ideal.
+    """
+
+    name = 'two-choice pairs, fresh counts'
+
+    def open(self, key: packets.FlowKey, entry: int) -> int:
+        """Place a flow at the less loaded member of its pair."""
+        pair = self._order(key, entry)[:2]
+        best = min(pair, key=lambda item: self._loads[item.number])
+        if best.number in self._crashed:
+            return 0
+        return self._own(key, best.number)
+
+    def deliver(self, key: packets.FlowKey, entry: int) -> tuple[int, int]:
+        """Return the owner where it is one of the pair."""
+        first, second = self._order(key, entry)[:2]
+        owner = self._owners.get(key)
+        if owner == first.number:
+            return self._reach(first.number, 1)
+        return self._reach(second.number, 2)
--- /dev/null
+++ b/benchmarks/policy/chosen.py
@@ -0,0 +1,198 @@
+"""The chosen rule, driven through the real decision code in memory."""
+
+from benchmarks.policy import schemes
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.control import membership
+from gentianspoke.decisions import routing
+
+SERVICE = 1
+HEARTBEAT_MS = 500
+LEASE_MS = 3_000
+SUSPECT_MS = 1_800
+RAMP_MS = 10_000
+FRAMES_AT_MOST = 40
+OPENING_SEQ = 7
+SLOTS = 1_000_000
+CONNECTIONS = 1_000_000
+
+
+class Chosen:
+    """Bucket homes with bounded load, over real agents and entries."""
+
+    def __init__(
+        self, members: int, entries: int, bound_permille: int
+    ) -> None:
+        """Begin with members 1 to ``members``, past their slow start."""
+        self.name = f'bucket homes, bound {bound_permille / 1000:.2f}'
+        limits = services.Limits(
+            connections=CONNECTIONS,
+            bound_permille=bound_permille,
+            retry_permille=1_000,
+        )
+        self._service = services.Service(
+            number=SERVICE,
+            name='board',
+            owner='owner',
+            address=bytes((10, 1, 0, 1)),
+            ports=(443,),
+            protocol=packets.TCP,
+            traffic=services.Board(),
+            limits=limits,
+            version=1,
+        )
+        self._now = RAMP_MS
+        self._members = membership.Membership(
+            1, membership.MembershipLimits(LEASE_MS, SUSPECT_MS), 0
+        )
+        self._agents: dict[int, agent_state.AgentState] = {}
+        self._lies: dict[int, int] = {}
+        self._tables = [routing.RouteTable() for _ in range(entries)]
+        for table in self._tables:
+            table.set_catalogue(1, [self._service])
+        for number in range(1, members + 1):
+            self._add(number, started_ms=-RAMP_MS)
+        self._diverted: set[packets.FlowKey] = set()
+        self._exchange()
+        self._exchange()
+        self.settle()
+
+    def open(self, key: packets.FlowKey, entry: int) -> int:
+        """Place a flow by an opening through an entry."""
+        opening = packets.Segment(key, packets.SYN, OPENING_SEQ, 0, 0, b'p')
+        member, hops = self._send(opening, entry)
+        if hops > 1:
+            self._diverted.add(key)
+        return member
+
+    def deliver(self, key: packets.FlowKey, entry: int) -> tuple[int, int]:
+        """Send a later packet through an entry."""
+        segment = packets.Segment(key, packets.ACK, 8, 1, 1, b'p')
+        return self._send(segment, entry)
+
+    def close(self, key: packets.FlowKey, entry: int) -> None:
+        """Close a flow by the caller's reset."""
+        flags = packets.RST | packets.ACK
+        self._send(packets.Segment(key, flags, 8, 1, 0, b'p'), entry)
+
+    def change(self, change: schemes.Change) -> None:
+        """Make a change; control and the first entry learn of it."""
+        match change:
+            case schemes.Drain(member=member):
+                self._agents[member].draining = True
+            case schemes.Crash(member=member):
+                del self._agents[member]
+                self._now += LEASE_MS + LEASE_MS // 2
+            case schemes.Join(member=member):
+                self._add(member, started_ms=self._now)
+            case schemes.Lie(member=member, open_flows=open_flows):
+                self._lies[member] = open_flows
+                return
+        self._exchange()
+        self._publish(self._tables[:1])
+
+    def settle(self) -> None:
+        """Let all entries know the current view."""
+        self._exchange()
+        self._publish(self._tables)
+
+    def step(self, duration_ms: int) -> None:
+        """Let time pass and exchange heartbeats and load reports."""
+        self._now += duration_ms
+        self._exchange()
+        for state in self._agents.values():
+            core.on_tick(state, self._now)
+
+    def live_loads(self) -> dict[int, int]:
+        """Return the open flows of each agent that takes new flows."""
+        return {
+            number: state.counts[SERVICE].open_flows
+            for number, state in self._agents.items()
+            if not state.draining
+        }
+
+    def diverted(self) -> int:
+        """Return how many openings took more than one hop."""
+        return len(self._diverted)
+
+    def _add(self, number: int, started_ms: int) -> None:
+        capacity = agent_state.Capacity(SLOTS, CONNECTIONS, RAMP_MS)
+        state = agent_state.AgentState(
+            number=number,
+            zone='zone',
+            capacity=capacity,
+            started_ms=started_ms,
+        )
+        state.set_catalogue([self._service])
+        self._agents[number] = state
+
+    def _exchange(self) -> None:
+        for number, state in self._agents.items():
+            self._members.announce(_announcement(number, state), self._now)
+            state.lease_until_ms = self._now + LEASE_MS
+        self._members.tick(self._now)
+        view = self._members.view(SERVICE)
+        for number, state in self._agents.items():
+            state.set_view(view)
+            state.confirmed_ms = self._now
+            self._report_load(number, state)
+
+    def _report_load(self, number: int, state: agent_state.AgentState) -> None:
+        counts = state.counts[SERVICE]
+        reported = self._lies.get(number, counts.open_flows)
+        report = frames.LoadReport(SERVICE, number, reported, 0, 0)
+        for other, receiver in self._agents.items():
+            if other != number:
+                core.on_load(receiver, report)
+
+    def _publish(self, tables: list[routing.RouteTable]) -> None:
+        view = self._members.view(SERVICE)
+        for table in tables:
+            table.set_view(view)
+
+    def _send(self, packet: packets.Segment, entry: int) -> tuple[int, int]:
+        pending = [routing.route(self._tables[entry], packet)]
+        hops = 0
+        while pending and hops < FRAMES_AT_MOST:
+            match pending.pop():
+                case actions.Pass(member=member, forward=forward):
+                    hops += 1
+                    state = self._agents.get(member.number)
+                    if state is None:
+                        return 0, hops
+                    found = core.on_forward(state, forward, packet, self._now)
+                    if any(isinstance(x, actions.Deliver) for x in found):
+                        return state.number, hops
+                    pending.extend(found)
+                case _:
+                    return 0, hops
+        return 0, hops
+
+
+def _announcement(
+    number: int, state: agent_state.AgentState
+) -> membership.Announcement:
+    draining = views.State.DRAINING
+    ranking = state.rankings.get(SERVICE)
+    acked = ranking.view.number if ranking else 0
+    return membership.Announcement(
+        number=number,
+        instance=f'agent-{number}',
+        host='127.0.0.1',
+        port=1,
+        zone='zone',
+        weight=100,
+        state=draining if state.draining else views.State.LIVE,
+        recovering=False,
+        services=(SERVICE,),
+        reports=(
+            membership.ServiceReport(
+                SERVICE, acked, core.oldest_flow_view(state, SERVICE), 0
+            ),
+        ),
+    )
