--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-memory bench-policy generate check lint format types stale layers unit binary clean
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
 
 test: check unit
 
@@ -49,3 +49,6 @@
 
 bench-memory: $(VENV)/.ready
 	$(RUN) -m benchmarks.state_memory
+
+bench-slots: $(VENV)/.ready
+	$(RUN) -m benchmarks.policy.slots
--- a/benchmarks/policy/chosen.py
+++ b/benchmarks/policy/chosen.py
@@ -26,11 +26,18 @@
     """Bucket homes with bounded load, over real agents and entries."""
 
     def __init__(
-        self, members: int, entries: int, bound_permille: int
+        self,
+        members: int,
+        entries: int,
+        bound_permille: int,
+        traffic: services.TrafficClass | None = None,
+        limits: services.Limits | None = None,
+        slots: int = SLOTS,
     ) -> None:
         """Begin with members 1 to ``members``, past their slow start."""
         self.name = f'bucket homes, bound {bound_permille / 1000:.2f}'
-        limits = services.Limits(
+        self._slots = slots
+        limits = limits or services.Limits(
             connections=CONNECTIONS,
             bound_permille=bound_permille,
             retry_permille=1_000,
@@ -42,7 +49,7 @@
             address=bytes((10, 1, 0, 1)),
             ports=(443,),
             protocol=packets.TCP,
-            traffic=services.Board(),
+            traffic=traffic or services.Board(),
             limits=limits,
             version=1,
         )
@@ -121,7 +128,7 @@
         return len(self._diverted)
 
     def _add(self, number: int, started_ms: int) -> None:
-        capacity = agent_state.Capacity(SLOTS, CONNECTIONS, RAMP_MS)
+        capacity = agent_state.Capacity(self._slots, CONNECTIONS, RAMP_MS)
         state = agent_state.AgentState(
             number=number,
             zone='zone',
