--- a/src/gentianspoke/codec/peers.py
+++ b/src/gentianspoke/codec/peers.py
@@ -1,45 +1,11 @@
-"""Messages between control instances, sealed by the shared key."""
+"""Messages between control instances and data classes."""
 
-from gentianspoke.codec import keys
 from gentianspoke.codec import replica as codec
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke import errors
 from gentianspoke.generated import replica_pb2
 
 
-def seal(
-    ring: keys.KeyRing,
-    message: replica_pb2.PeerRequest | replica_pb2.PeerReply,
-) -> replica_pb2.Sealed:
-    """Return a message with the tag of the active key."""
-    body = message.SerializeToString()
-    return replica_pb2.Sealed(
-        key_id=ring.active, tag=ring.tag(body), body=body
-    )
-
-
-def open_request(
-    ring: keys.KeyRing, sealed: replica_pb2.Sealed
-) -> replica_pb2.PeerRequest:
-    """Return a request whose tag is right.
-
-    Raises :class:`gentianspoke.errors.PacketError` otherwise.
-    """
-    ring.verify(sealed.key_id, sealed.tag, sealed.body)
-    return replica_pb2.PeerRequest.FromString(sealed.body)
-
-
-def open_reply(
-    ring: keys.KeyRing, sealed: replica_pb2.Sealed
-) -> replica_pb2.PeerReply:
-    """Return a reply whose tag is right.
-
-    Raises :class:`gentianspoke.errors.PacketError` otherwise.
-    """
-    ring.verify(sealed.key_id, sealed.tag, sealed.body)
-    return replica_pb2.PeerReply.FromString(sealed.body)
-
-
 def encode_request(
     request: messages.VoteRequest | messages.AppendRequest,
 ) -> replica_pb2.PeerRequest:
--- a/src/gentianspoke/shells/control/forming.py
+++ b/src/gentianspoke/shells/control/forming.py
@@ -9,9 +9,9 @@
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke import errors
 from gentianspoke.generated import replica_pb2
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import replicated_log
-from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
 
 ASK_PAUSE_S = 0.2
@@ -25,8 +25,10 @@
     Raises one of ``peers.PEER_ERRORS``.
     """
     request = replica_pb2.PeerRequest(identify=replica_pb2.IdentifyRequest())
-    async with feed_client.open_channel(address) as channel:
-        reply = await peers.exchange(proc.ring, channel, request)
+    async with channel_auth.open_channel(
+        address, proc.current_ring, proc.cfg.instance
+    ) as channel:
+        reply = await peers.exchange(channel, request)
     if reply.WhichOneof('content') != 'identify':
         raise errors.ControlError(
             f'{units.format_address(address)} did not say who it is; run the'
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -6,6 +6,7 @@
 
 from gentianspoke.config import settings
 from gentianspoke import errors
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import forming
@@ -40,6 +41,9 @@
                 members_service.MembersService(proc, log),
             ]
             server = grpclib.server.Server(services)
+            channel_auth.protect_server(
+                server, proc.current_ring, on_refused=proc.write_refused_call
+            )
             await server.start(*role.listen)
             async with process.run_tasks(
                 log.run(),
--- a/src/gentianspoke/shells/control/peers.py
+++ b/src/gentianspoke/shells/control/peers.py
@@ -6,7 +6,6 @@
 
 import grpclib.client
 
-from gentianspoke.codec import keys
 from gentianspoke.codec import peers as codec
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.config import units
@@ -16,6 +15,7 @@
 from gentianspoke import errors
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
@@ -27,24 +27,20 @@
 # A foreign or damaged reply ends the channel like silence does.
 PEER_ERRORS = (
     *feed_client.CHANNEL_ERRORS,
-    errors.PacketError,
     errors.ControlError,
 )
 
 
 async def exchange(
-    ring: keys.KeyRing,
     channel: grpclib.client.Channel,
     request: replica_pb2.PeerRequest,
 ) -> replica_pb2.PeerReply:
-    """Send one sealed request and return the reply.
+    """Send one request and return the reply.
 
     Raises one of ``PEER_ERRORS``.
     """
     stub = replica_grpc.ReplicaStub(channel)
-    sealed = codec.seal(ring, request)
-    reply = await stub.Exchange(sealed, timeout=REPLY_TIMEOUT_S)
-    return codec.open_reply(ring, reply)
+    return await stub.Exchange(request, timeout=REPLY_TIMEOUT_S)
 
 
 class Peers:
@@ -86,7 +82,9 @@
         address = units.host_port(member.address)
         while True:
             try:
-                async with feed_client.open_channel(address) as channel:
+                async with channel_auth.open_channel(
+                    address, self._proc.current_ring, self._proc.cfg.instance
+                ) as channel:
                     await self._serve(channel, member, wake)
             except PEER_ERRORS as exc:
                 self._proc.events.write(
@@ -135,7 +133,7 @@
                 return await self._send_snapshot(channel, request)
             case _:
                 message = codec.encode_request(request)
-                reply = await exchange(self._proc.ring, channel, message)
+                reply = await exchange(channel, message)
                 return codec.decode_reply(reply)
 
     async def _send_snapshot(
@@ -159,7 +157,7 @@
                 data=data[offset : offset + SNAPSHOT_PART_BYTES],
             )
             message = replica_pb2.PeerRequest(install=part)
-            reply = await exchange(self._proc.ring, channel, message)
+            reply = await exchange(channel, message)
             if reply.WhichOneof('content') != 'part_taken':
                 return codec.decode_reply(reply)
         raise errors.ControlError(
--- a/src/gentianspoke/shells/control/replica_service.py
+++ b/src/gentianspoke/shells/control/replica_service.py
@@ -20,7 +20,6 @@
 
 SNAPSHOT_BYTES_AT_MOST = 1 << 28
 BAD_MESSAGES = (
-    errors.PacketError,
     errors.ControlError,
     google.protobuf.message.DecodeError,
 )
@@ -49,20 +48,20 @@
     async def Exchange(  # noqa: N802
         self,
         stream: (
-            'grpclib.server.Stream[replica_pb2.Sealed, replica_pb2.Sealed]'
+            'grpclib.server.Stream[replica_pb2.PeerRequest,'
+            ' replica_pb2.PeerReply]'
         ),
     ) -> None:
-        """Answer one sealed request."""
-        sealed = await calls.receive(stream)
+        """Answer one request."""
+        request = await calls.receive(stream)
         try:
-            request = codec.open_request(self._proc.ring, sealed)
             reply = await self._answer(request)
         except BAD_MESSAGES as exc:
             self._proc.events.write('peer-refused', reason=repr(exc))
             raise grpclib.GRPCError(
                 grpclib.const.Status.INVALID_ARGUMENT, str(exc)
             ) from exc
-        await stream.send_message(codec.seal(self._proc.ring, reply))
+        await stream.send_message(reply)
 
     async def _answer(
         self, request: replica_pb2.PeerRequest
