--- a/src/gentianspoke/commands/root.py
+++ b/src/gentianspoke/commands/root.py
@@ -6,6 +6,7 @@
 
 from gentianspoke.commands import catalogue
 from gentianspoke.commands import config
+from gentianspoke.commands import control_members
 from gentianspoke.commands import processes
 
 Command = (
@@ -14,6 +15,7 @@
     | processes.RunControl
     | config.Config
     | catalogue.Catalogue
+    | control_members.ControlGroup
 )
 
 
--- /dev/null
+++ b/tests/control_group.py
@@ -0,0 +1,196 @@
+"""Control instances as real processes on loopback, for tests."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import sys
+
+import yaml
+
+from gentianspoke.codec import catalogue as codec
+from gentianspoke.config import key_file
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.generated import catalogue_grpc
+from gentianspoke.generated import replica_grpc
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells import channel_auth
+from gentianspoke.shells import feed_client
+
+HOST = '127.0.0.1'
+CALL_TIMEOUT_S = 5.0
+WAIT_AT_MOST_S = 30.0
+SOURCES = pathlib.Path(__file__).parent.parent / 'src'
+
+
+class ControlGroup:
+    """The first members ``control-0`` and on, and those that join."""
+
+    def __init__(self, folder, base_port, size, listed=None):
+        """Write the settings; ``listed`` replaces addresses in them."""
+        self.folder = folder
+        self.base_port = base_port
+        self.addresses = {}
+        self.running = {}
+        self._key_path = str(folder / 'keys.yaml')
+        key = {'id': 1, 'hex': secrets.token_hex(32)}
+        pathlib.Path(self._key_path).write_text(
+            yaml.safe_dump({'active': 1, 'keys': [key]})
+        )
+        self._ring = key_file.load(self._key_path)
+        names = [f'control-{position}' for position in range(size)]
+        for position, name in enumerate(names):
+            self.addresses[name] = (HOST, base_port + position)
+        members = [
+            {'instance': name, 'address': self._listed(name, listed or {})}
+            for name in names
+        ]
+        for name in names:
+            self.write_settings(name, members=members)
+
+    def _listed(self, name, listed):
+        address = listed.get(name, self.addresses[name])
+        return units.format_address(address)
+
+    def write_settings(self, name, **role):
+        """Write the settings of an instance, new or not."""
+        address = self.addresses.setdefault(
+            name, (HOST, self.base_port + len(self.addresses))
+        )
+        role['listen'] = units.format_address(address)
+        role['data_folder'] = str(self.folder / name)
+        content = {
+            'instance': name,
+            'zone': 'zone-a',
+            'key_file': self._key_path,
+            'log_file': str(self.folder / f'{name}.jsonl'),
+            'control': role,
+        }
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(content))
+        settings.load(str(path))
+
+    async def start(self, *names):
+        """Start instances; all where none is named."""
+        for name in names or tuple(self.addresses):
+            path = str(self.folder / f'{name}.yaml')
+            self.running[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'gentianspoke',
+                'control',
+                path,
+                env={**os.environ, 'PYTHONPATH': str(SOURCES)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+
+    async def kill(self, name):
+        """Kill an instance at once."""
+        running = self.running.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            running.kill()
+        await running.wait()
+
+    def freeze(self, name):
+        """Stop an instance so that its peers see only silence."""
+        self.running[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a frozen instance go on."""
+        self.running[name].send_signal(signal.SIGCONT)
+
+    async def ended(self, name):
+        """Return exit status and last line of an instance that ends."""
+        running = self.running.pop(name)
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            _, text = await running.communicate()
+        return running.returncode, text.decode().strip().rpartition('\n')[2]
+
+    async def call(self, name, stub, method, message):
+        """Call an instance; raises like a channel that fails."""
+        async with channel_auth.open_channel(
+            self.addresses[name], lambda: self._ring, 'test'
+        ) as channel:
+            ask = getattr(stub(channel), method)
+            return await ask(message, timeout=CALL_TIMEOUT_S)
+
+    async def catalogue(self, name, method, message):
+        """Call the catalogue service of an instance."""
+        stub = catalogue_grpc.CatalogueStub
+        return await self.call(name, stub, method, message)
+
+    async def members(self, name, method, message):
+        """Call the members service of an instance."""
+        stub = replica_grpc.ControlMembersStub
+        return await self.call(name, stub, method, message)
+
+    async def apply_at(self, name, request):
+        """Send an edit to one instance; ``None`` where it has no answer."""
+        message = codec.encode_request(request)
+        try:
+            reply = await self.catalogue(name, 'Apply', message)
+        except feed_client.CHANNEL_ERRORS:
+            return None
+        return None if reply.leader else codec.decode_answer(reply)
+
+    async def apply(self, request):
+        """Send an edit with its key again until it is answered."""
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                for name in tuple(self.running):
+                    answer = await self.apply_at(name, request)
+                    if answer is not None:
+                        return answer
+                await asyncio.sleep(0.05)
+
+    async def leader(self, but=()):
+        """Wait for an instance that leads and return its name."""
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                for name in tuple(self.running):
+                    if name in but:
+                        continue
+                    with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+                        reply = await self.status(name)
+                        if any(item.leads for item in reply.members):
+                            if not reply.leader:
+                                return name
+                await asyncio.sleep(0.05)
+
+    async def status(self, name):
+        """Return what an instance says of the group."""
+        return await self.members(
+            name, 'Members', replica_pb2.MembersRequest()
+        )
+
+    async def voters(self, count, name):
+        """Wait until an instance knows of so many voters."""
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                reply = await self.status(name)
+                found = [m.member for m in reply.members if m.member.voter]
+                if len(found) == count and not reply.leader:
+                    return sorted(item.instance for item in found)
+                await asyncio.sleep(0.05)
+
+    def events(self, name):
+        """Return the events that an instance has written."""
+        path = self.folder / f'{name}.jsonl'
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
+
+
+@contextlib.asynccontextmanager
+async def run_group(folder, base_port, size, listed=None):
+    """Run a group; kill what is left of it at the end."""
+    group = ControlGroup(folder, base_port, size, listed)
+    try:
+        await group.start()
+        yield group
+    finally:
+        for name in tuple(group.running):
+            await group.kill(name)
