Test the replica's decisions under a failing network

A group of two whose leader removes itself had two claims at once: the remaining member elected itself without waiting.

--- a/src/gentianspoke/commands/control_members.py
+++ b/src/gentianspoke/commands/control_members.py
@@ -59,7 +59,7 @@
     key_path: str,
     call: Call[replica_pb2.MemberChangeReply],
 ) -> None:
-    """Make one change of members, again while another one is under way.
+    """Make one change of members.
 
     Raises :class:`gentianspoke.errors.MemberChangeError` where the leader
     refuses it.
@@ -89,18 +89,14 @@
         key_path,
         lambda stub: stub.Add(request, timeout=REQUEST_TIMEOUT_S),
     )
-    try:
-        async with asyncio.timeout(WAIT_AT_MOST_S):
-            while True:
-                for item in (await members(control, key_path)).members:
-                    if item.member.address == address and item.member.voter:
-                        return item.member.instance
-                await asyncio.sleep(POLL_S)
-    except TimeoutError as exc:
-        raise errors.MemberChangeError(
-            f'{address} has not caught up yet and does not vote; look at its'
-            ' log, then give the command again'
-        ) from exc
+
+    def votes(found: replica_pb2.GroupMember) -> bool:
+        return found.address == address and found.voter
+
+    reply = await _settled(
+        control, key_path, lambda reply: any(map(votes, _listed(reply)))
+    )
+    return next(item.instance for item in _listed(reply) if votes(item))
 
 
 async def remove(control: str, key_path: str, instance: str) -> None:
@@ -111,6 +107,39 @@
         key_path,
         lambda stub: stub.Remove(request, timeout=REQUEST_TIMEOUT_S),
     )
+    await _settled(
+        control,
+        key_path,
+        lambda reply: all(i.instance != instance for i in _listed(reply)),
+    )
+
+
+async def _settled(
+    control: str,
+    key_path: str,
+    is_reached: collections.abc.Callable[[replica_pb2.MembersReply], bool],
+) -> replica_pb2.MembersReply:
+    """Wait until members are as wanted and the change is committed."""
+    try:
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                # A leader that was removed is followed by an election.
+                with contextlib.suppress(errors.ControlUnreachableError):
+                    reply = await members(control, key_path)
+                    if is_reached(reply) and not reply.change_pending:
+                        return reply
+                await asyncio.sleep(POLL_S)
+    except TimeoutError as exc:
+        raise errors.MemberChangeError(
+            'the change is not committed yet; see "gentianspoke'
+            ' control-group members", then give the command again'
+        ) from exc
+
+
+def _listed(
+    reply: replica_pb2.MembersReply,
+) -> list[replica_pb2.GroupMember]:
+    return [item.member for item in reply.members]
 
 
 @cappa.command(name='members')
--- a/src/gentianspoke/decisions/control/replica/effects.py
+++ b/src/gentianspoke/decisions/control/replica/effects.py
@@ -82,7 +82,6 @@
     """A proposal or change was not taken; ``reason`` has the remedy."""
 
     reason: str
-    leads: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -17,8 +17,10 @@
         return _check_quorum(state, now)
     if not state.is_voter:
         return []
-    alone = len(state.group.voters) == 1
-    if now < state.election_due_ms and not alone:
+    # A group of one that never had a leader need not wait for a claim to
+    # end; one that shrank to one must, even after a restart.
+    is_first = len(state.group.voters) == 1 and state.term == 0
+    if now < state.election_due_ms and not is_first:
         return []
     state.reset_election(now)
     state.leader = groups.NOBODY
--- a/src/gentianspoke/decisions/control/replica/forming.py
+++ b/src/gentianspoke/decisions/control/replica/forming.py
@@ -90,10 +90,10 @@
         return Refuse(
             f'the data folder is new, but {own.instance} is a member with'
             ' another one; never start it under the old name: give it a new'
-            ' name, set control.join: true, and use "gentianspoke control'
-            ' replace"'
+            ' name, set control.join: true, and use "gentianspoke'
+            ' control-group replace"'
         )
     return Refuse(
         f'the group has formed without {own.instance}; set control.join:'
-        ' true and use "gentianspoke control add"'
+        ' true and use "gentianspoke control-group add"'
     )
--- a/src/gentianspoke/decisions/control/replica/members.py
+++ b/src/gentianspoke/decisions/control/replica/members.py
@@ -23,9 +23,10 @@
 
 
 def add_learner(
-    state: states.State, member: groups.Member, now: int
+    state: states.State, event: messages.AddLearner, now: int
 ) -> Effects:
     """Add a member that does not vote yet."""
+    member = event.member
     known = state.group.find(member.number)
     if known is not None:
         # The operator sent the change again after losing the answer.
@@ -36,8 +37,13 @@
             f'{member.instance} is a member with another data folder; give'
             ' the new instance a new name'
         )
+    if event.is_grouped:
+        fault = fault or (
+            f'{member.instance} keeps a log already; start it with an empty'
+            ' data folder and control.join: true'
+        )
     if fault:
-        return [effects.Refused(fault, state.leads(now))]
+        return [effects.Refused(fault)]
     learner = dataclasses.replace(member, voter=False)
     return _set(state, (*state.group.members, learner))
 
@@ -45,16 +51,20 @@
 def remove(state: states.State, instance: str, now: int) -> Effects:
     """Remove a member."""
     member = state.group.find_instance(instance)
-    if member is None:
-        return []
     fault = _fault(state, now)
+    if member is None:
+        fault = fault or (
+            f'{instance} is no member; see "gentianspoke control-group'
+            ' members"'
+        )
+        return [effects.Refused(fault)]
     rest = state.group.others(member.number)
     if not any(item.voter for item in rest):
         fault = fault or (
             f'{instance} is the last member that votes; add another first'
         )
     if fault:
-        return [effects.Refused(fault, state.leads(now))]
+        return [effects.Refused(fault)]
     return _set(state, rest)
 
 
@@ -80,8 +90,8 @@
 ) -> Effects:
     """Carry out an operator's change."""
     match event:
-        case messages.AddLearner(member=member):
-            return add_learner(state, member, now)
+        case messages.AddLearner():
+            return add_learner(state, event, now)
         case messages.RemoveMember(instance=instance):
             return remove(state, instance, now)
 
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -120,9 +120,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AddLearner:
-    """An operator adds an instance that waits to be added."""
+    """An operator adds an instance that waits to be added.
+
+    ``is_grouped`` tells that the instance belongs to a group already.
+    """
 
     member: groups.Member
+    is_grouped: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/replica.py
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -102,7 +102,7 @@
     ) -> list[effects.Effect]:
         state = self.state
         if not state.leads(now):
-            return [effects.Refused(NOT_LEADING, False)]
+            return [effects.Refused(NOT_LEADING)]
         begin = state.log.last_index + 1
         payloads = tuple(records.Command(item) for item in requests)
         found = commits.append_own(state, payloads)
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -148,7 +148,7 @@
         super().__init__(
             f'{file}: damaged at byte {offset}, with valid data after it,'
             ' so accepted changes may be missing; do not repair the file:'
-            ' replace this control instance with "gentianspoke control'
+            ' replace this control instance with "gentianspoke control-group'
             ' replace"'
         )
 
--- a/src/gentianspoke/shells/control/members_service.py
+++ b/src/gentianspoke/shells/control/members_service.py
@@ -43,6 +43,7 @@
                 commit_index=state.commit_index,
                 members=[self._status(item) for item in state.group.members],
                 confirmed_age_ms=self._log.confirmed_age_ms(),
+                change_pending=state.log.group_index > state.commit_index,
             )
         )
 
@@ -70,7 +71,8 @@
         member = groups.Member(
             found.number, found.instance, request.address, False
         )
-        await self._change(stream, messages.AddLearner(member))
+        is_grouped = bool(found.group.members)
+        await self._change(stream, messages.AddLearner(member, is_grouped))
 
     async def Remove(  # noqa: N802
         self,
--- /dev/null
+++ b/tests/replica/test_commits.py
@@ -0,0 +1,142 @@
+"""What was accepted stays accepted, whatever stops or is lost."""
+
+import random
+
+import pytest
+import replica_network
+
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import state as states
+
+SMALL = states.Limits(compact_records=10, kept_records=3)
+
+
+def accepted(found):
+    """Return the answers among effects."""
+    return [e.answer for e in found if type(e) is effects.Committed]
+
+
+def disturb(net, rng):
+    """Stop, start, cut or join members at random; a majority may go."""
+    number = rng.choice(tuple(net.stores))
+    match rng.choice(('stop', 'start', 'cut', 'join')):
+        case 'stop' if number in net.replicas:
+            net.stop(number)
+        case 'start' if number not in net.replicas:
+            net.start(number)
+        case 'cut':
+            net.lost.add((number, rng.choice(tuple(net.stores))))
+        case 'join':
+            net.lost.clear()
+
+
+@pytest.mark.parametrize('limits', [states.Limits(), SMALL])
+@pytest.mark.parametrize('loss', [0.0, 0.2])
+@pytest.mark.parametrize(('size', 'seed'), [(3, 1), (3, 2), (5, 3), (5, 4)])
+def test_every_answer_holds_through_failures(size, seed, loss, limits):
+    net = replica_network.Network(size, seed, limits)
+    rng = random.Random(seed)
+    net.loss = loss
+    answers = {}
+    for position in range(60):
+        disturb(net, rng)
+        net.run(rng.randrange(0, 1500, 10))
+        number = net.leader()
+        if number is None:
+            continue
+        key = f'k{rng.randrange(40)}'
+        edit = replica_network.request(key, name=f'n{position}')
+        net.propose(number, edit)
+        net.run(rng.choice((0, 200)))
+        known = net.replicas.get(number)
+        answer = known and known.state.catalogue.known_answer(key)
+        if answer is not None:
+            assert answers.setdefault(key, answer) == answer
+    net.loss = 0.0
+    net.lost.clear()
+    for number in net.stores:
+        if number not in net.replicas:
+            net.start(number)
+    net.await_leader()
+    net.run(5_000)
+    assert answers
+    exports = [r.state.catalogue.export() for r in net.replicas.values()]
+    assert all(item == exports[0] for item in exports)
+    for key, answer in answers.items():
+        known = net.replicas[1].state.catalogue.known_answer(key)
+        assert known == answer
+
+
+def test_nothing_is_committed_without_a_majority():
+    net = replica_network.Network(5)
+    first = net.await_leader()
+    for number in [n for n in net.stores if n != first][:3]:
+        net.isolate(number)
+    net.propose(first, replica_network.request('a'))
+    net.run(500)
+    assert net.replicas[first].state.catalogue.version == 0
+
+
+@pytest.mark.parametrize('keys', [('a', 'a'), ('a', 'b')])
+def test_of_two_edits_on_one_version_one_wins(keys):
+    net = replica_network.Network()
+    first = net.await_leader()
+    edits = [replica_network.request(key, name='same') for key in keys]
+    found = net.propose(first, *edits)
+    net.run(500)
+    state = net.replicas[first].state.catalogue
+    assert state.version == 1
+    assert not accepted(found)
+    assert state.known_answer(keys[0]).accepted
+    assert state.known_answer(keys[1]).accepted is (keys[0] == keys[1])
+
+
+def test_a_record_of_an_older_term_is_not_committed_by_counting():
+    # Figure 8 of the paper: it is on a majority, yet could be replaced.
+    net = replica_network.Network()
+    first = net.await_leader()
+    net.run(500)
+    second = first % 3 + 1
+    third = second % 3 + 1
+    net.isolate(third)
+    net.isolate(second)
+    net.propose(first, replica_network.request('old'))
+    net.stop(first)
+    net.lost.clear()
+    net.start(first)
+    state = net.replicas[first].state
+    before = state.commit_index
+    state.term += 5
+    state.role.advance('suspect')
+    state.role.advance('campaign')
+    state.role.advance('win')
+    state.progress = {n: states.Progress(1) for n in (second, third)}
+    state.progress[second].match_index = state.log.last_index
+    net.step(first, replica_network.messages.Synced(state.log.last_index))
+    assert state.commit_index == before
+
+
+def test_a_resent_edit_gets_its_first_answer_across_a_snapshot():
+    net = replica_network.Network(3, 1, SMALL)
+    first = net.await_leader()
+    net.propose(first, replica_network.request('kept'))
+    net.run(300)
+    answer = net.replicas[first].state.catalogue.known_answer('kept')
+    other = first % 3 + 1
+    net.isolate(other)
+    for position in range(40):
+        net.propose(first, replica_network.request(f'more{position}'))
+        net.run(50)
+    net.lost.clear()
+    net.run(2_000)
+    net.start(other)
+    restored = net.replicas[other].state
+    assert restored.snapshot.index > 30
+    assert restored.catalogue.known_answer('kept') == answer
+    net.stop(first)
+    second = net.await_leader()
+    net.propose(second, replica_network.request('kept'))
+    net.run(300)
+    state = net.replicas[second].state.catalogue
+    assert state.known_answer('kept') == answer
+    assert state.version == 41
--- /dev/null
+++ b/tests/replica/test_isolation.py
@@ -0,0 +1,69 @@
+"""A member that is cut off notices, one way as both ways."""
+
+import pytest
+import replica_network
+
+from gentianspoke.decisions.control.replica import state as states
+
+TIMING = states.Timing()
+# What a healthy member may show: its echo makes a round with a heartbeat.
+HEALTHY_MS = 3 * TIMING.heartbeat_ms
+CUT_MS = 5_000
+
+
+def cut(net, number, way):
+    """Lose what goes to a member, comes from it, or both."""
+    for other in net.stores:
+        if way in ('to', 'both'):
+            net.lost.add((other, number))
+        if way in ('from', 'both'):
+            net.lost.add((number, other))
+
+
+@pytest.mark.parametrize('way', ['to', 'from', 'both'])
+@pytest.mark.parametrize('size', [3, 5])
+@pytest.mark.parametrize('role', ['leader', 'follower'])
+def test_a_member_that_is_cut_off_knows_how_old_its_knowledge_is(
+    role, size, way
+):
+    net = replica_network.Network(size)
+    first = net.await_leader()
+    net.run(2_000)
+    number = first if role == 'leader' else first % size + 1
+    assert net.age_ms(number) <= HEALTHY_MS
+    cut(net, number, way)
+    net.run(CUT_MS)
+    assert CUT_MS - HEALTHY_MS <= net.age_ms(number)
+    assert net.leader() != number
+    others = [n for n in net.stores if n != number]
+    assert all(net.age_ms(n) <= HEALTHY_MS for n in others)
+    net.lost.clear()
+    net.run(5_000)
+    assert all(net.age_ms(n) <= HEALTHY_MS for n in net.stores)
+
+
+@pytest.mark.parametrize('way', ['to', 'from', 'both'])
+def test_a_leader_that_is_cut_off_ceases_before_another_is_elected(way):
+    # The network checks at each step that at most one member leads.
+    net = replica_network.Network()
+    first = net.await_leader()
+    net.run(2_000)
+    cut(net, first, way)
+    net.run(TIMING.claim_ms)
+    assert net.leader() != first
+    found = net.propose(first, replica_network.request('late'))
+    assert [type(e).__name__ for e in found] == ['Refused']
+    assert net.await_leader() != first
+
+
+def test_an_echo_from_before_a_restart_confirms_nothing():
+    net = replica_network.Network()
+    first = net.await_leader()
+    other = first % 3 + 1
+    net.run(1_000)
+    own = net.replicas[first].state.progress[other]
+    net.start(other)
+    assert own.echo_ms <= net.clock.now()
+    net.lost.add((other, first))
+    net.run(500)
+    assert net.age_ms(other) > 10**6
