--- /dev/null
+++ b/tests/replica/test_stored_state.py
@@ -0,0 +1,78 @@
+"""What a replica stores is read back whole."""
+
+import faulty_folder
+import pytest
+import replica_network
+
+from gentianspoke.codec import replica as codec
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import state as states
+from gentianspoke import errors
+from gentianspoke.generated import replica_pb2
+from gentianspoke.storage import journal
+from gentianspoke.storage import replica_store
+
+GROUP = states.groups.Group((replica_network.member(1),))
+EDIT = replica_network.request('key')
+RETIRE = catalogue.Request(
+    'other', 'operator', (catalogue.Edit('x', 1, catalogue.Retire()),)
+)
+
+
+def make_state():
+    """Return a catalogue's state with an answer of each kind."""
+    own = catalogue.Catalogue()
+    own.apply(EDIT)
+    own.apply(replica_network.request('late', name='service-key'))
+    return own.export()
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        records.NoOp(),
+        records.Command(EDIT),
+        records.Command(RETIRE),
+        records.SetGroup(GROUP),
+        records.SetGroup(states.groups.Group()),
+    ],
+)
+def test_a_record_is_read_as_written(payload):
+    record = records.Record(7, 3, payload)
+    message = codec.encode_record(record).SerializeToString()
+    read = replica_pb2.Record.FromString(message)
+    assert codec.decode_record(read) == record
+
+
+def test_a_snapshot_is_read_as_written():
+    snapshot = records.Snapshot(9, 2, GROUP, make_state())
+    assert codec.decode_snapshot(codec.encode_snapshot(snapshot)) == snapshot
+    assert len(snapshot.state.answers) == 2
+
+
+def test_a_record_of_an_unknown_kind_is_refused():
+    with pytest.raises(errors.ControlError, match='same version'):
+        codec.decode_record(replica_pb2.Record(index=1))
+
+
+def test_a_journal_of_another_format_is_refused():
+    head = replica_pb2.JournalHead(format=99).SerializeToString()
+    with pytest.raises(errors.StorageError, match='version that wrote it'):
+        codec.decode_head(head)
+
+
+def test_later_records_replace_those_of_their_index():
+    store = replica_store.ReplicaStore(
+        journal.Journal(faulty_folder.FaultyFolder())
+    )
+    store.save_all(states.fresh(1, 'control-1', GROUP))
+    old = tuple(records.Record(n, 1, records.NoOp()) for n in (1, 2, 3))
+    new = (records.Record(2, 2, records.Command(EDIT)),)
+    vote = effects.SaveVote(2, 3)
+    store.save(codec.Entry(None, old))
+    store.save(codec.Entry(vote, new))
+    stored = store.load().stored
+    assert stored.records == (old[0], *new)
+    assert stored.vote == vote
--- /dev/null
+++ b/tests/storage/test_damage.py
@@ -0,0 +1,76 @@
+"""A torn tail is cut; damage before it is refused with a remedy."""
+
+import faulty_folder
+import pytest
+
+from gentianspoke import errors
+from gentianspoke.storage import frames
+from gentianspoke.storage import journal
+
+NAME = 'journal-000000000001'
+ENTRIES = (b'first entry', b'second entry', b'third entry')
+
+
+def written():
+    """Return a folder with a head and three entries."""
+    folder = faulty_folder.FaultyFolder()
+    own = journal.Journal(folder)
+    own.rewrite(b'head')
+    for entry in ENTRIES:
+        own.append(entry)
+    return folder
+
+
+def frame_ends():
+    """Return the end of the head and of each entry in the file."""
+    ends, end = [], 0
+    for body in (b'head', *ENTRIES):
+        end += len(frames.encode_frame(body))
+        ends.append(end)
+    return ends
+
+
+LAST_BEGIN, LAST_END = frame_ends()[-2:]
+
+
+@pytest.mark.parametrize('size', range(LAST_BEGIN, LAST_END))
+def test_a_torn_last_entry_is_cut(size):
+    folder = written()
+    folder.cut(NAME, size)
+    content = journal.Journal(folder).load()
+    assert content.entries == ENTRIES[:2]
+    assert content.cut_bytes == size - LAST_BEGIN
+
+
+@pytest.mark.parametrize('offset', range(LAST_BEGIN, LAST_END))
+def test_a_spoiled_last_entry_is_cut(offset):
+    folder = written()
+    folder.damage(NAME, offset)
+    assert journal.Journal(folder).load().entries == ENTRIES[:2]
+
+
+@pytest.mark.parametrize('offset', range(LAST_BEGIN))
+def test_damage_before_a_valid_entry_is_refused(offset):
+    folder = written()
+    folder.damage(NAME, offset)
+    with pytest.raises(errors.DamageError, match='control-group replace'):
+        journal.Journal(folder).load()
+
+
+@pytest.mark.parametrize('size', range(frame_ends()[0]))
+def test_a_file_without_a_whole_head_is_refused(size):
+    # The head was synced before the file got its name.
+    folder = written()
+    folder.cut(NAME, size)
+    with pytest.raises(errors.DamageError):
+        journal.Journal(folder).load()
+
+
+@pytest.mark.parametrize(
+    'body', [b'', frames.MAGIC, frames.encode_frame(b'inner')[:-1]]
+)
+def test_a_body_that_looks_like_a_frame_is_none(body):
+    data = frames.encode_frame(body) + frames.encode_frame(b'next')
+    scan = frames.scan_frames(data)
+    assert scan.bodies == (body, b'next')
+    assert not scan.is_damaged
