--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
 
 test: check unit
 
@@ -52,3 +52,9 @@
 
 bench-slots: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy.slots
+
+proof-control: $(VENV)/.ready
+	$(RUN) -m pytest tests/control/proof_control_group.py
+
+bench-log: $(VENV)/.ready
+	$(RUN) -m benchmarks.catalogue_log
--- /dev/null
+++ b/tests/control/proof_control_group.py
@@ -0,0 +1,174 @@
+"""Control instances as real processes: what takes longer than seconds."""
+
+import asyncio
+import contextlib
+import subprocess
+import sys
+
+import control_group
+import pytest
+import replica_network
+import test_control_group
+
+from gentianspoke.config import units
+from gentianspoke.decisions.control.replica import state as states
+from gentianspoke.shells import feed_client
+
+BASE_PORT = 30_300
+BURST = 64
+
+
+def run_group(tmp_path, size, offset, **options):
+    """Run a group on ports of its own."""
+    port = BASE_PORT + offset
+    return control_group.run_group(tmp_path, port, size, **options)
+
+
+async def test_accepted_edits_survive_the_leader_of_five(tmp_path):
+    await test_control_group.test_accepted_edits_survive_the_leader(
+        tmp_path, 5
+    )
+
+
+@pytest.mark.parametrize('size', [3, 5])
+async def test_everything_is_there_after_all_were_killed(tmp_path, size):
+    async with run_group(tmp_path, size, 10) as group:
+        answer = await group.apply(replica_network.request('a'))
+        await asyncio.gather(*(group.kill(n) for n in tuple(group.running)))
+        await group.start()
+        assert await group.apply(replica_network.request('a')) == answer
+        assert await group.version(await group.leader()) == 1
+
+
+@pytest.mark.parametrize('kills_leader', [False, True])
+@pytest.mark.parametrize('size', [3, 5])
+async def test_one_of_two_racing_edits_wins(tmp_path, size, kills_leader):
+    async with run_group(tmp_path, size, 20) as group:
+        leader = await group.leader()
+        edits = [replica_network.request(k, name='same') for k in 'ab']
+        tasks = [asyncio.create_task(group.apply(e)) for e in edits]
+        if kills_leader:
+            await asyncio.sleep(0.01)
+            await group.kill(leader)
+        answers = await asyncio.gather(*tasks)
+        assert sorted(a.accepted for a in answers) == [False, True]
+        lost = next(a for a in answers if not a.accepted)
+        assert lost.conflicts[0].current.version == 1
+        assert await group.version(await group.leader()) == 1
+
+
+async def test_a_frozen_leader_neither_accepts_nor_seems_current(tmp_path):
+    async with run_group(tmp_path, 3, 30) as group:
+        first = await group.leader()
+        group.freeze(first)
+        second = await group.leader(but=(first,))
+        assert (await group.apply(replica_network.request('new'))).accepted
+        group.thaw(first)
+        with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+            reply = await group.status(first)
+            is_old = reply.confirmed_age_ms >= states.Timing().claim_ms
+            assert is_old or reply.term > 1
+        late = await group.apply_at(first, replica_network.request('late'))
+        assert late is None or late.version == 2
+        assert await group.version(second) == 1 + (late is not None)
+        assert await group.leader() != first or late is not None
+
+
+async def test_a_replaced_member_and_a_second_loss_lose_nothing(tmp_path):
+    async with run_group(tmp_path, 3, 40) as group:
+        leader = await group.leader()
+        lost, other = (n for n in group.addresses if n != leader)
+        answers = [
+            await group.apply(replica_network.request(f'k{position}'))
+            for position in range(20)
+        ]
+        await group.kill(lost)
+        group.write_settings('control-new', join=True)
+        await group.start('control-new')
+        new = units.format_address(group.addresses['control-new'])
+        await command(group, 'replace', lost, new)
+        assert lost not in await group.voters(3, leader)
+        await group.kill(leader)
+        again = await group.leader()
+        assert again in (other, 'control-new')
+        for position, answer in enumerate(answers):
+            edit = replica_network.request(f'k{position}')
+            assert await group.apply(edit) == answer
+        assert await group.version(again) == 20
+
+
+async def test_a_member_stopped_over_many_edits_catches_up(tmp_path):
+    edits = states.Limits().compact_records + states.Limits().kept_records
+    async with run_group(tmp_path, 3, 50) as group:
+        leader = await group.leader()
+        name = next(n for n in group.addresses if n != leader)
+        await group.kill(name)
+        for begin in range(0, edits, BURST):
+            requests = [
+                replica_network.request(f'k{position}')
+                for position in range(begin, min(begin + BURST, edits))
+            ]
+            await asyncio.gather(*(group.apply(r) for r in requests))
+        await group.start(name)
+        async with asyncio.timeout(control_group.WAIT_AT_MOST_S):
+            while await group.version_if_any(name) != edits:
+                await asyncio.sleep(0.1)
+        sent = [
+            e for e in group.events(leader) if e['event'] == 'snapshot-sent'
+        ]
+        assert sent
+
+
+@pytest.mark.parametrize('way', ['to', 'from'])
+async def test_a_member_cut_off_in_one_direction_notices(tmp_path, way):
+    port = BASE_PORT + 60
+    proxy = control_group.Proxy((control_group.HOST, port + 3))
+    listed = {'control-0': proxy.address}
+    async with (
+        proxy.run((control_group.HOST, port)),
+        run_group(tmp_path, 3, 60, listed=listed) as group,
+    ):
+        # The proxy stands before the followers' side of control-0 only, so
+        # another instance has to lead.
+        while await group.leader() == 'control-0':
+            await group.kill('control-0')
+            await group.leader()
+            await group.start('control-0')
+            await asyncio.sleep(1)
+        await asyncio.sleep(1)
+        healthy = await group.status('control-0')
+        assert healthy.confirmed_age_ms < states.Timing().election_min_ms
+        proxy.lost = way
+        await asyncio.sleep(feed_client.STALE_MS / 1000 + 0.5)
+        cut = await group.status('control-0')
+        assert cut.confirmed_age_ms >= feed_client.STALE_MS
+        assert await group.leader() != 'control-0'
+        proxy.lost = ''
+        async with asyncio.timeout(control_group.WAIT_AT_MOST_S):
+            while True:
+                reply = await group.status('control-0')
+                if reply.confirmed_age_ms < states.Timing().election_min_ms:
+                    break
+                await asyncio.sleep(0.1)
+
+
+async def command(group, *words):
+    """Run an operators' command on the group; return what it printed."""
+    addresses = map(units.format_address, group.addresses.values())
+    running = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'gentianspoke',
+        'control-group',
+        *words,
+        '--control',
+        ','.join(addresses),
+        '--key-file',
+        group.key_path,
+        env=control_group.environment(),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    text, _ = await running.communicate()
+    assert running.returncode == 0, text.decode()
+    return text.decode()
--- /dev/null
+++ b/tests/control/test_control_group.py
@@ -0,0 +1,69 @@
+"""Three control instances as real processes: the quick part.
+
+The rest is in ``proof_control_group.py``, run by ``make proof-control``.
+"""
+
+import asyncio
+
+import control_group
+import pytest
+import replica_network
+
+BASE_PORT = 30_200
+EDITS = 60
+
+
+async def burst(group, answers):
+    """Apply edits one after the other, collecting their answers."""
+    for position in range(EDITS):
+        edit = replica_network.request(f'edit-{position}')
+        answers[position] = await group.apply(edit)
+
+
+@pytest.mark.parametrize('size', [3])
+async def test_accepted_edits_survive_the_leader(tmp_path, size):
+    async with control_group.run_group(tmp_path, BASE_PORT, size) as group:
+        leader = await group.leader()
+        answers = {}
+        task = asyncio.create_task(burst(group, answers))
+        while len(answers) < EDITS // 3:
+            await asyncio.sleep(0.01)
+        await group.kill(leader)
+        await task
+        second = await group.leader()
+        assert all(answer.accepted for answer in answers.values())
+        assert await group.version(second) == EDITS
+        # Each is sent again with its key, also those whose answer came
+        # from the leader that is gone.
+        for position, answer in answers.items():
+            edit = replica_network.request(f'edit-{position}')
+            assert await group.apply(edit) == answer
+        assert await group.version(second) == EDITS
+
+
+async def test_a_wiped_folder_under_an_old_name_is_refused(tmp_path):
+    base_port = BASE_PORT + 10
+    async with control_group.run_group(tmp_path, base_port, 3) as group:
+        leader = await group.leader()
+        name = next(n for n in group.addresses if n != leader)
+        await group.kill(name)
+        group.wipe(name)
+        await group.start(name)
+        status, line = await group.ended(name)
+        assert status == 1
+        assert 'never start it under the old name' in line
+        assert (await group.apply(replica_network.request('a'))).accepted
+
+
+async def test_a_data_folder_in_use_is_refused(tmp_path):
+    base_port = BASE_PORT + 20
+    async with control_group.run_group(tmp_path, base_port, 1) as group:
+        await group.leader()
+        first = group.running.pop('control-0')
+        try:
+            await group.start('control-0')
+            status, line = await group.ended('control-0')
+        finally:
+            group.running['control-0'] = first
+        assert status == 1
+        assert 'another process uses this data folder' in line
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import secrets
+import shutil
 import signal
 import sys
 
@@ -16,6 +17,7 @@
 from gentianspoke.config import settings
 from gentianspoke.config import units
 from gentianspoke.generated import catalogue_grpc
+from gentianspoke.generated import catalogue_pb2
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
 from gentianspoke.shells import channel_auth
@@ -27,6 +29,11 @@
 SOURCES = pathlib.Path(__file__).parent.parent / 'src'
 
 
+def environment():
+    """Return the environment of the product's processes."""
+    return {**os.environ, 'PYTHONPATH': str(SOURCES)}
+
+
 class ControlGroup:
     """The first members ``control-0`` and on, and those that join."""
 
@@ -36,12 +43,12 @@
         self.base_port = base_port
         self.addresses = {}
         self.running = {}
-        self._key_path = str(folder / 'keys.yaml')
+        self.key_path = str(folder / 'keys.yaml')
         key = {'id': 1, 'hex': secrets.token_hex(32)}
-        pathlib.Path(self._key_path).write_text(
+        pathlib.Path(self.key_path).write_text(
             yaml.safe_dump({'active': 1, 'keys': [key]})
         )
-        self._ring = key_file.load(self._key_path)
+        self._ring = key_file.load(self.key_path)
         names = [f'control-{position}' for position in range(size)]
         for position, name in enumerate(names):
             self.addresses[name] = (HOST, base_port + position)
@@ -66,7 +73,7 @@
         content = {
             'instance': name,
             'zone': 'zone-a',
-            'key_file': self._key_path,
+            'key_file': self.key_path,
             'log_file': str(self.folder / f'{name}.jsonl'),
             'control': role,
         }
@@ -84,7 +91,7 @@
                 'gentianspoke',
                 'control',
                 path,
-                env={**os.environ, 'PYTHONPATH': str(SOURCES)},
+                env=environment(),
                 stderr=asyncio.subprocess.PIPE,
             )
 
@@ -177,6 +184,24 @@
                     return sorted(item.instance for item in found)
                 await asyncio.sleep(0.05)
 
+    async def version(self, name):
+        """Return the catalogue version of an instance."""
+        listed = await self.catalogue(
+            name, 'List', catalogue_pb2.ListRequest()
+        )
+        return listed.version
+
+    async def version_if_any(self, name):
+        """Return the version, 0 as long as the instance does not answer."""
+        try:
+            return await self.version(name)
+        except feed_client.CHANNEL_ERRORS:
+            return 0
+
+    def wipe(self, name):
+        """Remove the data folder of an instance that is not running."""
+        shutil.rmtree(self.folder / name)
+
     def events(self, name):
         """Return the events that an instance has written."""
         path = self.folder / f'{name}.jsonl'
@@ -194,3 +219,43 @@
     finally:
         for name in tuple(group.running):
             await group.kill(name)
+
+
+class Proxy:
+    """Stands before an address; ``lost`` names the direction it drops.
+
+    Its connections stay open, so that both ends see nothing but silence.
+    """
+
+    def __init__(self, address):
+        """Listen on ``address`` once it is run."""
+        self.address = address
+        self.lost = ''
+
+    @contextlib.asynccontextmanager
+    async def run(self, target):
+        """Pass connections on to ``target`` until the end."""
+
+        async def join(reader, writer):
+            try:
+                far_reader, far_writer = await asyncio.open_connection(*target)
+            except OSError:
+                writer.close()
+                return
+            await asyncio.gather(
+                self._pass(reader, far_writer, 'to'),
+                self._pass(far_reader, writer, 'from'),
+            )
+
+        server = await asyncio.start_server(join, *self.address)
+        try:
+            yield
+        finally:
+            server.close()
+
+    async def _pass(self, reader, writer, way):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                if self.lost != way:
+                    writer.write(data)
+        writer.close()
