--- a/src/gentianspoke/decisions/control/replica/records.py
+++ b/src/gentianspoke/decisions/control/replica/records.py
@@ -6,7 +6,9 @@
 from gentianspoke.decisions.control.replica import group as groups
 
 # A batch is one message and one sync; a single larger request is a batch.
-BATCH_EDITS = 256
+# An edit weighs one, and one more for each so many ports.
+BATCH_WEIGHT = 256
+PORTS_WEIGHT = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,14 +97,12 @@
     def batch_from(self, index: int) -> tuple[Record, ...]:
         """Return the next records from ``index``, at most one batch."""
         found: list[Record] = []
-        edits = 0
+        weight = 0
         for record in self.records[index - self.base.index - 1 :]:
-            edits += _edits(record)
-            if found and edits > BATCH_EDITS:
+            weight += _weight(record)
+            if found and weight > BATCH_WEIGHT:
                 break
             found.append(record)
-            if len(found) >= BATCH_EDITS:
-                break
         return tuple(found)
 
     def append(self, records: tuple[Record, ...]) -> None:
@@ -143,9 +143,17 @@
                 self.group_index = record.index
 
 
-def _edits(record: Record) -> int:
+def _weight(record: Record) -> int:
     match record.payload:
         case Command(request=request):
-            return len(request.edits)
+            return sum(_edit_weight(edit) for edit in request.edits)
         case _:
             return 1
+
+
+def _edit_weight(edit: catalogue.Edit) -> int:
+    match edit.change:
+        case catalogue.Put(entry=entry):
+            return 1 + len(entry.ports) // PORTS_WEIGHT
+        case catalogue.Retire():
+            return 1
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -16,6 +16,8 @@
 from gentianspoke.shells import process
 
 LAGGARDS_NAMED = 16
+# One request has to reach a peer within one heartbeat's timeout.
+REQUEST_BYTES_AT_MOST = 1 << 20
 
 
 class CatalogueService(catalogue_grpc.CatalogueBase):
@@ -41,6 +43,12 @@
     ) -> None:
         """Accept or refuse edits."""
         message = await calls.receive(stream)
+        if message.ByteSize() > REQUEST_BYTES_AT_MOST:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT,
+                f'the request is larger than {REQUEST_BYTES_AT_MOST} bytes;'
+                ' split the file',
+            )
         request = _checked(catalogue_codec.decode_request, message)
         try:
             answer = await self._log.submit(request)
@@ -112,7 +120,8 @@
                 in_force=consumers - len(lagging),
                 laggards=lagging[:LAGGARDS_NAMED],
                 confirmed_age_ms=self._log.confirmed_age_ms(),
-                role='leader',
+                role='leader' if self._log.is_leader else 'follower',
+                leader=self._log.leader,
             )
         )
 
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -13,9 +13,11 @@
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import log as log_port
 from gentianspoke.shells.control import members_service
+from gentianspoke.shells.control import monitor
 from gentianspoke.shells.control import open_log
 from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import replica_service
+from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
 
 
@@ -53,14 +55,23 @@
                 forming.find_group(proc, log, role),
                 wake_consumers(log, consumers),
                 feed.tick(),
+                monitor.watch(proc, log),
+                serve_in_group(proc, log),
             ):
-                proc.life.advance('serve')
                 await proc.stop.wait()
                 proc.life.advance('stop')
             server.close()
             await server.wait_closed()
 
 
+async def serve_in_group(
+    proc: process.Process, log: replicated_log.ReplicatedLog
+) -> None:
+    """Call the process ready once it belongs to a group."""
+    await log.group_known.wait()
+    proc.life.advance('serve')
+
+
 async def wake_consumers(
     log: log_port.CatalogueLog, consumers: hub.Hub
 ) -> None:
--- /dev/null
+++ b/src/gentianspoke/shells/control/monitor.py
@@ -0,0 +1,42 @@
+"""Shows in metrics and events how this instance stands in the group."""
+
+import asyncio
+
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import process
+
+WATCH_S = 0.25
+# Less than the age at which consumers leave a source.
+ISOLATED_MS = 2_000
+
+
+async def watch(
+    proc: process.Process, log: replicated_log.ReplicatedLog
+) -> None:
+    """Set the gauges, and report isolation and its end, without end."""
+    is_isolated = False
+    while True:
+        age_ms = log.confirmed_age_ms()
+        _set_gauges(proc, log, age_ms)
+        if (age_ms >= ISOLATED_MS) != is_isolated:
+            is_isolated = not is_isolated
+            name = 'control-isolated' if is_isolated else 'control-confirmed'
+            proc.events.write(name, confirmed_age_ms=age_ms)
+        await asyncio.sleep(WATCH_S)
+
+
+def _set_gauges(
+    proc: process.Process, log: replicated_log.ReplicatedLog, age_ms: int
+) -> None:
+    state = log.replica.state
+    values = {
+        'log_leads': int(log.is_leader),
+        'log_term': state.term,
+        'log_voters': len(state.group.voters),
+        'log_committed_index': state.commit_index,
+        'log_kept_records': len(state.log.records),
+        'log_confirmed_age_ms': age_ms,
+        'catalogue_version': log.catalogue.version,
+    }
+    for name, value in values.items():
+        proc.metrics.gauges.set({'name': name}, value)
--- a/src/gentianspoke/shells/control/peers.py
+++ b/src/gentianspoke/shells/control/peers.py
@@ -141,8 +141,7 @@
         channel: grpclib.client.Channel,
         request: messages.InstallRequest,
     ) -> messages.Reply:
-        snapshot = replica_codec.encode_snapshot(request.snapshot)
-        data = snapshot.SerializeToString()
+        data = await asyncio.to_thread(_encode, request)
         self._proc.events.write(
             'snapshot-sent', index=request.snapshot.index, bytes=len(data)
         )
@@ -164,3 +163,8 @@
             'a peer did not answer the last part of a snapshot; run the'
             ' same version on all control instances'
         )
+
+
+def _encode(request: messages.InstallRequest) -> bytes:
+    message = replica_codec.encode_snapshot(request.snapshot)
+    return message.SerializeToString()
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -85,6 +85,9 @@
         self._proposed: dict[int, Waiting] = {}
         self._applied = asyncio.Condition()
         self.group_changed = asyncio.Event()
+        self.group_known = asyncio.Event()
+        if self.group.members:
+            self.group_known.set()
         self.wakes: dict[int, asyncio.Event] = {}
 
     @property
@@ -254,6 +257,7 @@
                     voters=len(self.group.voters),
                 )
                 self.group_changed.set()
+                self.group_known.set()
 
     def _answer(self, committed: effects.Committed) -> None:
         waiting = self._proposed.pop(committed.index, None)
