Merge events into a time line and explain failed flows

Cause: events were written, but nothing read them, and their kinds and fields were fixed nowhere. A restarted process began its logical clock at zero, and a line cut by a crash swallowed the first event after it.

Ruled out: vector clocks (an entry for each process on every message) and hybrid clocks (order depends on the clock that runs ahead).

--- /dev/null
+++ b/benchmarks/time_line.py
@@ -0,0 +1,83 @@
+"""Measure merging and explaining a time line: events a second, memory.
+
+Run ``python -m benchmarks.time_line [EVENTS]`` from the root with ``src``
+on the path. Every tenth event is a verdict on a flow that failed.
+"""
+
+import json
+import pathlib
+import random
+import resource
+import sys
+import tempfile
+import time
+
+from gentianspoke.decisions.timeline import explaining
+from gentianspoke.decisions.timeline import merging
+from gentianspoke.telemetry import event_files
+
+SEED = 11
+INSTANCES = 10
+DEFAULT_EVENTS = 200_000
+KB_PER_MB = 1_024
+
+
+def write_files(folder: pathlib.Path, events: int) -> list[str]:
+    """Write log files of several instances and return their paths."""
+    rng = random.Random(SEED)
+    paths: list[str] = []
+    for number in range(INSTANCES):
+        path = folder / f'agent-{number}.jsonl'
+        paths.append(str(path))
+        logical = 0
+        with path.open('w') as file:
+            for position in range(events // INSTANCES):
+                logical += rng.randrange(1, 4)
+                line = _line(f'agent-{number}', logical, position, rng)
+                file.write(json.dumps(line) + '\n')
+    return paths
+
+
+def _line(
+    instance: str, logical: int, position: int, rng: random.Random
+) -> dict[str, object]:
+    is_verdict = position % 10 == 0
+    verdict = {'outcome': 'silent', 'fault': 'network', 'reason': 'silence'}
+    port = rng.randrange(1024, 65_536)
+    return {
+        'event': 'flow-verdict' if is_verdict else 'catalogue-in-force',
+        'instance': instance,
+        'role': 'agent',
+        'logical': logical,
+        'wall_ms': position,
+        'service': 'booking' if is_verdict else '',
+        'flow': f'tcp 10.9.0.1:{port} > 10.1.0.1:443' if is_verdict else '',
+        'fields': verdict if is_verdict else {'version': logical},
+    }
+
+
+def main() -> None:
+    """Print one row for merging alone and one for explaining."""
+    events = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_EVENTS
+    with tempfile.TemporaryDirectory() as scratch:
+        paths = write_files(pathlib.Path(scratch), events)
+        for name, explainer in (
+            ('merge', None),
+            ('explain', explaining.Explainer()),
+        ):
+            started = time.perf_counter()
+            counts = event_files.ReadCounts()
+            streams = event_files.open_streams(paths, counts)
+            for event in merging.merge(streams):
+                if explainer is not None:
+                    explainer.take(event)
+            rate = counts.events / (time.perf_counter() - started)
+            peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            print(
+                f'{name:8} {counts.events:>8} events {rate:>8.0f} a second'
+                f' peak {peak // KB_PER_MB} MB'
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/src/gentianspoke/__main__.py
+++ b/src/gentianspoke/__main__.py
@@ -1,5 +1,6 @@
 """The one program: processes and operator commands as subcommands."""
 
+import os
 import sys
 
 import cappa
@@ -20,9 +21,12 @@
     """
     try:
         cappa.invoke(root.Gentianspoke, version=__version__)
-    except errors.SettingsError as exc:
+    except (errors.SettingsError, errors.LogFileError) as exc:
         print(f'gentianspoke: {exc}', file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
+    except BrokenPipeError:
+        # The reader, such as a pager, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     except errors.GentianspokeError as exc:
         print(f'gentianspoke: {exc}', file=sys.stderr)
         sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/src/gentianspoke/commands/explain.py
@@ -0,0 +1,146 @@
+"""The subcommand that says whose fault failed flows were."""
+
+import dataclasses
+import json
+import typing
+
+import cappa
+
+from gentianspoke.commands import timeline
+from gentianspoke.decisions.timeline import explaining
+from gentianspoke.telemetry import event_files
+
+FLOWS_SHOWN = 20
+REASONS_SHOWN = 10
+PERMILLE_PER_PERCENT = 10
+
+
+@cappa.command(name='explain')
+@dataclasses.dataclass
+class Explain:
+    """Say for a service or a flow who was at fault, with the evidence."""
+
+    files: timeline.Files
+    service: typing.Annotated[
+        str, cappa.Arg(long='--service', help='Only this service.')
+    ] = ''
+    flow: typing.Annotated[
+        str,
+        cappa.Arg(long='--flow', help='Only flows whose text contains this.'),
+    ] = ''
+    limit: typing.Annotated[
+        int, cappa.Arg(long='--limit', help='Most flows to show.')
+    ] = FLOWS_SHOWN
+    as_json: timeline.AsJson = False
+
+    def __call__(self) -> None:
+        """Print the sum for each service, then the flows, then doubts."""
+        counts = event_files.ReadCounts()
+        explainer = explaining.Explainer()
+        for event in timeline.merged_events(self.files, counts):
+            explainer.take(event)
+        chosen = [
+            failure
+            for failure in explainer.finish()
+            if self._is_chosen(failure)
+        ]
+        doubts = explainer.unknown() + _doubts(counts, bool(chosen))
+        show = _print_json if self.as_json else _print_text
+        show(chosen, self.limit, doubts)
+
+    def _is_chosen(self, failure: explaining.Failure) -> bool:
+        if self.service and failure.service != self.service:
+            return False
+        return self.flow in failure.flow
+
+
+def _doubts(counts: event_files.ReadCounts, found: bool) -> list[str]:
+    doubts = [
+        f'{path} holds no event: its process wrote none, or logs elsewhere'
+        for path in counts.without_events
+    ]
+    if counts.torn or counts.foreign:
+        doubts.append(
+            f'{counts.torn} torn last lines and {counts.foreign} lines that'
+            ' are no events were skipped'
+        )
+    if not found:
+        doubts.append(
+            'no process told of a failure: the flows ended whole, or their'
+            ' packets never reached the balancer (then it was the network'
+            ' or the caller), or the log of their agent was not given'
+        )
+    return doubts
+
+
+def _print_text(
+    failures: list[explaining.Failure], limit: int, doubts: list[str]
+) -> None:
+    for summary in explaining.summarise(failures):
+        _print_summary(summary)
+    for failure in failures[:limit]:
+        _print_failure(failure)
+    if len(failures) > limit:
+        print(f'{len(failures) - limit} more flows; raise --limit to see them')
+    for doubt in doubts:
+        print(f'unknown: {doubt}')
+
+
+def _print_summary(summary: explaining.ServiceSummary) -> None:
+    share = summary.share_permille / PERMILLE_PER_PERCENT
+    print(
+        f'service {summary.service}: {summary.failures} flows failed,'
+        f' {summary.not_run} of them refused as not run;'
+        f' at fault: {summary.verdict} ({share:.1f}%)'
+    )
+    for (fault, reason), count in summary.reasons.most_common(REASONS_SHOWN):
+        print(f'  {count:>8}  {fault:<9} {reason}')
+
+
+def _print_failure(failure: explaining.Failure) -> None:
+    finding = failure.finding
+    print(
+        f'flow {failure.flow} ({failure.service})'
+        f' at {timeline.format_time(failure.first_wall_ms)}:'
+        f' {finding.outcome.value}; at fault: {failure.fault}'
+        f' ({finding.reason})'
+    )
+    told_by = ', '.join(sorted(failure.instances))
+    print(f'    told by {told_by} in {failure.events} events')
+    for text in finding.evidence:
+        print(f'    evidence: {text}')
+    for text in finding.unknown:
+        print(f'    unknown: {text}')
+
+
+def _print_json(
+    failures: list[explaining.Failure], limit: int, doubts: list[str]
+) -> None:
+    services = [
+        {
+            'service': summary.service,
+            'failures': summary.failures,
+            'not_run': summary.not_run,
+            'at_fault': summary.verdict,
+            'faults': dict(summary.faults),
+        }
+        for summary in explaining.summarise(failures)
+    ]
+    flows = [_as_json(failure) for failure in failures[:limit]]
+    print(
+        json.dumps({'services': services, 'flows': flows, 'unknown': doubts})
+    )
+
+
+def _as_json(failure: explaining.Failure) -> dict[str, typing.Any]:
+    return {
+        'flow': failure.flow,
+        'service': failure.service,
+        'wall_ms': failure.first_wall_ms,
+        'outcome': failure.finding.outcome.value,
+        'at_fault': failure.fault,
+        'reason': failure.finding.reason,
+        'evidence': failure.finding.evidence,
+        'unknown': failure.finding.unknown,
+        'instances': sorted(failure.instances),
+    }
--- a/src/gentianspoke/commands/root.py
+++ b/src/gentianspoke/commands/root.py
@@ -6,7 +6,9 @@
 
 from gentianspoke.commands import catalogue
 from gentianspoke.commands import config
+from gentianspoke.commands import explain
 from gentianspoke.commands import processes
+from gentianspoke.commands import timeline
 
 Command = (
     processes.RunEntry
@@ -14,6 +16,8 @@
     | processes.RunControl
     | config.Config
     | catalogue.Catalogue
+    | timeline.Timeline
+    | explain.Explain
 )
 
 
--- /dev/null
+++ b/src/gentianspoke/commands/timeline.py
@@ -0,0 +1,152 @@
+"""The subcommand that shows the time line of events over all processes."""
+
+import collections.abc
+import dataclasses
+import datetime
+import json
+import sys
+import typing
+
+import cappa
+
+from gentianspoke.decisions.timeline import events
+from gentianspoke.decisions.timeline import filtering
+from gentianspoke.decisions.timeline import merging
+from gentianspoke import errors
+from gentianspoke.telemetry import event_files
+
+MS_PER_S = 1000
+
+Files = typing.Annotated[
+    list[str],
+    cappa.Arg(num_args=-1, required=True, help='Log files of the processes.'),
+]
+AsJson = typing.Annotated[
+    bool, cappa.Arg(long='--json', help='Print JSON lines.')
+]
+
+
+def _option(name: str, text: str) -> typing.Any:
+    return cappa.Arg(long=name, help=text)
+
+
+@cappa.command(name='timeline')
+@dataclasses.dataclass
+class Timeline:
+    """Merge the events in log files in causal order and print them."""
+
+    files: Files
+    flow: typing.Annotated[
+        str, _option('--flow', 'Only flows whose text contains this.')
+    ] = ''
+    service: typing.Annotated[
+        str, _option('--service', 'Only events of this service.')
+    ] = ''
+    instance: typing.Annotated[
+        str, _option('--instance', 'Only events of this instance.')
+    ] = ''
+    event: typing.Annotated[
+        str, _option('--event', 'Only events of this kind.')
+    ] = ''
+    since: typing.Annotated[
+        str, _option('--since', 'From this time on, such as 2026-12-04T11:05Z')
+    ] = ''
+    until: typing.Annotated[
+        str, _option('--until', 'Before this time, such as 2026-12-04T11:06Z')
+    ] = ''
+    as_json: AsJson = False
+
+    def __call__(self) -> None:
+        """Print one line for each event, and to stderr what was skipped."""
+        chosen = filtering.Filter(
+            self.flow,
+            self.service,
+            self.instance,
+            self.event,
+            parse_time('--since', self.since),
+            parse_time('--until', self.until),
+        )
+        counts = event_files.ReadCounts()
+        show = _json_line if self.as_json else _table_line
+        for event in merged_events(self.files, counts):
+            if filtering.keeps(chosen, event):
+                print(show(event))
+        print_skipped(counts)
+
+
+def merged_events(
+    files: list[str], counts: event_files.ReadCounts
+) -> collections.abc.Iterable[events.Event]:
+    """Yield the events of all files in causal order."""
+    return merging.merge(event_files.open_streams(files, counts))
+
+
+def print_skipped(counts: event_files.ReadCounts) -> None:
+    """Tell on stderr which lines and files were not used."""
+    for path in counts.without_events:
+        print(f'{path}: holds no event', file=sys.stderr)
+    if counts.torn or counts.foreign:
+        print(
+            f'skipped {counts.torn} torn last lines and {counts.foreign}'
+            ' lines that are no events',
+            file=sys.stderr,
+        )
+
+
+def parse_time(option: str, text: str) -> int | None:
+    """Return a time in milliseconds since 1970, ``None`` for no text.
+
+    A time without a zone is UTC. Raises
+    :class:`gentianspoke.errors.SettingsError`.
+    """
+    if not text:
+        return None
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError as exc:
+        raise errors.SettingsError(
+            'command line',
+            option,
+            f'{text!r} is no time; write one such as 2026-12-04T11:05:00Z',
+        ) from exc
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.timezone.utc)
+    return round(moment.timestamp() * MS_PER_S)
+
+
+def format_time(wall_ms: int) -> str:
+    """Return milliseconds since 1970 as a UTC time for people."""
+    try:
+        moment = datetime.datetime.fromtimestamp(
+            wall_ms / MS_PER_S, datetime.timezone.utc
+        )
+    except (ValueError, OverflowError, OSError):
+        return f'{wall_ms}ms'
+    return moment.strftime('%Y-%m-%dT%H:%M:%S.') + f'{wall_ms % MS_PER_S:03}Z'
+
+
+def _table_line(event: events.Event) -> str:
+    columns = [
+        format_time(event.wall_ms),
+        f'{event.logical:>8}',
+        f'{event.instance:<12}',
+        f'{event.kind:<20}',
+    ]
+    columns += [item for item in (event.service, event.flow) if item]
+    columns += [f'{name}={value}' for name, value in event.fields]
+    return ' '.join(columns).rstrip()
+
+
+def _json_line(event: events.Event) -> str:
+    return json.dumps(
+        {
+            'event': event.kind,
+            'instance': event.instance,
+            'role': event.role,
+            'logical': event.logical,
+            'wall_ms': event.wall_ms,
+            'service': event.service,
+            'flow': event.flow,
+            'fields': dict(event.fields),
+        }
+    )
--- /dev/null
+++ b/src/gentianspoke/decisions/timeline/blame.py
@@ -0,0 +1,110 @@
+"""The verdict that one event supports, with evidence and what is unknown."""
+
+import dataclasses
+
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.timeline import context
+from gentianspoke.decisions.timeline import events
+
+# Evidence of an agent without which a reader cannot check its verdict.
+EXPECTED_EVIDENCE = {
+    verdicts.Outcome.SILENT: ('unanswered_ms', 'retransmissions'),
+}
+# An agent's own verdict, a reset, a refusal: the first tells most.
+VERDICT_WEIGHT = 2
+RESET_WEIGHT = 1
+REFUSED = verdicts.Outcome.REFUSED_NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """Who is at fault by one event; ``fault`` is ``None`` where unknown.
+
+    A finding of greater ``weight`` replaces one of the same flow.
+    """
+
+    outcome: verdicts.Outcome
+    fault: verdicts.Fault | None
+    reason: str
+    evidence: tuple[str, ...] = ()
+    unknown: tuple[str, ...] = ()
+    weight: int = 0
+
+
+def find(event: events.Event, seen: context.Context) -> Finding | None:
+    """Return the finding of an event, ``None`` where it tells no failure."""
+    match event.body:
+        case events.FlowVerdict(verdict=verdict):
+            finding = _from_agent(verdict)
+        case events.FlowRefused(reason=reason):
+            finding = _from_refusal(reason, event, seen)
+        case events.FlowReset(reason=reason):
+            finding = _from_reset(reason, event, seen)
+        case _:
+            return None
+    return dataclasses.replace(
+        finding, evidence=finding.evidence + context.describe(seen, event)
+    )
+
+
+def _from_agent(verdict: verdicts.Verdict) -> Finding:
+    evidence = tuple(f'{name}={value}' for name, value in verdict.evidence)
+    present = {name for name, _ in verdict.evidence}
+    unknown = [
+        f'the agent gave no {name}'
+        for name in EXPECTED_EVIDENCE.get(verdict.outcome, ())
+        if name not in present
+    ]
+    if verdict.outcome is verdicts.Outcome.UNKNOWN:
+        unknown.append('whether the request ran at the upstream')
+    return Finding(
+        verdict.outcome,
+        verdict.fault,
+        verdict.reason,
+        evidence,
+        tuple(unknown),
+        weight=VERDICT_WEIGHT,
+    )
+
+
+def _from_refusal(
+    reason: str, event: events.Event, seen: context.Context
+) -> Finding:
+    match reason:
+        case 'no-capacity' | 'wait-expired':
+            return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
+        case 'no-upstream' | 'no-live-upstream':
+            around = seen.at(event.instance)
+            if context.lost_feed(around, event.wall_ms):
+                # The view may be old, so the upstreams may be there.
+                return Finding(REFUSED, verdicts.Fault.BALANCER, reason)
+            return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
+        case _:
+            return Finding(
+                REFUSED, None, reason, unknown=('the cause of this reason',)
+            )
+
+
+def _from_reset(
+    reason: str, event: events.Event, seen: context.Context
+) -> Finding:
+    unknown: tuple[str, ...] = ('whether the request ran at the upstream',)
+    evidence: tuple[str, ...]
+    fault: verdicts.Fault | None
+    outcome = verdicts.Outcome.UNKNOWN
+    ended = [
+        name
+        for name, other in sorted(seen.instances.items())
+        if context.lately_ended(other, event.wall_ms)
+    ]
+    match reason:
+        case 'no-owner' if ended:
+            evidence = (f'no agent knows the flow since {ended[0]} ended',)
+            fault = verdicts.Fault.BALANCER
+        case 'no-owner':
+            evidence, fault = (), None
+            unknown += ('whether the flow was ever open, and where',)
+        case _:
+            evidence, fault = (), None
+            unknown += ('the cause of this reason',)
+    return Finding(outcome, fault, reason, evidence, unknown, RESET_WEIGHT)
--- /dev/null
+++ b/src/gentianspoke/decisions/timeline/explaining.py
@@ -0,0 +1,158 @@
+"""Failures of flows and their sum for each service."""
+
+import collections
+import dataclasses
+
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.timeline import blame
+from gentianspoke.decisions.timeline import context
+from gentianspoke.decisions.timeline import events
+
+UNKNOWN = 'unknown'
+UNNAMED_SERVICE = '?'
+PERMILLE = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Failure:
+    """One flow that failed, by all events that told so.
+
+    ``events`` counts them; ``instances`` wrote them.
+    """
+
+    flow: str
+    service: str
+    first_wall_ms: int
+    finding: blame.Finding
+    instances: set[str]
+    events: int = 1
+
+    @property
+    def fault(self) -> str:
+        """The part at fault, ``unknown`` where none can be named."""
+        fault = self.finding.fault
+        return fault.value if fault is not None else UNKNOWN
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceSummary:
+    """The failures of one service, by part at fault and by reason."""
+
+    service: str
+    failures: int = 0
+    not_run: int = 0
+    faults: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    reasons: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    @property
+    def verdict(self) -> str:
+        """The part that most failures are attributed to."""
+        return self.faults.most_common(1)[0][0] if self.faults else 'none'
+
+    @property
+    def share_permille(self) -> int:
+        """The share of failures behind the verdict, in thousandths."""
+        if not self.failures:
+            return 0
+        return self.faults[self.verdict] * PERMILLE // self.failures
+
+
+class Explainer:
+    """Collects failures from events in causal order.
+
+    It holds one record for each failed flow; flows that ended whole write
+    no event and cost nothing.
+    """
+
+    def __init__(self) -> None:
+        """Begin without a failure."""
+        self.context = context.Context()
+        self.failures: list[Failure] = []
+        self._latest: dict[str, Failure] = {}
+        self._services: dict[str, str] = {}
+
+    def take(self, event: events.Event) -> None:
+        """Take the next event."""
+        context.take(self.context, event)
+        if event.flow and event.service:
+            self._services[_endpoint(event.flow)] = event.service
+        finding = blame.find(event, self.context)
+        if finding is None:
+            return
+        known = self._latest.get(event.flow)
+        if known is None or _has_verdict(known):
+            self._add(event, finding)
+        else:
+            _join(known, event, finding)
+
+    def finish(self) -> list[Failure]:
+        """Return the failures, with services filled in where learnt.
+
+        An event that names only the flow gets the service of another
+        flow to the same address and port.
+        """
+        for failure in self.failures:
+            if not failure.service:
+                failure.service = self._services.get(
+                    _endpoint(failure.flow), UNNAMED_SERVICE
+                )
+        return self.failures
+
+    def unknown(self) -> list[str]:
+        """Return what the events leave open for all flows."""
+        return [
+            f'{name} ended without a planned stop; its last events before'
+            ' that may be missing'
+            for name, around in sorted(self.context.instances.items())
+            if around.crashed_ms is not None
+        ]
+
+    def _add(self, event: events.Event, finding: blame.Finding) -> None:
+        failure = Failure(
+            event.flow,
+            event.service,
+            event.wall_ms,
+            finding,
+            {event.instance},
+        )
+        self.failures.append(failure)
+        self._latest[event.flow] = failure
+
+
+def summarise(failures: list[Failure]) -> list[ServiceSummary]:
+    """Return the sum for each service, the one that fails most first."""
+    found: dict[str, ServiceSummary] = {}
+    for failure in failures:
+        summary = found.setdefault(
+            failure.service, ServiceSummary(failure.service)
+        )
+        summary.failures += 1
+        outcome = failure.finding.outcome
+        summary.not_run += outcome is verdicts.Outcome.REFUSED_NOT_RUN
+        summary.faults[failure.fault] += 1
+        summary.reasons[(failure.fault, failure.finding.reason)] += 1
+    return sorted(found.values(), key=lambda item: -item.failures)
+
+
+def _has_verdict(known: Failure) -> bool:
+    # A later flow may use the same five-tuple: an agent gives one verdict
+    # for each flow, and nothing is told of a flow after its verdict.
+    return known.finding.weight == blame.VERDICT_WEIGHT
+
+
+def _join(known: Failure, event: events.Event, finding: blame.Finding) -> None:
+    known.events += 1
+    known.instances.add(event.instance)
+    known.service = known.service or event.service
+    if finding.weight > known.finding.weight:
+        evidence = dict.fromkeys(finding.evidence + known.finding.evidence)
+        known.finding = dataclasses.replace(finding, evidence=tuple(evidence))
+
+
+def _endpoint(flow: str) -> str:
+    protocol, _, rest = flow.partition(' ')
+    return f'{protocol} {rest.rpartition(" > ")[2]}'
--- /dev/null
+++ b/src/gentianspoke/decisions/timeline/filtering.py
@@ -0,0 +1,37 @@
+"""Choosing the events of the time line that an operator asked for."""
+
+import dataclasses
+
+from gentianspoke.decisions.timeline import events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Filter:
+    """What to keep; an empty text or ``None`` keeps everything.
+
+    ``flow`` is a part of the flow's text, such as a caller's address and
+    port. ``since_ms`` and ``until_ms`` are wall clock milliseconds since
+    1970, the latter excluded.
+    """
+
+    flow: str = ''
+    service: str = ''
+    instance: str = ''
+    kind: str = ''
+    since_ms: int | None = None
+    until_ms: int | None = None
+
+
+def keeps(chosen: Filter, event: events.Event) -> bool:
+    """Return whether the filter keeps an event."""
+    if chosen.flow and chosen.flow not in event.flow:
+        return False
+    if chosen.service and chosen.service != event.service:
+        return False
+    if chosen.instance and chosen.instance != event.instance:
+        return False
+    if chosen.kind and chosen.kind != event.kind:
+        return False
+    if chosen.since_ms is not None and event.wall_ms < chosen.since_ms:
+        return False
+    return chosen.until_ms is None or event.wall_ms < chosen.until_ms
--- /dev/null
+++ b/src/gentianspoke/decisions/timeline/merging.py
@@ -0,0 +1,40 @@
+"""Merging the events of several processes in causal order.
+
+Lamport, "Time, clocks, and the ordering of events in a distributed
+system" (1978): an event that may have caused another one has the smaller
+logical clock. Wall clocks only break ties.
+"""
+
+import collections.abc
+import heapq
+
+from gentianspoke.decisions.timeline import events
+
+Stream = collections.abc.Iterable[events.Event]
+Key = tuple[int, int, str]
+Keyed = tuple[Key, events.Event]
+
+
+def merge(streams: collections.abc.Iterable[Stream]) -> Stream:
+    """Yield all events in causal order, one event of each stream held.
+
+    Each stream holds the events of one process in the order in which it
+    wrote them; that order is kept even where the process restarted and
+    its logical clock began anew.
+    """
+    keyed = [_with_keys(stream) for stream in streams]
+    for _, event in heapq.merge(*keyed, key=lambda item: item[0]):
+        yield event
+
+
+def _with_keys(stream: Stream) -> collections.abc.Iterator[Keyed]:
+    logical = 0
+    wall_ms = 0
+    for event in stream:
+        if event.logical > logical:
+            logical = event.logical
+            wall_ms = event.wall_ms
+        # Within one logical time the key must not fall, or the merge
+        # would no longer see a sorted stream.
+        wall_ms = max(wall_ms, event.wall_ms)
+        yield (logical, wall_ms, event.instance), event
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -81,3 +81,15 @@
 
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
+
+
+class LogFileError(GentianspokeError):
+    """A log file that the time line cannot read."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and why it cannot be read."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot be read ({reason}); check path and rights, or'
+            ' copy the log to this instance'
+        )
--- /dev/null
+++ b/src/gentianspoke/telemetry/event_lines.py
@@ -0,0 +1,89 @@
+"""Lines of the time line as data classes, through the schema's models."""
+
+import json
+import re
+import typing
+
+import pydantic
+
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.timeline import events
+from gentianspoke.generated import event_model
+
+_WORD = re.compile(r'(?<!^)(?=[A-Z])')
+
+
+def kind_of(model: type[pydantic.BaseModel]) -> str:
+    """Return the kind of events whose fields a model describes."""
+    return _WORD.sub('-', model.__name__).lower()
+
+
+MODELS: dict[str, type[pydantic.BaseModel]] = {
+    kind_of(model): model
+    for model in (
+        event_model.ProcessSyncing,
+        event_model.ProcessServing,
+        event_model.ProcessStopping,
+        event_model.ProcessStopped,
+        event_model.CatalogueInForce,
+        event_model.CatalogueAnswered,
+        event_model.FeedLost,
+        event_model.UpstreamDraining,
+        event_model.StopGraceOver,
+        event_model.FlowRefused,
+        event_model.FlowReset,
+        event_model.FlowVerdict,
+    )
+}
+
+
+def decode(line: str) -> events.Event | None:
+    """Return the event on a line, ``None`` for a log line without one.
+
+    Raises ``ValueError`` for a line that is no event or log line of this
+    program. A kind of another version becomes ``OtherKind``.
+    """
+    content = json.loads(line)
+    if not isinstance(content, dict):
+        raise ValueError('not a JSON object')
+    if 'event' not in content:
+        return None
+    model = event_model.Event.model_validate(content)
+    return events.Event(
+        kind=model.event,
+        instance=model.instance,
+        role=model.role,
+        logical=model.logical,
+        wall_ms=model.wall_ms,
+        service=model.service,
+        flow=model.flow,
+        fields=tuple(model.fields.items()),
+        body=_body(model),
+    )
+
+
+def _body(model: event_model.Event) -> events.Body:
+    kind = MODELS.get(model.event)
+    if kind is None:
+        return events.OtherKind()
+    try:
+        fields = kind.model_validate(model.fields)
+    except pydantic.ValidationError:
+        # The line is shown, but nothing is concluded from it.
+        return events.OtherKind()
+    match fields:
+        case event_model.FlowVerdict():
+            return events.FlowVerdict(_verdict(fields))
+        case _:
+            data_class: typing.Any = getattr(events, kind.__name__)
+            return data_class(**fields.model_dump())
+
+
+def _verdict(fields: event_model.FlowVerdict) -> verdicts.Verdict:
+    evidence = tuple((fields.model_extra or {}).items())
+    return verdicts.Verdict(
+        verdicts.Outcome(fields.outcome.value),
+        verdicts.Fault(fields.fault.value),
+        fields.reason,
+        evidence,
+    )
--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -1,15 +1,16 @@
 """JSON-lines logs through loguru; events are log lines with a clock."""
 
 import json
+import pathlib
 import sys
 import typing
 
 import loguru
 
 from gentianspoke import clock
-from gentianspoke.generated import event_model
 
-EVENT_FIELDS = frozenset(event_model.Event.model_fields)
+# Read from the end of the log to find the last logical clock in it.
+TAIL_BYTES = 65_536
 
 
 def _format_line(record: typing.Any) -> str:
@@ -26,9 +27,45 @@
 def configure(log_file: str | None, level: str) -> None:
     """Send the logs of this process as JSON lines to a file or stderr."""
     loguru.logger.remove()
+    if log_file is not None:
+        _end_last_line(log_file)
     loguru.logger.add(log_file or sys.stderr, level=level, format=_format_line)
 
 
+def last_logical(log_file: str | None) -> int:
+    """Return the last logical clock in a log file, 0 where there is none.
+
+    A process that restarts goes on from there, so that its new events
+    follow its old ones.
+    """
+    for line in reversed(_tail(log_file).split(b'\n')):
+        try:
+            logical = json.loads(line)['logical']
+        except (ValueError, KeyError, TypeError):
+            continue
+        if isinstance(logical, int):
+            return logical
+    return 0
+
+
+def _tail(log_file: str | None) -> bytes:
+    path = pathlib.Path(log_file) if log_file is not None else None
+    if path is None or not path.is_file():
+        return b''
+    with path.open('rb') as file:
+        size = file.seek(0, 2)
+        file.seek(max(0, size - TAIL_BYTES))
+        return file.read()
+
+
+def _end_last_line(log_file: str) -> None:
+    # A crash may have cut the last line; the next one must not join it.
+    tail = _tail(log_file)
+    if tail and not tail.endswith(b'\n'):
+        with pathlib.Path(log_file).open('ab') as file:
+            file.write(b'\n')
+
+
 class EventLog:
     """Writes the events of one process for the time line.
 
@@ -37,9 +74,11 @@
     several processes are ordered without trust in their wall clocks.
     """
 
-    def __init__(self, instance: str, role: str, time: clock.Clock) -> None:
-        """Begin the logical clock of a process at zero."""
-        self.logical = 0
+    def __init__(
+        self, instance: str, role: str, time: clock.Clock, logical: int = 0
+    ) -> None:
+        """Begin the logical clock of a process after ``logical``."""
+        self.logical = logical
         self._clock = time
         self._logger = loguru.logger.bind(instance=instance, role=role)
 
@@ -54,7 +93,10 @@
         flow: str = '',
         **fields: str | int | float | bool,
     ) -> None:
-        """Write one event; ``fields`` is the evidence for it."""
+        """Write one event; ``fields`` is the evidence for it.
+
+        Kinds and their fields are defined in ``schema/models/event.json``.
+        """
         self.logical += 1
         self._logger.bind(
             event=event,
--- /dev/null
+++ b/tests/event_builders.py
@@ -0,0 +1,34 @@
+"""Short ways to build events of the time line."""
+
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.timeline import events
+
+FLOW = 'tcp 10.9.0.1:5000 > 10.1.0.1:443'
+
+
+def event(
+    body: events.Body = events.OtherKind(),
+    instance: str = 'agent-1',
+    logical: int = 1,
+    wall_ms: int = 1_000,
+    role: str = 'agent',
+    service: str = '',
+    flow: str = '',
+    kind: str = 'some-kind',
+) -> events.Event:
+    """Return an event of an agent."""
+    return events.Event(
+        kind, instance, role, logical, wall_ms, service, flow, (), body
+    )
+
+
+def verdict(
+    fault: verdicts.Fault = verdicts.Fault.NETWORK,
+    outcome: verdicts.Outcome = verdicts.Outcome.SILENT,
+    **evidence: int,
+) -> events.FlowVerdict:
+    """Return an agent's verdict."""
+    found = verdicts.Verdict(
+        outcome, fault, 'some reason', tuple(evidence.items())
+    )
+    return events.FlowVerdict(found)
--- /dev/null
+++ b/tests/telemetry/test_event_files.py
@@ -0,0 +1,100 @@
+"""Log files are read whatever a crash, a rotation or a stranger left."""
+
+import json
+
+import loguru
+import pytest
+
+from gentianspoke import clock
+from gentianspoke import errors
+from gentianspoke.telemetry import event_files
+from gentianspoke.telemetry import logs
+
+
+def line(logical, instance='a', wall_ms=0):
+    """Return the line of an event."""
+    content = {
+        'level': 'INFO',
+        'message': 'some-kind',
+        'instance': instance,
+        'role': 'agent',
+        'event': 'some-kind',
+        'logical': logical,
+        'wall_ms': wall_ms,
+        'service': '',
+        'flow': '',
+        'fields': {},
+    }
+    return json.dumps(content) + '\n'
+
+
+def read(paths):
+    """Return the logical clocks of each stream, and the counts."""
+    counts = event_files.ReadCounts()
+    streams = event_files.open_streams([str(path) for path in paths], counts)
+    return [[e.logical for e in stream] for stream in streams], counts
+
+
+@pytest.mark.parametrize(
+    ('content', 'logical', 'foreign', 'torn'),
+    [
+        pytest.param(line(1) + line(2)[:40], [1], 0, 1, id='torn-last-line'),
+        pytest.param(line(1) + line(2)[:-1], [1, 2], 0, 0, id='no-line-end'),
+        pytest.param(
+            line(1) + 'Traceback:\n' + line(2), [1, 2], 1, 0, id='foreign'
+        ),
+        pytest.param(line(1) + '[]\n', [1], 1, 0, id='not-an-object'),
+        pytest.param(
+            line(1) + '{"event": "x"}\n', [1], 1, 0, id='event-without-clock'
+        ),
+        pytest.param(
+            line(1) + '[' * 90_000 + '\n', [1], 1, 0, id='deeply-nested'
+        ),
+        pytest.param(
+            line(1) + '{"level": "INFO"}\n', [1], 0, 0, id='log-line'
+        ),
+        pytest.param('', None, 0, 0, id='empty'),
+    ],
+)
+def test_lines_that_are_no_events_are_counted(
+    tmp_path, content, logical, foreign, torn
+):
+    path = tmp_path / 'a.jsonl'
+    path.write_text(content)
+    streams, counts = read([path])
+    assert streams == ([logical] if logical is not None else [])
+    assert (counts.foreign, counts.torn) == (foreign, torn)
+    assert bool(counts.without_events) == (logical is None)
+
+
+def test_bytes_that_are_no_text_are_foreign(tmp_path):
+    path = tmp_path / 'a.jsonl'
+    path.write_bytes(b'\xff\xfe\n' + line(1).encode())
+    streams, counts = read([path])
+    assert (streams, counts.foreign) == ([[1]], 1)
+
+
+def test_rotated_files_of_an_instance_are_one_stream(tmp_path):
+    files = {'new': (3, 'a', 30), 'old': (1, 'a', 10), 'other': (2, 'b', 20)}
+    for name, fields in files.items():
+        (tmp_path / name).write_text(line(*fields))
+    streams, _ = read(tmp_path / name for name in files)
+    assert sorted(streams) == [[1, 3], [2]]
+
+
+def test_a_missing_file_names_the_remedy(tmp_path):
+    with pytest.raises(errors.LogFileError, match='check path and rights'):
+        read([tmp_path / 'absent'])
+
+
+def test_a_restarted_process_goes_on_after_its_last_event(tmp_path):
+    path = tmp_path / 'a.jsonl'
+    path.write_text(line(41) + line(42)[:30])
+    logical = logs.last_logical(str(path))
+    logs.configure(str(path), 'INFO')
+    log = logs.EventLog('a', 'agent', clock.ManualClock(), logical)
+    log.write('process-syncing')
+    loguru.logger.remove()
+    streams, counts = read([path])
+    assert streams == [[41, 42]]
+    assert counts.foreign == 1
--- /dev/null
+++ b/tests/telemetry/test_events.py
@@ -0,0 +1,115 @@
+"""What processes write to the time line is what its reader expects."""
+
+import ast
+import dataclasses
+import json
+import pathlib
+
+import loguru
+import pytest
+
+from gentianspoke import clock
+from gentianspoke.decisions.timeline import events
+from gentianspoke.telemetry import event_files
+from gentianspoke.telemetry import event_lines
+from gentianspoke.telemetry import logs
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SCHEMA = json.loads((ROOT / 'schema/models/event.json').read_text())
+FIELDS = {
+    name: item.get('properties', {})
+    for name, item in SCHEMA['definitions'].items()
+}
+EXAMPLES = {'string': 'some text', 'integer': 3, 'boolean': True}
+
+
+@pytest.fixture(autouse=True)
+def _quiet_logger():
+    yield
+    loguru.logger.remove()
+
+
+def example(kind):
+    """Return fields of a kind, by its definition in the schema."""
+    return {
+        name: item.get('enum', [EXAMPLES[item['type']]])[0]
+        for name, item in FIELDS[kind].items()
+    }
+
+
+def written_events(tmp_path, *writes):
+    """Return what is read after writing kinds with fields."""
+    path = tmp_path / 'agent-1.jsonl'
+    logs.configure(str(path), 'INFO')
+    log = logs.EventLog('agent-1', 'agent', clock.ManualClock(5))
+    for kind, fields in writes:
+        log.write(kind, **fields)
+    counts = event_files.ReadCounts()
+    (stream,) = event_files.open_streams([str(path)], counts)
+    return list(stream), counts
+
+
+@pytest.mark.parametrize('kind', sorted(FIELDS))
+def test_every_kind_is_read_as_it_was_written(tmp_path, kind):
+    name = next(
+        name
+        for name, model in event_lines.MODELS.items()
+        if model.__name__ == kind
+    )
+    (event,), _ = written_events(tmp_path, (name, example(kind)))
+    assert type(event.body).__name__ == kind
+    assert dict(event.fields) == example(kind)
+    if not isinstance(event.body, events.FlowVerdict):
+        assert dataclasses.asdict(event.body) == example(kind)
+
+
+def test_evidence_of_a_verdict_is_kept(tmp_path):
+    fields = {**example('FlowVerdict'), 'unanswered_ms': 9, 'view': 4}
+    (event,), _ = written_events(tmp_path, ('flow-verdict', fields))
+    assert event.body.verdict.evidence == (('unanswered_ms', 9), ('view', 4))
+
+
+@pytest.mark.parametrize(
+    ('kind', 'fields'),
+    [
+        pytest.param('of-a-later-version', {'x': 1}, id='unknown-kind'),
+        pytest.param('catalogue-in-force', {}, id='missing-field'),
+        pytest.param(
+            'flow-verdict',
+            {'outcome': 'vanished', 'fault': 'none', 'reason': ''},
+            id='unknown-outcome',
+        ),
+    ],
+)
+def test_what_another_version_wrote_is_shown_only(tmp_path, kind, fields):
+    (event,), _ = written_events(tmp_path, (kind, fields))
+    assert event.body == events.OtherKind()
+    assert dict(event.fields) == fields
+
+
+def written_kinds():
+    """Yield place, kind and field names of each write in the source."""
+    for path in sorted((ROOT / 'src').rglob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            match node:
+                case ast.Call(
+                    func=ast.Attribute(
+                        attr='write' | '_write_flow', value=owner
+                    ),
+                    args=[ast.Constant(value=str(kind)), *_],
+                    keywords=keywords,
+                ) if 'events' in ast.unparse(owner) or 'self' == ast.unparse(
+                    owner
+                ):
+                    names = {item.arg for item in keywords if item.arg}
+                    yield f'{path.name}:{node.lineno}', kind, names
+
+
+def test_the_source_writes_only_kinds_and_fields_of_the_schema():
+    writes = list(written_kinds())
+    assert writes
+    for place, kind, names in writes:
+        model = event_lines.MODELS.get(kind)
+        assert model is not None, f'{place}: {kind} is not in event.json'
+        known = {'service', 'flow', *FIELDS[model.__name__]}
+        assert names <= known, f'{place}: {names - known} not in event.json'
--- /dev/null
+++ b/tests/timeline/test_explaining.py
@@ -0,0 +1,168 @@
+"""Who is at fault, by the events that the processes wrote."""
+
+import event_builders
+import pytest
+
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.timeline import events
+from gentianspoke.decisions.timeline import explaining
+
+FLOW = event_builders.FLOW
+REFUSED = events.FlowRefused('no-upstream')
+UNOWNED = events.FlowReset('no-owner')
+SILENT = event_builders.verdict(unanswered_ms=9_000, retransmissions=4)
+
+
+def explain(*bodies):
+    """Return failures after events of agent-1, one second apart.
+
+    A pair instead of a body is an event of the instance it names.
+    """
+    explainer = explaining.Explainer()
+    for number, item in enumerate(bodies, start=1):
+        instance, body = item if isinstance(item, tuple) else ('agent-1', item)
+        is_flow = isinstance(
+            body, events.FlowVerdict | events.FlowRefused | events.FlowReset
+        )
+        explainer.take(
+            event_builders.event(
+                body,
+                instance,
+                logical=number,
+                wall_ms=number * 1_000,
+                flow=FLOW if is_flow else '',
+            )
+        )
+    return explainer
+
+
+@pytest.mark.parametrize(
+    ('bodies', 'fault', 'outcome'),
+    [
+        pytest.param([SILENT], 'network', 'silent', id='verdict'),
+        pytest.param(
+            [events.FlowRefused('no-capacity')],
+            'upstream',
+            'refused-not-run',
+            id='no-capacity',
+        ),
+        pytest.param(
+            [events.FlowRefused('wait-expired')],
+            'upstream',
+            'refused-not-run',
+            id='no-slot-in-time',
+        ),
+        pytest.param(
+            [REFUSED], 'upstream', 'refused-not-run', id='no-upstream-there'
+        ),
+        pytest.param(
+            [events.FeedLost('127.0.0.1:1', 'timeout'), REFUSED],
+            'balancer',
+            'refused-not-run',
+            id='no-upstream-known-without-a-feed',
+        ),
+        pytest.param([UNOWNED], 'unknown', 'unknown', id='never-seen'),
+        pytest.param(
+            [
+                ('agent-2', events.ProcessSyncing()),
+                ('agent-2', events.ProcessSyncing()),
+                UNOWNED,
+            ],
+            'balancer',
+            'unknown',
+            id='owner-crashed',
+        ),
+        pytest.param(
+            [('agent-2', events.ProcessStopping()), UNOWNED],
+            'balancer',
+            'unknown',
+            id='owner-stopped',
+        ),
+        pytest.param(
+            [
+                ('agent-2', events.ProcessSyncing()),
+                ('agent-2', events.ProcessStopping()),
+                ('agent-2', events.ProcessStopped()),
+                ('agent-2', events.ProcessSyncing()),
+                UNOWNED,
+            ],
+            'balancer',
+            'unknown',
+            id='owner-restarted',
+        ),
+        pytest.param(
+            [events.FlowRefused('of-a-later-version')],
+            'unknown',
+            'refused-not-run',
+            id='reason-of-another-version',
+        ),
+    ],
+)
+def test_the_fault_is_named_or_said_to_be_unknown(bodies, fault, outcome):
+    (failure,) = explain(*bodies).finish()
+    assert failure.fault == fault
+    assert failure.finding.outcome.value == outcome
+    assert fault != 'unknown' or failure.finding.unknown
+
+
+def test_an_agents_verdict_goes_before_the_refusal_of_the_same_flow():
+    verdict = event_builders.verdict(
+        verdicts.Fault.UPSTREAM, verdicts.Outcome.REFUSED_NOT_RUN
+    )
+    (failure,) = explain(events.FlowRefused('unheard-of'), verdict).finish()
+    assert failure.fault == 'upstream'
+    assert failure.events == 2
+
+
+def test_a_second_verdict_on_a_five_tuple_is_of_a_second_flow():
+    assert len(explain(SILENT, SILENT).finish()) == 2
+
+
+@pytest.mark.parametrize(
+    ('bodies', 'evidence'),
+    [
+        pytest.param([SILENT], 'unanswered_ms=9000', id='of-the-agent'),
+        pytest.param(
+            [events.UpstreamDraining(), SILENT],
+            'the upstream beside agent-1 was draining',
+            id='drain',
+        ),
+        pytest.param(
+            [
+                ('entry-1', events.ProcessSyncing()),
+                ('entry-1', events.ProcessSyncing()),
+                SILENT,
+            ],
+            'entry-1 ended without a planned stop',
+            id='crash-elsewhere',
+        ),
+    ],
+)
+def test_a_failure_shows_its_evidence(bodies, evidence):
+    (failure,) = explain(*bodies).finish()
+    assert evidence in failure.finding.evidence
+
+
+def test_missing_evidence_is_said_to_be_unknown():
+    (failure,) = explain(event_builders.verdict(unanswered_ms=1)).finish()
+    assert failure.finding.unknown == ('the agent gave no retransmissions',)
+
+
+def test_a_crashed_process_leaves_a_doubt():
+    explainer = explain(events.ProcessSyncing(), events.ProcessSyncing())
+    assert 'agent-1 ended without a planned stop' in explainer.unknown()[0]
+
+
+def test_failures_are_summed_for_each_service():
+    explainer = explaining.Explainer()
+    for port, service in ((1, 'booking'), (2, 'booking'), (3, '')):
+        flow = f'tcp 10.9.0.1:{port} > 10.1.0.1:443'
+        explainer.take(
+            event_builders.event(SILENT, service=service, flow=flow)
+        )
+    flow = 'tcp 10.9.0.1:9 > 10.1.0.2:443'
+    explainer.take(event_builders.event(REFUSED, flow=flow))
+    booking, other = explaining.summarise(explainer.finish())
+    assert (booking.service, booking.failures) == ('booking', 3)
+    assert (booking.verdict, booking.share_permille) == ('network', 1000)
+    assert (other.service, other.not_run) == ('?', 1)
--- /dev/null
+++ b/tests/timeline/test_filtering.py
@@ -0,0 +1,31 @@
+"""The time line shows the events that an operator asks for."""
+
+import event_builders
+import pytest
+
+from gentianspoke.decisions.timeline import filtering
+
+
+@pytest.mark.parametrize(
+    ('wanted', 'kept'),
+    [
+        ({}, True),
+        ({'flow': '10.9.0.1:5000'}, True),
+        ({'flow': '10.9.0.2'}, False),
+        ({'service': 'booking'}, True),
+        ({'service': 'book'}, False),
+        ({'instance': 'agent-1'}, True),
+        ({'instance': 'agent-2'}, False),
+        ({'kind': 'flow-verdict'}, True),
+        ({'kind': 'flow-reset'}, False),
+        ({'since_ms': 1_000, 'until_ms': 1_001}, True),
+        ({'since_ms': 1_001}, False),
+        ({'until_ms': 1_000}, False),
+        ({'service': 'booking', 'instance': 'agent-2'}, False),
+    ],
+)
+def test_a_filter_keeps_what_matches_all_of_it(wanted, kept):
+    event = event_builders.event(
+        service='booking', flow=event_builders.FLOW, kind='flow-verdict'
+    )
+    assert filtering.keeps(filtering.Filter(**wanted), event) is kept
--- /dev/null
+++ b/tests/timeline/test_merging.py
@@ -0,0 +1,58 @@
+"""The merged time line keeps causal order whatever the wall clocks say."""
+
+import event_builders
+import pytest
+
+from gentianspoke.decisions.timeline import merging
+
+
+@pytest.mark.parametrize(
+    ('streams', 'expected'),
+    [
+        pytest.param(
+            [[('a', 1, 900), ('a', 4, 901)], [('b', 2, 100), ('b', 3, 101)]],
+            ['a1', 'b2', 'b3', 'a4'],
+            id='a-wall-clock-that-runs-behind-changes-nothing',
+        ),
+        pytest.param(
+            [[('a', 5, 20)], [('b', 5, 10)]],
+            ['b5', 'a5'],
+            id='wall-clocks-break-ties',
+        ),
+        pytest.param(
+            [[('a', 7, 1), ('a', 1, 2), ('a', 9, 3)], [('b', 8, 1)]],
+            ['a7', 'a1', 'b8', 'a9'],
+            id='a-restarted-clock-keeps-the-order-of-its-process',
+        ),
+        pytest.param(
+            [[('a', 5, 30), ('a', 5, 10)], [('b', 5, 20)]],
+            ['b5', 'a5', 'a5'],
+            id='a-wall-clock-set-back-keeps-the-order-of-its-process',
+        ),
+        pytest.param([], [], id='nothing'),
+    ],
+)
+def test_events_are_merged_in_causal_order(streams, expected):
+    built = [
+        [
+            event_builders.event(instance=i, logical=n, wall_ms=w)
+            for i, n, w in stream
+        ]
+        for stream in streams
+    ]
+    merged = merging.merge(built)
+    assert [f'{e.instance}{e.logical}' for e in merged] == expected
+
+
+def test_merging_holds_one_event_of_each_stream():
+    read = []
+
+    def stream(name):
+        for logical in range(1, 1_000):
+            read.append(name)
+            yield event_builders.event(instance=name, logical=logical)
+
+    merged = iter(merging.merge([stream('a'), stream('b')]))
+    for _ in range(10):
+        next(merged)
+    assert len(read) <= 12
