Refuse bad settings with file, key and remedy

Tracebacks of logged errors were lost from the JSON lines.

Ruled out: reporting all faults at once (more than one line).

Conclusion: strict checks on the schema, then checks of what it cannot express; reference pages are generated from schema and error tree, and make test fails where they are stale.

--- a/Makefile
+++ b/Makefile
@@ -29,8 +29,12 @@
 generate: $(VENV)/.ready
 	$(RUN) tools/generate.py
 
+pages: $(VENV)/.ready
+	$(RUN) tools/reference_pages.py
+
 stale: $(VENV)/.ready
 	$(RUN) tools/generate.py --check
+	$(RUN) tools/reference_pages.py --check
 
 layers: $(VENV)/.ready
 	$(RUN) tools/check_layers.py
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -125,7 +125,9 @@
     def _write_settings(self) -> None:
         self._plan.folder.mkdir(parents=True, exist_ok=True)
         keys = {'active': 1, 'keys': [{'id': 1, 'hex': secrets.token_hex(32)}]}
-        (self._plan.folder / 'keys.yaml').write_text(yaml.safe_dump(keys))
+        path = self._plan.folder / 'keys.yaml'
+        path.touch(mode=0o600)
+        path.write_text(yaml.safe_dump(keys))
         for position, listen in enumerate(self._plan.control):
             name = f'control-{position}'
             role = {
--- a/src/gentianspoke/commands/config.py
+++ b/src/gentianspoke/commands/config.py
@@ -5,7 +5,7 @@
 import cappa
 
 from gentianspoke.config import key_file
-from gentianspoke.config import settings
+from gentianspoke.config import settings_file
 
 
 @cappa.command(name='check')
@@ -17,7 +17,7 @@
 
     def __call__(self) -> None:
         """Print one line; a fault is raised as SettingsError."""
-        cfg = settings.load(self.file)
+        cfg = settings_file.load(self.file)
         key_file.load(cfg.key_file)
         print(f'{self.file}: valid settings of {cfg.instance}')
 
--- a/src/gentianspoke/commands/processes.py
+++ b/src/gentianspoke/commands/processes.py
@@ -1,11 +1,18 @@
 """Subcommands that run a process of the system."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import cappa
 
 from gentianspoke.config import settings
+from gentianspoke.config import settings_file
+from gentianspoke import errors
+
+Run = collections.abc.Callable[
+    [settings.Settings], collections.abc.Coroutine[object, object, None]
+]
 
 
 @cappa.command(name='entry')
@@ -19,7 +26,7 @@
         """Run until a planned stop."""
         from gentianspoke.shells import entry
 
-        asyncio.run(entry.run(settings.load(self.file)))
+        _run(self.file, entry.run)
 
 
 @cappa.command(name='agent')
@@ -33,7 +40,7 @@
         """Run until a planned stop."""
         from gentianspoke.shells import agent
 
-        asyncio.run(agent.run(settings.load(self.file)))
+        _run(self.file, agent.run)
 
 
 @cappa.command(name='control')
@@ -47,4 +54,14 @@
         """Run until a planned stop."""
         from gentianspoke.shells.control import main
 
-        asyncio.run(main.run(settings.load(self.file)))
+        _run(self.file, main.run)
+
+
+def _run(file: str, run: Run) -> None:
+    cfg = settings_file.load(file)
+    try:
+        asyncio.run(run(cfg))
+    except OSError as exc:
+        # Sockets and files are opened before the tasks begin, so an error
+        # of the system that is in no group of errors comes from the start.
+        raise errors.StartError(file, exc.strerror or str(exc)) from exc
--- /dev/null
+++ b/src/gentianspoke/config/remedies.py
@@ -0,0 +1,86 @@
+"""What to do about a value that its schema refuses, in one line."""
+
+import typing
+
+import pydantic
+
+LONGEST_SHOWN = 60
+NO_DURATION = (
+    'is no duration; write a whole number with its unit, ms, s, m or h,'
+    ' such as 250ms'
+)
+NO_ADDRESS = (
+    'is no address; write an IP number and a port, such as 127.0.0.1:7000'
+)
+NO_NAME = (
+    'is no name; use small letters, digits and hyphens, at most 63 of them'
+)
+NO_HEX = 'is not hexadecimal; write two digits for each byte'
+
+
+def first_fault(exc: pydantic.ValidationError) -> tuple[str, str]:
+    """Return the key and the remedy of the first fault found."""
+    fault = exc.errors(include_url=False)[0]
+    key = '.'.join(str(part) for part in fault['loc'] if part != 'root')
+    value = repr(fault['input'])
+    if len(value) > LONGEST_SHOWN:
+        value = value[:LONGEST_SHOWN] + '...'
+    limits = fault.get('ctx', {})
+    return key, _remedy(fault['type'], value, limits) or fault['msg']
+
+
+def _remedy(
+    kind: str, value: str, limits: dict[str, typing.Any]
+) -> str | None:
+    match kind:
+        case 'missing':
+            return 'missing; add it'
+        case 'extra_forbidden':
+            return 'unknown key; remove it or correct its name'
+        case 'string_pattern_mismatch':
+            return f'{value} {_pattern_remedy(limits["pattern"])}'
+        case 'string_type' if value == 'None':
+            return 'has no value; give one or remove the key'
+        case 'string_type':
+            return (
+                f'{value} is no text; put it in quotes, and give a duration'
+                ' its unit, such as 250ms'
+            )
+        case 'int_type' | 'float_type':
+            return f'{value} is no number; write digits without quotes'
+        case 'bool_type':
+            return f'{value} is neither true nor false; write one of them'
+        case 'enum' | 'literal_error':
+            return f'{value} is not known; use {limits["expected"]}'
+        case 'list_type':
+            return f'{value} is no list; write [ITEM, ITEM]'
+        case _:
+            return _limit_remedy(kind, value, limits)
+
+
+def _limit_remedy(
+    kind: str, value: str, limits: dict[str, typing.Any]
+) -> str | None:
+    match kind:
+        case 'greater_than_equal':
+            return f'{value} is too small; use at least {limits["ge"]}'
+        case 'less_than_equal':
+            return f'{value} is too large; use at most {limits["le"]}'
+        case 'too_short':
+            return f'needs at least {limits["min_length"]} items; add one'
+        case 'string_too_short':
+            return 'is empty; give a text'
+        case 'model_type' | 'dict_type':
+            return f'{value} is no mapping; write keys and values below it'
+        case _:
+            return None
+
+
+def _pattern_remedy(pattern: str) -> str:
+    if '(ms|s|m|h)' in pattern:
+        return NO_DURATION
+    if ':[0-9]' in pattern:
+        return NO_ADDRESS
+    if 'a-fA-F' in pattern:
+        return NO_HEX
+    return NO_NAME
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -3,8 +3,6 @@
 import dataclasses
 
 from gentianspoke.config import units
-from gentianspoke.config import yaml_files
-from gentianspoke import errors
 from gentianspoke.generated import settings_model
 
 
@@ -59,32 +57,7 @@
     role: Role
 
 
-def load(path: str) -> Settings:
-    """Return the checked settings in the file at ``path``.
-
-    Raises :class:`gentianspoke.errors.SettingsError`.
-    """
-    model = yaml_files.load(path, settings_model.Settings)
-    roles = [
-        role
-        for role in (model.entry, model.agent, model.control)
-        if role is not None
-    ]
-    if len(roles) != 1:
-        raise errors.SettingsError(
-            path, '', 'give exactly one of entry, agent and control'
-        )
-    if model.control is None and not model.feeds:
-        raise errors.SettingsError(
-            path, 'feeds', 'missing; list the addresses of control instances'
-        )
-    try:
-        return _settings(model, roles[0])
-    except ValueError as exc:
-        raise errors.SettingsError(path, '', str(exc)) from exc
-
-
-def _settings(
+def from_model(
     model: settings_model.Settings,
     role: (
         settings_model.EntrySettings
@@ -92,6 +65,7 @@
         | settings_model.ControlSettings
     ),
 ) -> Settings:
+    """Return checked values as data classes; ``role`` is the one given."""
     return Settings(
         instance=model.instance,
         zone=model.zone,
--- a/src/gentianspoke/config/yaml_files.py
+++ b/src/gentianspoke/config/yaml_files.py
@@ -1,19 +1,48 @@
 """Reading a YAML file into a generated model, with one-line errors."""
 
+import json
 import pathlib
 import typing
 
 import pydantic
 import yaml
 
+from gentianspoke.config import remedies
 from gentianspoke import errors
 
 Model = typing.TypeVar('Model', bound=pydantic.BaseModel)
 
-REMEDIES = {
-    'missing': 'missing; add it',
-    'extra_forbidden': 'unknown key; remove it or correct its name',
-}
+LARGEST_FILE_BYTES = 64 * 1024 * 1024
+
+
+class _Loader(yaml.SafeLoader):
+    """A loader that refuses what YAML would silently make of a slip."""
+
+    def compose_node(
+        self, parent: yaml.Node | None, index: int
+    ) -> yaml.Node | None:
+        """Refuse aliases: a few of them make a file of any size."""
+        if self.check_event(yaml.AliasEvent):
+            mark = self.peek_event().start_mark
+            raise yaml.composer.ComposerError(
+                problem='aliases are not used here; write the value out',
+                problem_mark=mark,
+            )
+        return super().compose_node(parent, index)
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[typing.Hashable, typing.Any]:
+        """Refuse a key that stands twice; YAML would take the last."""
+        seen: set[str] = set()
+        for key, _ in node.value:
+            if key.value in seen:
+                raise yaml.constructor.ConstructorError(
+                    problem=f'key {key.value!r} stands twice; keep one',
+                    problem_mark=key.start_mark,
+                )
+            seen.add(key.value)
+        return super().construct_mapping(node, deep)
 
 
 def load(
@@ -26,53 +55,53 @@
     Raises ``error``, naming file, key and remedy, where the file cannot
     be read, is no YAML, or does not match the schema.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as exc:
-        reason = getattr(exc, 'strerror', None) or 'not UTF-8 text'
-        raise error(
-            path, '', f'cannot be read ({reason}); check path and rights'
-        ) from exc
-    try:
-        content = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
-        raise error(path, _yaml_place(exc), 'not valid YAML here') from exc
+    content = _parse(path, _read(path, error), error)
     if not isinstance(content, dict):
         raise error(path, '', 'must be a mapping of keys to values')
     try:
-        return model.model_validate(content)
+        # Strict checks take JSON's types as they are: text that looks
+        # like a number is no number, and true is not 1.
+        text = json.dumps(content, default=str)
+        return model.model_validate_json(text, strict=True)
     except pydantic.ValidationError as exc:
-        key, remedy = first_fault(exc)
+        key, remedy = remedies.first_fault(exc)
         raise error(path, key, remedy) from exc
 
 
-def first_fault(exc: pydantic.ValidationError) -> tuple[str, str]:
-    """Return the key and the remedy of the first fault found."""
-    fault = exc.errors()[0]
-    key = '.'.join(str(part) for part in fault['loc'] if part not in ('root',))
-    remedy = REMEDIES.get(fault['type'])
-    if remedy is None and fault['type'] == 'string_pattern_mismatch':
-        remedy = _pattern_remedy(str(fault['input']), fault['ctx']['pattern'])
-    return key, remedy or f'{fault["msg"]}; got {fault["input"]!r}'
-
-
-def _pattern_remedy(value: str, pattern: str) -> str:
-    if '(ms|s|m|h)' in pattern:
-        return (
-            f'{value!r} is no duration; write a whole number with its unit,'
-            ' ms, s, m or h, such as 250ms'
-        )
-    if ':[0-9]' in pattern:
-        return (
-            f'{value!r} is no address; write an IP number and a port, such'
-            ' as 127.0.0.1:7000'
-        )
-    return (
-        f'{value!r} is no name; use small letters, digits and hyphens, at'
-        ' most 63 of them'
-    )
-
-
-def _yaml_place(exc: yaml.YAMLError) -> str:
-    mark = getattr(exc, 'problem_mark', None)
-    return f'line {mark.line + 1}' if mark is not None else ''
+def _read(path: str, error: type[errors.SettingsError]) -> str:
+    try:
+        with pathlib.Path(path).open('rb') as file:
+            content = file.read(LARGEST_FILE_BYTES + 1)
+        if len(content) > LARGEST_FILE_BYTES:
+            raise error(
+                path,
+                '',
+                f'is larger than {LARGEST_FILE_BYTES} bytes; split it',
+            )
+        return content.decode()
+    except (OSError, UnicodeDecodeError, ValueError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'not UTF-8 text'
+        raise error(
+            path, '', f'cannot be read ({reason}); check path and rights'
+        ) from exc
+
+
+def _parse(
+    path: str, text: str, error: type[errors.SettingsError]
+) -> typing.Any:
+    try:
+        return yaml.load(text, _Loader)  # noqa: S506
+    except yaml.MarkedYAMLError as exc:
+        mark = exc.problem_mark
+        place = f'line {mark.line + 1}' if mark is not None else ''
+        problem = exc.problem or 'no YAML'
+        raise error(path, place, f'not valid YAML here: {problem}') from exc
+    except yaml.YAMLError as exc:
+        raise error(
+            path, '', 'holds characters that YAML does not allow; remove them'
+        ) from exc
+    except RecursionError as exc:
+        raise error(path, '', 'is nested too deeply; flatten it') from exc
+    except ValueError as exc:
+        # Such as 2026-13-45, which looks like a date and is none.
+        raise error(path, '', f'holds {exc}; put it in quotes') from exc
--- a/src/gentianspoke/decisions/timeline/events.py
+++ b/src/gentianspoke/decisions/timeline/events.py
@@ -1,6 +1,7 @@
 """Events of the time line as data classes to match on.
 
-Their kinds and fields are those of ``schema/models/event.json``.
+Their kinds and fields are those of ``schema/models/event.json``. A kind
+that no verdict depends on needs no data class.
 """
 
 import dataclasses
@@ -90,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OtherKind:
-    """A kind that this version does not know, kept for the table."""
+    """A kind that is only shown, such as one of another version."""
 
 
 Body = (
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -21,6 +21,19 @@
         super().__init__(f'{place}: {remedy}')
 
 
+class StartError(GentianspokeError):
+    """A process that the system did not let start."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the settings file and the system's reason."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot start ({reason}); check that its addresses are'
+            ' of this instance and unused, and that the folders of its files'
+            ' exist and are writable'
+        )
+
+
 class CatalogueFileError(SettingsError):
     """A catalogue file whose entries are not valid."""
 
--- a/src/gentianspoke/telemetry/event_lines.py
+++ b/src/gentianspoke/telemetry/event_lines.py
@@ -18,30 +18,27 @@
     return _WORD.sub('-', model.__name__).lower()
 
 
-MODELS: dict[str, type[pydantic.BaseModel]] = {
-    kind_of(model): model
-    for model in (
-        event_model.ProcessSyncing,
-        event_model.ProcessServing,
-        event_model.ProcessStopping,
-        event_model.ProcessStopped,
-        event_model.CatalogueInForce,
-        event_model.CatalogueAnswered,
-        event_model.FeedLost,
-        event_model.UpstreamDraining,
-        event_model.StopGraceOver,
-        event_model.FlowRefused,
-        event_model.FlowReset,
-        event_model.FlowVerdict,
-    )
-}
+def _models() -> dict[str, type[pydantic.BaseModel]]:
+    found = vars(event_model).values()
+    return {
+        kind_of(model): model
+        for model in found
+        if isinstance(model, type)
+        and issubclass(model, pydantic.BaseModel)
+        and model not in (pydantic.BaseModel, event_model.Event)
+    }
+
+
+# All kinds that the schema defines.
+MODELS = _models()
 
 
 def decode(line: str) -> events.Event | None:
     """Return the event on a line, ``None`` for a log line without one.
 
     Raises ``ValueError`` for a line that is no event or log line of this
-    program. A kind of another version becomes ``OtherKind``.
+    program. A kind that the time line only shows, such as one of another
+    version, becomes ``OtherKind``.
     """
     content = json.loads(line)
     if not isinstance(content, dict):
@@ -75,7 +72,9 @@
         case event_model.FlowVerdict():
             return events.FlowVerdict(_verdict(fields))
         case _:
-            data_class: typing.Any = getattr(events, kind.__name__)
+            data_class: typing.Any = getattr(events, kind.__name__, None)
+            if data_class is None:
+                return events.OtherKind()
             return data_class(**fields.model_dump())
 
 
--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import sys
+import traceback
 import typing
 
 import loguru
@@ -19,6 +20,10 @@
         'message': record['message'],
         **record['extra'],
     }
+    if record['exception'] is not None:
+        line['exception'] = ''.join(
+            traceback.format_exception(record['exception'].value)
+        )
     text = json.dumps(line, separators=(',', ':'), default=str)
     record['extra_line'] = text
     return '{extra_line}\n'
--- /dev/null
+++ b/tests/config/test_program.py
@@ -0,0 +1,116 @@
+"""The program itself: one line on standard error and an exit status."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+
+import pytest
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+TIMEOUT_S = 30
+KEYS = {'active': 1, 'keys': [{'id': 1, 'hex': 'ab' * 16}]}
+EVENT = {
+    'event': 'flow-refused',
+    'instance': 'entry-0',
+    'role': 'entry',
+    'logical': 1,
+    'wall_ms': 0,
+    'flow': 'tcp 10.9.0.1:5000 > 10.1.0.1:443',
+    'fields': {'reason': 'no-capacity'},
+}
+
+
+def run(*arguments):
+    """Run the program and return status, standard output and error."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'gentianspoke', *map(str, arguments)],
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        env={'PYTHONPATH': str(ROOT / 'src')},
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def write_entry(tmp_path, **changes):
+    """Write settings of an entry, with its key file; return the path."""
+    keys = tmp_path / 'keys.yaml'
+    keys.touch(mode=0o600)
+    keys.write_text(yaml.safe_dump(KEYS))
+    content = {
+        'instance': 'entry-0',
+        'zone': 'zone-a',
+        'key_file': str(keys),
+        'log_file': str(tmp_path / 'entry-0.log'),
+        'feeds': ['127.0.0.1:34990'],
+        'entry': {'listen': '127.0.0.1:34991'},
+        **changes,
+    }
+    path = tmp_path / 'entry.yaml'
+    path.write_text(yaml.safe_dump(content))
+    return path
+
+
+def test_valid_settings_pass_the_check(tmp_path):
+    path = write_entry(tmp_path)
+    status, out, err = run('config', 'check', path)
+    assert (status, err) == (0, '')
+    assert out == f'{path}: valid settings of entry-0\n'
+
+
+@pytest.mark.parametrize('command', [('config', 'check'), ('entry',)])
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({'grce': '1s'}, 'grce: unknown key'),
+        ({'grace': 5}, 'grace: 5 is no text'),
+        ({'key_file': '/absent/keys.yaml'}, '/absent/keys.yaml: cannot be'),
+    ],
+)
+def test_bad_settings_end_with_one_line_and_status_2(
+    tmp_path, command, changes, expected
+):
+    path = write_entry(tmp_path, **changes)
+    status, out, err = run(*command, path)
+    assert (status, out) == (2, '')
+    assert err.count('\n') == 1
+    assert expected in err
+
+
+def test_an_address_in_use_ends_with_one_line_and_status_1(tmp_path):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(('127.0.0.1', 0))
+        port = taken.getsockname()[1]
+        path = write_entry(tmp_path, entry={'listen': f'127.0.0.1:{port}'})
+        status, _, err = run('entry', path)
+    assert status == 1
+    assert err.count('\n') == 1
+    assert 'cannot start (Address already in use)' in err
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'status', 'expected'),
+    [
+        (('--version',), 0, '0.1.0'),
+        (('--help',), 0, 'timeline'),
+        (('timeline',), 2, 'files'),
+        (('timeline', 'absent.jsonl'), 2, 'check path and rights'),
+        (('timeline', 'LOG'), 0, 'flow-refused'),
+        (('timeline', 'LOG', '--json'), 0, '"reason": "no-capacity"'),
+        (('timeline', 'LOG', '--since', 'noon'), 2, '--since'),
+        (('explain', 'LOG'), 0, 'at fault: upstream (100.0%)'),
+        (('explain', 'LOG', '--json'), 0, '"at_fault": "upstream"'),
+        (('explain', 'LOG', '--flow', '10.9.9.9'), 0, 'no process told'),
+    ],
+)
+def test_commands_answer_or_name_the_remedy(
+    tmp_path, arguments, status, expected
+):
+    log = tmp_path / 'entry-0.jsonl'
+    log.write_text(json.dumps(EVENT) + '\n')
+    found, out, err = run(*(log if a == 'LOG' else a for a in arguments))
+    assert found == status
+    assert expected in out + err
--- a/tests/telemetry/test_events.py
+++ b/tests/telemetry/test_events.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import pathlib
+import typing
 
 import loguru
 import pytest
@@ -57,9 +58,10 @@
         if model.__name__ == kind
     )
     (event,), _ = written_events(tmp_path, (name, example(kind)))
-    assert type(event.body).__name__ == kind
     assert dict(event.fields) == example(kind)
-    if not isinstance(event.body, events.FlowVerdict):
+    expected = getattr(events, kind, events.OtherKind)
+    assert type(event.body) is expected
+    if expected not in (events.FlowVerdict, events.OtherKind):
         assert dataclasses.asdict(event.body) == example(kind)
 
 
@@ -87,6 +89,11 @@
     assert dict(event.fields) == fields
 
 
+def test_every_data_class_stands_for_a_kind_of_the_schema():
+    bodies = {body.__name__ for body in typing.get_args(events.Body)}
+    assert bodies - {'OtherKind'} <= set(FIELDS)
+
+
 def written_kinds():
     """Yield place, kind and field names of each write in the source."""
     for path in sorted((ROOT / 'src').rglob('*.py')):
--- /dev/null
+++ b/tools/reference_pages.py
@@ -0,0 +1,174 @@
+"""Write the operators' reference pages from the schemas and errors.
+
+``docs/operators/settings.md`` comes from the JSON schemas of the files
+that operators write, ``docs/operators/errors.md`` from ``errors.py``. The
+pages are committed; with ``--check`` stale ones are reported.
+"""
+
+import ast
+import json
+import pathlib
+import sys
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+MODELS = ROOT / 'schema' / 'models'
+PAGES = ROOT / 'docs' / 'operators'
+ERRORS = ROOT / 'src' / 'gentianspoke' / 'errors.py'
+SETTINGS_HEAD = """\
+# Settings reference
+
+Generated from the schemas by `make pages`; do not edit. Check a settings file,
+and the key file that it names, with `gentianspoke config check FILE`: a fault
+gives one line with file, key and remedy, and exit status 2.
+
+All files are YAML. A key that is not listed, a key given twice and an alias
+are refused. A key marked *required* must be given.
+"""
+FILES = (
+    ('settings.json', 'Settings of a process'),
+    ('catalogue_file.json', 'Catalogue file'),
+    ('key_file.json', 'Key file'),
+)
+ERRORS_HEAD = """\
+# Errors
+
+Generated from `src/gentianspoke/errors.py` by `make pages`; do not edit. An
+error ends a command with one line on standard error. The exit status is 2 for
+input that cannot be used (a settings, catalogue, key or log file, or an
+option) and 1 for a request that was not carried out. Words in capital letters
+stand for what the message names.
+"""
+Schema = dict[str, typing.Any]
+
+
+def settings_page() -> str:
+    """Return the page on the files that operators write."""
+    parts = [SETTINGS_HEAD]
+    for name, title in FILES:
+        schema = json.loads((MODELS / name).read_text())
+        parts.append(f'## {title}\n\n{schema["description"]}\n')
+        parts.append(_table(schema, schema))
+        for key, part in schema['definitions'].items():
+            if part.get('type') == 'object':
+                parts.append(f'### {key}\n\n{part["description"]}\n')
+                parts.append(_table(part, schema))
+    return '\n'.join(parts)
+
+
+def _table(part: Schema, schema: Schema) -> str:
+    lines = [
+        '| Key | Value | Default | Meaning |',
+        '| --- | --- | --- | --- |',
+    ]
+    required = part.get('required', [])
+    for key, item in part['properties'].items():
+        default = '*required*' if key in required else _default(item)
+        lines.append(
+            f'| `{key}` | {_value(item, schema)} | {default}'
+            f' | {_meaning(item, schema)} |'
+        )
+    return '\n'.join(lines) + '\n'
+
+
+def _default(item: Schema) -> str:
+    if 'default' not in item:
+        return 'none'
+    value = item['default']
+    return f'`{value if isinstance(value, str) else json.dumps(value)}`'
+
+
+def _value(item: Schema, schema: Schema) -> str:
+    if '$ref' in item:
+        name = item['$ref'].rpartition('/')[2]
+        target = schema['definitions'][name]
+        if target['type'] == 'object':
+            return f'[{name}](#{name.lower()})'
+        return 'duration' if name == 'Duration' else 'address'
+    if 'enum' in item:
+        return ', '.join(f'`{value}`' for value in item['enum'])
+    match item['type']:
+        case 'array':
+            return f'list of {_value(item["items"], schema)}'
+        case 'integer' | 'number':
+            return f'{_limits(item)} ({item["type"]})'
+        case 'boolean':
+            return '`true` or `false`'
+        case _:
+            return 'name' if '[a-z0-9]' in item.get('pattern', '') else 'text'
+
+
+def _limits(item: Schema) -> str:
+    least = item.get('minimum')
+    most = item.get('maximum')
+    if most is None:
+        return f'{least} or more' if least is not None else 'any'
+    return f'{least} to {most}'
+
+
+def _meaning(item: Schema, schema: Schema) -> str:
+    if 'description' in item:
+        return item['description']
+    if '$ref' in item:
+        name = item['$ref'].rpartition('/')[2]
+        return schema['definitions'][name]['description']
+    return ''
+
+
+def errors_page() -> str:
+    """Return the page on all errors, in the order of the source."""
+    tree = ast.parse(ERRORS.read_text())
+    parts = [ERRORS_HEAD]
+    for node in tree.body:
+        if isinstance(node, ast.ClassDef):
+            parts.append(_error(node))
+    return '\n'.join(parts)
+
+
+def _error(node: ast.ClassDef) -> str:
+    bases = ', '.join(ast.unparse(base) for base in node.bases)
+    text = (
+        f'## {node.name}\n\n{ast.get_docstring(node)}\n\nKind of: {bases}.\n'
+    )
+    message = _message(node)
+    return f'{text}\n> {message}\n' if message else text
+
+
+def _message(node: ast.ClassDef) -> str:
+    for call in ast.walk(node):
+        match call:
+            case ast.Call(
+                func=ast.Attribute(attr='__init__'), args=[argument]
+            ):
+                return _render(argument)
+    return ''
+
+
+def _render(node: ast.expr) -> str:
+    match node:
+        case ast.Constant(value=value):
+            return str(value)
+        case ast.JoinedStr(values=values):
+            return ''.join(_render(value) for value in values)
+        case ast.FormattedValue(value=value):
+            return ast.unparse(value).rpartition('.')[2].upper()
+        case _:
+            return ''
+
+
+def main() -> int:
+    """Write the pages, or with ``--check`` report stale ones."""
+    pages = {'settings.md': settings_page(), 'errors.md': errors_page()}
+    stale = 0
+    for name, text in pages.items():
+        path = PAGES / name
+        if '--check' not in sys.argv[1:]:
+            path.write_text(text)
+        elif not path.is_file() or path.read_text() != text:
+            stale += 1
+            print(f'{name}: stale; run "make pages" and commit the result')
+    return 1 if stale else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
