--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -68,6 +68,7 @@
             purpose=int(frame.purpose),  # type: ignore[arg-type]
             wait_left_ms=frame.wait_left_ms,
             offers_left=frame.offers_left,
+            decider=frame.decider,
         ),
     )
 
@@ -89,6 +90,7 @@
         wait_left_ms=forward.wait_left_ms,
         offers_left=forward.offers_left,
         sender=body.sender,
+        decider=forward.decider,
     )
 
 
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -20,7 +20,9 @@
     """One packet of a flow on its way to the agent that owns the flow.
 
     ``tried`` lists the members that did not own the flow, oldest first.
-    ``target`` is the member that the frame is meant for.
+    ``target`` is the member that the frame is meant for. ``view`` is the
+    sending entry's view, or in an offer the view in which ``decider``, the
+    bucket's home, decided on the opening.
     """
 
     service: int
@@ -34,6 +36,7 @@
     wait_left_ms: int = 0
     offers_left: int = 0
     sender: int = ENTRY_SENDER
+    decider: int = ENTRY_SENDER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -2,10 +2,11 @@
 
 import enum
 
-from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
 
 PERMILLE = 1000
 
@@ -23,19 +24,27 @@
     service: services.Service,
     wait_left_ms: int,
 ) -> Admission:
-    """Return whether the upstream takes one more flow of the service."""
+    """Return whether the upstream takes one more flow of the service.
+
+    A flow may wait where its class takes a slot, the queue is not full,
+    and a slot is expected to become free before its time is over.
+    """
     if state.draining or service.retired:
         return Admission.NO
     counts = state.counts[service.number]
     if counts.open_flows >= service.limits.connections:
         return Admission.NO
-    if state.open_flows() >= state.capacity.connections:
+    if state.total_open >= state.capacity.connections:
         return Admission.NO
-    if not services.takes_slot(service) or has_slot(state, service):
+    if not services.takes_slot(service):
         return Admission.NOW
-    if wait_left_ms > 0 and counts.queued < service.limits.queue:
-        return Admission.WAIT
-    return Admission.NO
+    if counts.queued == 0 and has_slot(state, service):
+        return Admission.NOW
+    if counts.queued >= service.limits.queue:
+        return Admission.NO
+    if wait_left_ms <= expected_wait_ms(state, service):
+        return Admission.NO
+    return Admission.WAIT
 
 
 def has_slot(state: agent_state.AgentState, service: services.Service) -> bool:
@@ -43,10 +52,23 @@
     running = state.counts[service.number].running
     return (
         running < service.limits.slots
-        and state.running() < state.capacity.slots
+        and state.total_running < state.capacity.slots
     )
 
 
+def expected_wait_ms(
+    state: agent_state.AgentState, service: services.Service
+) -> int:
+    """Return how long one more queued flow is expected to wait.
+
+    Source: the mean slot time seen so far and Little's law. A flow that
+    cannot start in time is refused at once rather than after its wait.
+    """
+    counts = state.counts[service.number]
+    slots = max(1, min(service.limits.slots, state.capacity.slots))
+    return counts.hold_ms * counts.queued // slots
+
+
 def ramp_permille(state: agent_state.AgentState, now: int) -> int:
     """Return the share of its full load that a cold upstream may take.
 
@@ -58,104 +80,44 @@
     return max(1, age_ms * PERMILLE // state.capacity.ramp_ms)
 
 
-def open_flow(
-    state: agent_state.AgentState,
-    service: services.Service,
-    key: packets.FlowKey,
-    bucket: int,
-    isn: int,
-    now: int,
-) -> records.Flow:
-    """Add an open flow, occupying a slot where its class takes one."""
-    flow = records.Flow(
-        key=key,
-        service=service.number,
-        bucket=bucket,
-        isn=isn,
-        view=_view_number(state, service.number),
-        phase=records.Phase.OPEN,
-        opened_ms=now,
-        up_ms=now,
-        down_ms=now,
-    )
-    state.flows[key] = flow
-    state.orphans.pop(key, None)
-    state.counts[service.number].open_flows += 1
-    if services.takes_slot(service):
-        _take_slot(state, flow)
-    return flow
-
-
-def queue_flow(
-    state: agent_state.AgentState,
-    service: services.Service,
-    opening: packets.Segment,
-    bucket: int,
-    wait_left_ms: int,
-    now: int,
-) -> records.Flow:
-    """Add a flow whose opening waits for a slot."""
-    flow = open_flow(state, service, opening.key, bucket, opening.seq, now)
-    _free_slot(state, flow)
-    flow.phase = records.Phase.QUEUED
-    flow.held = opening
-    flow.queued_until_ms = now + wait_left_ms
-    state.counts[service.number].queued += 1
-    state.queue.append(flow)
-    return flow
-
-
 def start_queued(
     state: agent_state.AgentState, now: int
 ) -> list[records.Flow]:
-    """Start the queued flows for which a slot is free, oldest first."""
+    """Start the queued flows for which a slot is free.
+
+    Within a service the oldest goes first; among services the one that
+    uses the smallest share of its own slots. A flow that must run at most
+    once starts only under a lease: without one, another agent may have
+    placed a copy of its opening by now.
+    """
     started: list[records.Flow] = []
-    for flow in tuple(state.queue):
-        service = state.served.get(flow.service)
-        if service is None or not has_slot(state, service):
-            continue
-        state.queue.remove(flow)
-        state.counts[flow.service].queued -= 1
-        flow.phase = records.Phase.OPEN
-        flow.up_ms = now
-        flow.down_ms = now
-        _take_slot(state, flow)
+    while True:
+        service = _next_service(state, now)
+        if service is None:
+            return started
+        flow = state.queues[service.number][0]
+        tables.start_queued_flow(state, flow, now)
         started.append(flow)
-    return started
-
-
-def close_flow(state: agent_state.AgentState, flow: records.Flow) -> None:
-    """Count a flow as closed; its record stays until it is forgotten."""
-    if flow.phase is records.Phase.CLOSED:
-        return
-    counts = state.counts[flow.service]
-    counts.open_flows -= 1
-    if flow.phase is records.Phase.QUEUED:
-        counts.queued -= 1
-        state.queue.remove(flow)
-        flow.held = None
-    _free_slot(state, flow)
-    flow.phase = records.Phase.CLOSED
 
 
-def forget_flow(state: agent_state.AgentState, flow: records.Flow) -> None:
-    """Close a flow and remove its record."""
-    close_flow(state, flow)
-    if state.flows.get(flow.key) is flow:
-        del state.flows[flow.key]
-
-
-def _take_slot(state: agent_state.AgentState, flow: records.Flow) -> None:
-    flow.holds_slot = True
-    state.counts[flow.service].running += 1
-
-
-def _free_slot(state: agent_state.AgentState, flow: records.Flow) -> None:
-    if flow.holds_slot:
-        flow.holds_slot = False
-        state.counts[flow.service].running -= 1
-
-
-def _view_number(state: agent_state.AgentState, service: int) -> int:
-    ranking = state.rankings.get(service)
-    return ranking.view.number if ranking else 0
+def _next_service(
+    state: agent_state.AgentState, now: int
+) -> services.Service | None:
+    waiting = [
+        state.served[number]
+        for number, queue in state.queues.items()
+        if queue and number in state.served
+    ]
+    able = [
+        service
+        for service in waiting
+        if has_slot(state, service)
+        and ownership.holds_lease(state, service, now)
+    ]
+
+    def used_share(service: services.Service) -> tuple[int, int]:
+        running = state.counts[service.number].running
+        oldest = state.queues[service.number][0]
+        return running * PERMILLE // service.limits.slots, oldest.opened_ms
+
+    return min(able, key=used_share, default=None)
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -0,0 +1,158 @@
+"""Flows that no agent knows: tried at recovering agents, then reset.
+
+An agent that restarted cannot tell which older flows its upstream has. It
+hands the packet to the upstream: an answer confirms the flow, a reset
+disowns it, and then the next recovering agent tries. Silence disowns it
+too, after ``CONFIRM_MS``.
+"""
+
+import dataclasses
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+
+ORPHAN_RESET_MS = 2_000
+ORPHANS_AT_MOST = 10_000
+# How long an upstream may take to confirm a flow that was handed to it.
+CONFIRM_MS = 3_000
+
+State = agent_state.AgentState
+
+
+def end_trail(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    """Return what becomes of a packet that no member on the trail knows."""
+    # What the trail went through starts anew as the list of members whose
+    # upstream has disowned the flow.
+    search = dataclasses.replace(forward, tried=())
+    return offer_adoption(state, service, search, packet, now)
+
+
+def offer_adoption(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    """Let the next recovering agent try a flow that no agent knows."""
+    if state.recovering and state.number not in forward.tried:
+        return _try_here(state, service, forward, packet, now)
+    following = _next_recovering(state, service, forward)
+    if following is None:
+        return _reset_orphan(state, service, forward, packet, now)
+    search = _disowned_here(state, forward)
+    purpose = frames.Purpose.ADOPT
+    return passing.pass_to(state, following, search, purpose, note=False)
+
+
+def disown(
+    state: State, flow: records.Flow, forward: frames.Forward, now: int
+) -> actions.Action:
+    """Give up an adopted flow that the upstream does not know."""
+    tables.forget_flow(state, flow, now)
+    service = state.served.get(flow.service)
+    if service is None or flow.service not in state.rankings:
+        return actions.Drop('other-service')
+    search = _disowned_here(state, forward)
+    # The packet was a segment or a datagram; the search needs its key and
+    # bytes only, and ends in a drop rather than a reset.
+    packet = packets.Datagram(flow.key, 0, forward.packet)
+    return offer_adoption(state, service, search, packet, now)
+
+
+def _try_here(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    flow = tables.adopt_flow(state, service, packet.key, forward.bucket, now)
+    flow.unconfirmed = forward
+    state.flow_schedule.add(flow, now + CONFIRM_MS)
+    match packet:
+        case packets.Segment():
+            evidence.note_up(flow, packet, now)
+    return actions.Deliver(packet.raw)
+
+
+def _next_recovering(
+    state: State, service: services.Service, forward: frames.Forward
+) -> views.Member | None:
+    for member in state.rankings[service.number].order(forward.bucket):
+        if (
+            member.recovering
+            and member.number != state.number
+            and member.number not in forward.tried
+        ):
+            return member
+    return None
+
+
+def _disowned_here(state: State, forward: frames.Forward) -> frames.Forward:
+    if state.number in forward.tried:
+        return forward
+    tried = (*forward.tried, state.number)
+    return dataclasses.replace(forward, tried=tried)
+
+
+def _reset_orphan(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    # Views reach agents unevenly: the owner may be in a view that has not
+    # arrived here. Only a flow that stays unknown is reset.
+    if packet.key not in state.orphans and len(state.orphans) >= (
+        ORPHANS_AT_MOST
+    ):
+        return actions.Drop('no-owner')
+    first_ms = state.orphans.setdefault(packet.key, now)
+    match packet:
+        case packets.Segment(flags=flags) if flags & packets.RST:
+            state.orphans.pop(packet.key, None)
+            return actions.Drop('orphan-reset')
+        case packets.Segment() if now - first_ms >= ORPHAN_RESET_MS:
+            del state.orphans[packet.key]
+            _report_orphan(state, service, forward, packet.key, now - first_ms)
+            return actions.ResetCaller(
+                packet.key,
+                seq=packet.ack,
+                ack=evidence.segment_end(packet),
+                reason='no-owner',
+            )
+        case _:
+            return actions.Drop('no-owner')
+
+
+def _report_orphan(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    key: packets.FlowKey,
+    unknown_ms: int,
+) -> None:
+    known: tuple[tuple[str, str | int], ...] = (
+        ('unknown_ms', unknown_ms),
+        ('view', tables.view_number(state, service.number)),
+        ('bucket', forward.bucket),
+        ('disowned_by', len(forward.tried)),
+    )
+    reason = 'no agent knows the flow'
+    evidence.report_unknown_flow(state, key, service.number, reason, known)
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -1,6 +1,14 @@
-"""Bounded load: which openings a decider places elsewhere, and where."""
+"""Bounded load: which openings a decider places elsewhere, and where.
+
+A load report is a hint. It may be late, wrong or a lie, so its weight is
+bounded: it is taken as no less than half and no more than twice what is
+typical, it counts no longer than ``REPORT_AGE_MS``, and what this agent
+itself placed at the member since is added to it. A member without a
+usable report is taken as typical; it neither attracts nor repels.
+"""
 
 import math
+import statistics
 
 from gentianspoke.core import frames
 from gentianspoke.core import services
@@ -10,18 +18,30 @@
 from gentianspoke.decisions import hashing
 
 ALTERNATIVES = 2
+REPORT_AGE_MS = 3_000
+# A report counts as at least typical / LEAST and at most typical * MOST.
+LEAST_DIVISOR = 2
+MOST_FACTOR = 2
+
+State = agent_state.AgentState
 
 
-def load_of(state: agent_state.AgentState, service: int, number: int) -> int:
-    """Return the last known number of open flows of a member."""
+def load_of(state: State, service: int, number: int) -> int:
+    """Return the number of open flows that a member is taken to have."""
     if number == state.number:
         return state.counts[service].open_flows
+    typical = _typical(state, service)
     report = state.loads.get((service, number))
-    return report.open_flows if report else 0
+    sent = state.sent.get((service, number), 0)
+    if report is None:
+        return typical + sent
+    least = typical // LEAST_DIVISOR
+    most = typical * MOST_FACTOR + 1
+    return min(max(report.open_flows, least), most) + sent
 
 
 def load_limit(
-    state: agent_state.AgentState,
+    state: State,
     service: services.Service,
     ranking: hashing.Ranking,
     now: int,
@@ -40,7 +60,7 @@
 
 
 def choose_other(
-    state: agent_state.AgentState,
+    state: State,
     service: services.Service,
     ranking: hashing.Ranking,
     bucket: int,
@@ -51,13 +71,15 @@
     Members in ``tried`` are left out. Of equally loaded members the one
     in this agent's zone is taken.
     """
-    others = [
-        member
-        for member in ranking.order(bucket)
-        if member.is_live
-        and member.number != state.number
-        and member.number not in tried
-    ][:ALTERNATIVES]
+    others: list[views.Member] = []
+    for member in ranking.order(bucket):
+        if not member.is_live or member.number == state.number:
+            continue
+        if member.number in tried:
+            continue
+        others.append(member)
+        if len(others) == ALTERNATIVES:
+            break
 
     def preference(member: views.Member) -> tuple[float, bool]:
         load = load_of(state, service.number, member.number)
@@ -66,15 +88,48 @@
     return min(others, key=preference, default=None)
 
 
-def count_placed(
-    state: agent_state.AgentState, service: int, number: int
-) -> None:
+def count_placed(state: State, service: int, number: int) -> None:
     """Add a flow just placed to the last known load of a member."""
-    known = state.loads.get((service, number))
-    state.loads[(service, number)] = frames.LoadReport(
-        service=service,
-        sender=number,
-        open_flows=(known.open_flows if known else 0) + 1,
-        running=known.running if known else 0,
-        queued=known.queued if known else 0,
-    )
+    place = (service, number)
+    state.sent[place] = state.sent.get(place, 0) + 1
+
+
+def take_report(state: State, report: frames.LoadReport) -> None:
+    """Take a member's report in place of its last one."""
+    place = (report.service, report.sender)
+    if state.member(*place) is None or report.sender == state.number:
+        return
+    state.loads[place] = report
+    state.sent.pop(place, None)
+    state.fresh_loads.add(place)
+    state.typical.pop(report.service, None)
+
+
+def expire_loads(state: State, now: int) -> None:
+    """Drop the reports that were not renewed for ``REPORT_AGE_MS``."""
+    if now - state.loads_checked_ms < REPORT_AGE_MS:
+        return
+    state.loads_checked_ms = now
+    for place in tuple(state.loads):
+        if place not in state.fresh_loads:
+            del state.loads[place]
+            state.sent.pop(place, None)
+    state.fresh_loads.clear()
+    state.typical.clear()
+
+
+def _typical(state: State, service: int) -> int:
+    """Return the median of the reported loads, the own load without any."""
+    typical = state.typical.get(service)
+    if typical is not None:
+        return typical
+    loads = [
+        report.open_flows
+        for (reported, _), report in state.loads.items()
+        if reported == service
+    ]
+    if not loads:
+        return state.counts[service].open_flows
+    typical = int(statistics.median_low(loads))
+    state.typical[service] = typical
+    return typical
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -0,0 +1,131 @@
+"""What is noted of a flow's packets, and the reports made from it."""
+
+from gentianspoke.core import packets
+from gentianspoke.core import verdicts
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+
+SEQ_MODULUS = 1 << 32
+# Reports kept between two ticks; what exceeds them is only counted.
+REPORTS_AT_MOST = 1_000
+
+_ASKS_FOR_ACK = packets.SYN | packets.FIN
+
+State = agent_state.AgentState
+
+
+def note_up(flow: records.Flow, segment: packets.Segment, now: int) -> None:
+    """Take note of a caller's segment."""
+    flow.up_ms = now
+    _note(flow.up, segment, now)
+
+
+def note_down(flow: records.Flow, segment: packets.Segment, now: int) -> None:
+    """Take note of an upstream's segment."""
+    flow.down_ms = now
+    flow.answered = True
+    _note(flow.down, segment, now)
+
+
+def report_flow(
+    state: State,
+    flow: records.Flow,
+    outcome: verdicts.Outcome,
+    fault: verdicts.Fault,
+    reason: str,
+    now: int,
+) -> None:
+    """Report how a flow ended, with all that is known of it."""
+    since_answer_ms = now - state.answered_ms
+    evidence: tuple[tuple[str, str | int], ...] = (
+        ('open_ms', now - flow.opened_ms),
+        ('last_up_ms_ago', now - flow.up_ms),
+        ('last_down_ms_ago', now - flow.down_ms),
+        ('up_repeats', flow.up.repeats),
+        ('down_repeats', flow.down.repeats),
+        ('upstream_answered_ms_ago', since_answer_ms),
+        ('admission', _admission(flow)),
+        ('incarnation', f'{state.number:016x}'),
+        ('view', flow.view),
+        ('bucket', flow.bucket),
+    )
+    _report(state, flow.key, flow.service, outcome, fault, reason, evidence)
+
+
+def report_refusal(
+    state: State,
+    key: packets.FlowKey,
+    service: int,
+    fault: verdicts.Fault,
+    reason: str,
+) -> None:
+    """Report an opening that was refused as not run."""
+    counts = state.counts[service]
+    evidence: tuple[tuple[str, str | int], ...] = (
+        ('open_flows', counts.open_flows),
+        ('running', counts.running),
+        ('queued', counts.queued),
+        ('incarnation', f'{state.number:016x}'),
+    )
+    outcome = verdicts.Outcome.REFUSED_NOT_RUN
+    _report(state, key, service, outcome, fault, reason, evidence)
+
+
+def report_unknown_flow(
+    state: State,
+    key: packets.FlowKey,
+    service: int,
+    reason: str,
+    evidence: tuple[tuple[str, str | int], ...],
+) -> None:
+    """Report a flow that no agent knows; what it ran is unknown."""
+    outcome = verdicts.Outcome.UNKNOWN
+    fault = verdicts.Fault.BALANCER
+    _report(state, key, service, outcome, fault, reason, evidence)
+
+
+def _report(
+    state: State,
+    key: packets.FlowKey,
+    service: int,
+    outcome: verdicts.Outcome,
+    fault: verdicts.Fault,
+    reason: str,
+    evidence: tuple[tuple[str, str | int], ...],
+) -> None:
+    if len(state.reports) >= REPORTS_AT_MOST:
+        state.reports_lost += 1
+        return
+    verdict = verdicts.Verdict(outcome, fault, reason, evidence)
+    state.reports.append(agent_state.FlowReport(key, service, verdict))
+
+
+def _note(
+    direction: records.Direction, segment: packets.Segment, now: int
+) -> None:
+    flags = segment.flags
+    if flags & packets.ACK:
+        direction.ack = segment.ack
+    if not segment.payload_bytes and not flags & _ASKS_FOR_ACK:
+        return
+    if segment.seq == direction.seq:
+        direction.repeats += 1
+        return
+    direction.seq = segment.seq
+    direction.end = segment_end(segment)
+    direction.repeats = 0
+    direction.since_ms = now
+
+
+def segment_end(segment: packets.Segment) -> int:
+    """Return the sequence number that follows a segment."""
+    length = segment.payload_bytes
+    length += bool(segment.flags & packets.SYN)
+    length += bool(segment.flags & packets.FIN)
+    return (segment.seq + length) % SEQ_MODULUS
+
+
+def _admission(flow: records.Flow) -> str:
+    if flow.isn == records.NO_OPENING:
+        return 'adopted'
+    return 'waited' if flow.queued_until_ms else 'at-once'
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -0,0 +1,95 @@
+"""Openings of flows that this agent knows: its own and diverted ones."""
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+
+State = agent_state.AgentState
+
+
+def decide_known(
+    state: State,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action | None:
+    """Return what becomes of a known flow's opening, else ``None``."""
+    flow = state.flows.get(packet.key)
+    if flow is not None:
+        return _deliver_again(state, flow, packet, now)
+    diverted = state.diversions.get(packet.key)
+    if diverted is None:
+        return None
+    return _offer_again(state, diverted, forward, packet, now)
+
+
+def opening_number(packet: packets.Packet) -> int:
+    """Return the initial sequence number of an opening."""
+    match packet:
+        case packets.Segment(seq=seq):
+            return seq
+        case packets.Datagram():
+            return records.NO_OPENING
+
+
+def _deliver_again(
+    state: State, flow: records.Flow, packet: packets.Packet, now: int
+) -> actions.Action | None:
+    match flow.phase:
+        case records.Phase.OPEN:
+            # An opening with another sequence number goes to the upstream
+            # too: its TCP tells a late copy from a caller that began anew.
+            flow.up_ms = now
+            isn = opening_number(packet)
+            if isn != flow.isn:
+                flow.newer_isn = isn
+            return actions.Deliver(packet.raw)
+        case records.Phase.QUEUED:
+            if flow.isn == opening_number(packet):
+                return actions.Drop('queued')
+            # The caller gave the queued opening up and began anew.
+            tables.forget_flow(state, flow, now)
+            return None
+        case records.Phase.CLOSED:
+            if _is_same_opening(flow, packet):
+                return actions.Drop('late-opening')
+        case records.Phase.REFUSED:
+            if _is_same_opening(flow, packet):
+                return actions.Refuse(packet, 'refused-before')
+    tables.forget_flow(state, flow, now)
+    return None
+
+
+def _is_same_opening(flow: records.Flow, packet: packets.Packet) -> bool:
+    isn = opening_number(packet)
+    return isn != records.NO_OPENING and flow.isn == isn
+
+
+def _offer_again(
+    state: State,
+    diverted: records.Diversion,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action | None:
+    member = state.member(diverted.service, diverted.target)
+    if member is not None:
+        # The target gets the same offer even if it did not know the flow
+        # a moment ago, because the first offer may still be on its way.
+        diverted.used_ms = now
+        return passing.offer_to(
+            state, member, forward, diverted.decider, diverted.view
+        )
+    service = state.served[diverted.service]
+    same = diverted.isn == opening_number(packet)
+    if same and services.needs_single_decider(service):
+        # The target may have handed the opening to its upstream before it
+        # was lost, so it is neither placed again nor refused.
+        return actions.Drop('outcome-unknown')
+    tables.remove_diversion(state, packet.key)
+    return None
--- a/src/gentianspoke/decisions/agent/ownership.py
+++ b/src/gentianspoke/decisions/agent/ownership.py
@@ -1,17 +1,38 @@
-"""Who decides on an opening, and who may know an older flow.
-
-A bucket's decider is its first live member. Views reach agents unevenly,
-so two agents may take themselves for the decider. Work that must run at
-most once is therefore placed only by an agent that
-
-* holds a lease from control's majority, and
-* knows that every member that may have been the decider before it has
-  applied a view in which it is not, or has lost its lease.
-
-Control removes a member from the view only after its lease has run out,
-so the second condition is checked on the members that are still listed.
+"""Who places an opening, and who may know an older flow.
+
+A bucket's home is its first live member; it decides on the openings of
+the bucket. Views reach agents unevenly, so two agents may take themselves
+for the home. Openings of work that must run at most once are therefore
+placed under three rules, of which each is checked where it is known:
+
+1. An agent hands an opening to its upstream, or says that it was not run,
+   only while it holds its own lease (:func:`holds_lease`).
+2. An agent takes an offer only if its own view still has the offering
+   decider as home, live since before the decision
+   (:func:`accepts_offer`).
+3. A home decides only if every other listed member has acknowledged a
+   view at least as new as the one since which the bucket has been its own
+   (:func:`may_place`), and after it has asked every member that reports a
+   record from before that view (:func:`members_to_ask`).
+
+Why no opening is placed twice. Take an earlier decider D, the agent T that
+D's offer reached, and the home H of a later view v. H decides after T has
+acknowledged v, or is no longer listed. If T acknowledged v, then it takes
+no offer of D any more (rule 2), and what it took before is in the oldest
+flow view of the same heartbeat, so that H asks T first (rule 3). If T is
+no longer listed, control waited out T's lease, so T places nothing more
+(rule 1). The same holds for T = D. An agent that restarts has no records;
+it joins anew, in a view newer than all its old decisions, so that it has
+to ask as any new home does. What an agent that died had placed before is
+known to nobody; the upstream's TCP is the second line there: an opening
+carries no payload (``opening.py`` drops one that does), and an upstream
+accepts data only with an acknowledgement of its own random number.
+
+Limits: a copy of an opening that arrives later than ``LINGER_MS`` after
+its flow has ended is taken for a new opening.
 """
 
+from gentianspoke.core import frames
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import state as agent_state
@@ -20,6 +41,15 @@
 Members = tuple[views.Member, ...]
 
 
+def holds_lease(
+    state: agent_state.AgentState, service: services.Service, now: int
+) -> bool:
+    """Return whether this agent may place flows of the service at all."""
+    if not services.needs_single_decider(service):
+        return True
+    return now < state.lease_until_ms
+
+
 def may_place(
     state: agent_state.AgentState,
     service: services.Service,
@@ -27,36 +57,84 @@
     bucket: int,
     now: int,
 ) -> bool:
-    """Return whether this agent may place an opening of the bucket.
+    """Return whether this agent may decide on an opening of the bucket.
 
     The caller has checked that this agent is the bucket's home.
     """
     if not services.needs_single_decider(service):
         return True
-    if now >= state.lease_until_ms:
+    if state.joining or not holds_lease(state, service, now):
+        return False
+    since = home_since(state, ranking, bucket)
+    return ranking.least_acked(state.number) >= since
+
+
+def accepts_offer(
+    state: agent_state.AgentState,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    forward: frames.Forward,
+    now: int,
+) -> bool:
+    """Return whether the decider of an offer is still the home here."""
+    if not services.needs_single_decider(service):
+        return True
+    if state.joining or not holds_lease(state, service, now):
+        return False
+    home = ranking.home(forward.bucket)
+    if home is None or home.number != forward.decider:
         return False
-    order = ranking.order(bucket)
-    return not any(
-        may_still_decide(order, position, state.number)
-        for position in range(len(order))
-    )
+    return home.joined_view <= forward.view
 
 
-def may_still_decide(order: Members, position: int, home: int) -> bool:
-    """Return whether the member at ``position`` may act on an older view.
+def home_since(
+    state: agent_state.AgentState, ranking: hashing.Ranking, bucket: int
+) -> int:
+    """Return a view since which the bucket has had this agent as home.
 
-    A member ceases to be the decider with the view that closes it, or
-    with the first view in which a member before it is live.
+    The true view may be older, never newer. Members that are still listed
+    tell when they joined or closed; the views seen before this one tell
+    of members that are no longer listed.
     """
-    member = order[position]
-    if member.number == home:
-        return False
-    ceased = ceased_view(order, position)
-    return ceased == 0 or member.acked_view < ceased
+    since = ranking.view.number
+    for earlier in reversed(state.past.get(ranking.view.service, ())):
+        home = earlier.home(bucket)
+        if home is None or home.number != state.number:
+            break
+        since = earlier.view.number
+    for member in ranking.order(bucket):
+        since = max(since, member.joined_view if member.is_live else 0)
+        if member.number == state.number:
+            break
+        since = max(since, member.closed_view)
+    return since
+
+
+def members_to_ask(
+    state: agent_state.AgentState,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    bucket: int,
+) -> list[views.Member]:
+    """Return the members that may know an opening, to ask before placing.
+
+    For idempotent work these are the bucket's earlier homes. For other
+    work they are all members with a record from before this agent became
+    the home, since an earlier home may have offered it to any of them.
+    """
+    if not services.needs_single_decider(service):
+        return earlier_homes(ranking.order(bucket), state.number)
+    since = home_since(state, ranking, bucket)
+    return [
+        member
+        for member in ranking.order(bucket)
+        if member.number != state.number
+        and 0 < member.oldest_flow_view < since
+    ]
 
 
 def ceased_view(order: Members, position: int) -> int:
-    """Return the view in which a member ceased to be the decider.
+    """Return the view in which a member ceased to be the home.
 
     0 means that it has not ceased: it is the first live member.
     """
@@ -70,8 +148,8 @@
 def earlier_homes(order: Members, home: int) -> list[views.Member]:
     """Return members that may hold older flows of a bucket, newest first.
 
-    A member that reports no flow from before it ceased to be the decider
-    is left out, and so is one that was never the decider.
+    A member that reports no flow from before it ceased to be the home is
+    left out, and so is one that was never the home.
     """
     homes: list[tuple[int, views.Member]] = []
     for position, member in enumerate(order):
--- a/src/gentianspoke/decisions/agent/passing.py
+++ b/src/gentianspoke/decisions/agent/passing.py
@@ -7,6 +7,9 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import state as agent_state
 
+# Waiting time that one more hop takes from an opening, in milliseconds.
+HOP_MS = 5
+
 
 def pass_to(
     state: agent_state.AgentState,
@@ -25,12 +28,35 @@
     tried = forward.tried
     if note and state.number not in tried:
         tried = (*tried, state.number)
-    onward = dataclasses.replace(
-        forward,
+    onward = frames.Forward(
+        service=forward.service,
+        view=forward.view,
+        bucket=forward.bucket,
         target=member.number,
+        packet=forward.packet,
         purpose=purpose,
         tried=tried,
         hops_left=forward.hops_left - 1,
+        wait_left_ms=max(0, forward.wait_left_ms - HOP_MS),
+        offers_left=forward.offers_left,
         sender=state.number,
+        decider=forward.decider,
     )
     return actions.Pass(member, onward)
+
+
+def offer_to(
+    state: agent_state.AgentState,
+    member: views.Member,
+    forward: frames.Forward,
+    decider: int,
+    view: int,
+) -> actions.Action:
+    """Return the action that offers an opening under a decider's name."""
+    offer = dataclasses.replace(
+        forward,
+        view=view,
+        decider=decider,
+        offers_left=max(0, forward.offers_left - 1),
+    )
+    return pass_to(state, member, offer, frames.Purpose.OFFER)
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -0,0 +1,154 @@
+"""Placing an opening: here, at a less loaded member, in the queue."""
+
+import dataclasses
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import verdicts
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import budget
+from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import known
+from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+from gentianspoke.decisions import hashing
+
+State = agent_state.AgentState
+
+
+def place(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    """Return where the home of a bucket places a new opening."""
+    budget.earn(state, service)
+    own = state.counts[service.number].open_flows
+    limit = diversion.load_limit(state, service, ranking, now)
+    verdict = admission.admit(state, service, wait_left_ms=0)
+    if own < limit and verdict is admission.Admission.NOW:
+        return _accept(state, service, forward, packet, now)
+    other = diversion.choose_other(state, service, ranking, forward.bucket)
+    if other is not None:
+        load = diversion.load_of(state, service.number, other.number)
+        if load < own or verdict is not admission.Admission.NOW:
+            decided = dataclasses.replace(
+                forward, decider=state.number, view=ranking.view.number
+            )
+            return _divert(state, other, decided, packet, now)
+    return _admit_here(state, service, forward, packet, now)
+
+
+def take_offer(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    """Return what becomes of an opening that a decider offers."""
+    budget.earn(state, service)
+    verdict = admission.admit(state, service, wait_left_ms=0)
+    if verdict is admission.Admission.NOW:
+        return _accept(state, service, forward, packet, now)
+    if forward.offers_left > 0:
+        other = diversion.choose_other(
+            state, service, ranking, forward.bucket, forward.tried
+        )
+        if other is not None and budget.spend(state, service):
+            return _divert(state, other, forward, packet, now)
+    return _admit_here(state, service, forward, packet, now)
+
+
+def _divert(
+    state: State,
+    member: views.Member,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    offered = records.Diversion(
+        target=member.number,
+        isn=known.opening_number(packet),
+        service=forward.service,
+        bucket=forward.bucket,
+        view=forward.view,
+        used_ms=now,
+        decider=forward.decider,
+        placed_view=tables.view_number(state, forward.service),
+    )
+    tables.add_diversion(state, packet.key, offered)
+    diversion.count_placed(state, forward.service, member.number)
+    return passing.offer_to(
+        state, member, forward, forward.decider, forward.view
+    )
+
+
+def _admit_here(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    bucket = forward.bucket
+    verdict = admission.admit(state, service, forward.wait_left_ms)
+    match verdict, packet:
+        case admission.Admission.NOW, _:
+            return _accept(state, service, forward, packet, now)
+        case admission.Admission.WAIT, packets.Segment():
+            wait_ms = forward.wait_left_ms
+            tables.queue_flow(state, service, packet, bucket, wait_ms, now)
+            return actions.Drop('queued')
+        case _:
+            return _refuse(state, service, forward, packet, now)
+
+
+def _accept(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    isn = known.opening_number(packet)
+    flow = tables.open_flow(
+        state, service, packet.key, forward.bucket, isn, now
+    )
+    match packet:
+        case packets.Segment():
+            evidence.note_up(flow, packet, now)
+    return actions.Deliver(packet.raw)
+
+
+def _refuse(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    reason = 'draining' if state.draining else 'no-capacity'
+    isn = known.opening_number(packet)
+    if services.needs_single_decider(service):
+        tables.refuse_flow(
+            state, service, packet.key, forward.bucket, isn, now
+        )
+    evidence.report_refusal(
+        state,
+        packet.key,
+        service.number,
+        verdicts.Fault.UPSTREAM,
+        reason,
+    )
+    return actions.Refuse(packet, reason)
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -7,14 +7,38 @@
 from gentianspoke.core import packets
 
 NO_OPENING = -1
+NO_SEQ = -1
 
 
 class Phase(enum.Enum):
-    """Where a flow stands."""
+    """Where a flow stands.
+
+    A closed or refused flow is remembered for a while, so that a late copy
+    of its opening does not open it again.
+    """
 
     QUEUED = 'queued'
     OPEN = 'open'
     CLOSED = 'closed'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(slots=True)
+class Direction:
+    """What was last seen of one direction of a TCP flow.
+
+    ``seq`` is the sequence number of the newest segment that asks for an
+    acknowledgement, ``ack`` what the sender has received so far, both
+    ``NO_SEQ`` before the first. ``end`` follows the newest segment's last
+    byte. ``repeats`` counts retransmissions of ``seq`` since ``since_ms``.
+    """
+
+    seq: int = NO_SEQ
+    end: int = NO_SEQ
+    ack: int = NO_SEQ
+    repeats: int = 0
+    since_ms: int = 0
+    finished: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +46,9 @@
     """One flow of the agent's own upstream.
 
     ``isn`` is the initial sequence number of the caller's opening,
-    ``NO_OPENING`` where none was seen. ``view`` is the view in which the
+    ``NO_OPENING`` where none was seen; ``newer_isn`` is that of another
+    opening on the same five-tuple, delivered while this flow was open.
+    ``view`` is the view in which the
     flow was placed. Times are milliseconds of the agent's clock; ``up``
     is the direction from the caller to the upstream, ``down`` the other.
     """
@@ -36,19 +62,27 @@
     opened_ms: int
     up_ms: int
     down_ms: int
+    newer_isn: int = NO_OPENING
     holds_slot: bool = False
-    up_finished: bool = False
-    down_finished: bool = False
+    slot_ms: int = 0
+    answered: bool = False
     # The opening itself, kept only while the flow is queued.
     held: packets.Segment | None = None
     queued_until_ms: int = 0
     # The frame that an adopted flow came with, until the upstream answers.
     unconfirmed: frames.Forward | None = None
+    up: Direction = dataclasses.field(default_factory=Direction)
+    down: Direction = dataclasses.field(default_factory=Direction)
 
 
 @dataclasses.dataclass(slots=True)
 class Diversion:
-    """A flow that this agent, as its decider, placed at another member."""
+    """A flow that this agent offered to another member.
+
+    ``decider`` and ``view`` name the home that decided on the opening and
+    the view in which it did. ``placed_view`` is this agent's own view at
+    that time. ``closing`` is set once the caller has closed or reset.
+    """
 
     target: int
     isn: int
@@ -56,12 +90,20 @@
     bucket: int
     view: int
     used_ms: int
+    decider: int = frames.ENTRY_SENDER
+    placed_view: int = 0
+    closing: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class ServiceCounts:
-    """Counts of one service at the agent's upstream."""
+    """Counts of one service at the agent's upstream.
+
+    ``hold_ms`` is the mean time for which flows held a slot, 0 before the
+    first one ended.
+    """
 
     open_flows: int = 0
     running: int = 0
     queued: int = 0
+    hold_ms: int = 0
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -0,0 +1,135 @@
+"""What an agent does with its upstream's packets and with its restart."""
+
+from gentianspoke.core import packets
+from gentianspoke.core import verdicts
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import adoption
+from gentianspoke.decisions.agent import closing
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import silence
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+from gentianspoke.decisions import hashing
+
+SYN_ACK = packets.SYN | packets.ACK
+CLOSES = packets.FIN | packets.RST
+
+State = agent_state.AgentState
+
+
+def decide_reply(
+    state: State, packet: packets.Packet, now: int
+) -> list[actions.Action]:
+    """Return what becomes of a packet that came from the upstream."""
+    flow = state.flows.get(packet.key)
+    if flow is None:
+        return _decide_unknown(state, packet, now)
+    match flow.phase:
+        case records.Phase.QUEUED | records.Phase.REFUSED:
+            return [actions.Drop('late-answer')]
+    state.answered_ms = now
+    forward = flow.unconfirmed
+    if forward is not None:
+        flow.unconfirmed = None
+        if _is_reset(packet):
+            return [adoption.disown(state, flow, forward, now)]
+    match packet:
+        case packets.Segment():
+            return _decide_segment(state, flow, packet, now)
+        case packets.Datagram():
+            flow.down_ms = now
+            flow.answered = True
+            return [actions.Answer(packet.raw)]
+
+
+def end_incarnation(
+    state: State, number: int, now: int
+) -> list[actions.Action]:
+    """Reset the flows of an incarnation that is gone; begin the next."""
+    result: list[actions.Action] = []
+    for flow in tuple(state.flows.values()):
+        if flow.phase is records.Phase.OPEN:
+            result.extend(_lose(state, flow, now))
+        tables.forget_flow(state, flow, now)
+    state.number = number
+    state.started_ms = now
+    state.recovering = False
+    state.joining = True
+    state.lease_until_ms = 0
+    state.past.clear()
+    return result
+
+
+def _lose(state: State, flow: records.Flow, now: int) -> list[actions.Action]:
+    outcome = verdicts.Outcome.UNKNOWN
+    fault = verdicts.Fault.UPSTREAM
+    reason = 'the upstream restarted'
+    evidence.report_flow(state, flow, outcome, fault, reason, now)
+    return [
+        action
+        for action in silence.reset_both(flow, 'upstream-restarted')
+        if isinstance(action, actions.ResetCaller)
+    ]
+
+
+def _decide_segment(
+    state: State, flow: records.Flow, segment: packets.Segment, now: int
+) -> list[actions.Action]:
+    if segment.flags & SYN_ACK == SYN_ACK and not _answers(flow, segment):
+        return [actions.Drop('late-answer')]
+    evidence.note_down(flow, segment, now)
+    decided: list[actions.Action] = [actions.Answer(segment.raw)]
+    if flow.down.repeats >= silence.REPEATS:
+        decided.extend(silence.check_down(state, flow, now))
+    if segment.flags & CLOSES:
+        closing.note_down(state, flow, segment, now)
+    return decided
+
+
+def _answers(flow: records.Flow, segment: packets.Segment) -> bool:
+    """Return whether a SYN-ACK acknowledges an opening of this flow.
+
+    An upstream that had forgotten the connection answers the newer
+    opening, which then becomes the flow's own.
+    """
+    if flow.isn == records.NO_OPENING:
+        return True
+    acknowledged = (segment.ack - 1) % evidence.SEQ_MODULUS
+    if acknowledged == flow.isn:
+        return True
+    if acknowledged != flow.newer_isn:
+        return False
+    flow.isn = acknowledged
+    flow.up = records.Direction()
+    flow.down = records.Direction()
+    return True
+
+
+def _decide_unknown(
+    state: State, packet: packets.Packet, now: int
+) -> list[actions.Action]:
+    endpoint = (
+        packets.key_protocol(packet.key),
+        packets.service_address(packet.key),
+        packets.service_port(packet.key),
+    )
+    service = state.endpoints.get(endpoint)
+    if not state.recovering or service is None or _is_reset(packet):
+        return [actions.Drop('late-answer')]
+    match packet:
+        case packets.Segment(flags=flags) if flags & packets.SYN:
+            # An opening that this agent has not placed must not be
+            # answered: another upstream may have been given it.
+            return [actions.Drop('late-answer')]
+    bucket = hashing.bucket_of(packet.key, service.number)
+    tables.adopt_flow(state, service, packet.key, bucket, now)
+    return [actions.Answer(packet.raw)]
+
+
+def _is_reset(packet: packets.Packet) -> bool:
+    match packet:
+        case packets.Segment(flags=flags):
+            return bool(flags & packets.RST)
+        case packets.Datagram():
+            return False
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -9,9 +9,18 @@
 from gentianspoke.core import verdicts
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import schedule
 from gentianspoke.decisions import hashing
 from gentianspoke.decisions import routing
 
+# Earlier views of a service that are kept to tell since when a bucket has
+# had its home.
+PAST_VIEWS_AT_MOST = 8
+# A gap between confirmations of the feed in which no other member can have
+# joined, decided, lost its lease and been removed unseen. It is less than
+# the shortest lease.
+CONTINUITY_MS = 2_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
@@ -35,9 +44,11 @@
 class AgentState:
     """State of one agent; ``number`` is its member number.
 
-    ``lease_until_ms`` is when its right to decide for non-idempotent
+    ``lease_until_ms`` is when its right to place flows of non-idempotent
     services ends. ``recovering`` is set on an agent that restarted beside
     a running upstream and does not know that upstream's older flows.
+    ``joining`` is set until the agent has seen a view in which it is not
+    live, so that it does not act on a view from before its own start.
     """
 
     number: int
@@ -46,8 +57,10 @@
     started_ms: int
     recovering: bool = False
     draining: bool = False
+    joining: bool = False
     lease_until_ms: int = 0
     confirmed_ms: int = 0
+    views_missed: bool = False
     endpoints: dict[routing.Endpoint, services.Service] = dataclasses.field(
         default_factory=dict
     )
@@ -57,26 +70,60 @@
     rankings: dict[int, hashing.Ranking] = dataclasses.field(
         default_factory=dict
     )
+    # Earlier views of each service, the newest last.
+    past: dict[int, list[hashing.Ranking]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
     flows: dict[packets.FlowKey, records.Flow] = dataclasses.field(
         default_factory=dict
     )
     diversions: dict[packets.FlowKey, records.Diversion] = dataclasses.field(
         default_factory=dict
     )
-    queue: collections.deque[records.Flow] = dataclasses.field(
-        default_factory=collections.deque
+    queues: dict[int, collections.deque[records.Flow]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(collections.deque)
     )
     counts: dict[int, records.ServiceCounts] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(records.ServiceCounts)
     )
+    total_open: int = 0
+    total_running: int = 0
+    total_ended: int = 0
+    # Records of each service by the bucket and view they were placed in.
+    placed: dict[int, dict[tuple[int, int], int]] = dataclasses.field(
+        default_factory=dict
+    )
+    # Diversions by service and target.
+    diverted_to: collections.Counter[tuple[int, int]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     loads: dict[tuple[int, int], frames.LoadReport] = dataclasses.field(
         default_factory=dict
     )
+    # Flows placed at a member since its last report, by service and member.
+    sent: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
+    # Members whose report was renewed since reports were last expired.
+    fresh_loads: set[tuple[int, int]] = dataclasses.field(default_factory=set)
+    loads_checked_ms: int = 0
+    # Median load of each service, until the next report.
+    typical: dict[int, int] = dataclasses.field(default_factory=dict)
     # When a packet of a flow that nobody knows was first seen.
     orphans: dict[packets.FlowKey, int] = dataclasses.field(
         default_factory=dict
     )
+    flow_schedule: schedule.Schedule[records.Flow] = dataclasses.field(
+        default_factory=schedule.Schedule
+    )
+    diversion_schedule: schedule.Schedule[
+        tuple[packets.FlowKey, records.Diversion]
+    ] = dataclasses.field(default_factory=schedule.Schedule)
+    # Thousandths of a further offer that each service has saved up.
+    budgets: dict[int, int] = dataclasses.field(default_factory=dict)
+    # When any flow's packet last came from the upstream, and from a caller.
+    answered_ms: int = 0
+    heard_ms: int = 0
     reports: list[FlowReport] = dataclasses.field(default_factory=list)
+    reports_lost: int = 0
 
     def set_catalogue(self, entries: list[services.Service]) -> None:
         """Take the entries of a newer catalogue."""
@@ -88,9 +135,32 @@
         known = self.rankings.get(view.service)
         if known is not None and known.view.order >= view.order:
             return False
-        self.rankings[view.service] = hashing.Ranking(view)
+        if known is not None and known.view.number < view.number:
+            self._keep_past(known)
+        self.rankings[view.service] = hashing.Ranking(view, known)
         return True
 
+    def note_feed(self, now: int) -> None:
+        """Note that an update of the feed arrived; call it before taking it.
+
+        After a long gap since the last confirmation, views may have been
+        missed, so that earlier ones do not tell how long a home lasted.
+        """
+        if now - self.confirmed_ms >= CONTINUITY_MS:
+            self.views_missed = True
+
+    def confirm_feed(self, confirmed_ms: int) -> None:
+        """Take note of when a majority last confirmed the feed."""
+        self.confirmed_ms = confirmed_ms
+        self.views_missed = False
+
+    def is_shown_not_live(self) -> bool:
+        """Return whether all views show that this agent is not live."""
+        own = [self.member(service, self.number) for service in self.served]
+        return bool(own) and not any(
+            member is None or member.is_live for member in own
+        )
+
     def member(self, service: int, number: int) -> views.Member | None:
         """Return a member of the service's view, ``None`` if unknown."""
         ranking = self.rankings.get(service)
@@ -98,8 +168,16 @@
 
     def open_flows(self) -> int:
         """Return the number of open flows over all services."""
-        return sum(counts.open_flows for counts in self.counts.values())
+        return self.total_open
 
     def running(self) -> int:
         """Return the number of occupied slots over all services."""
-        return sum(counts.running for counts in self.counts.values())
+        return self.total_running
+
+    def _keep_past(self, ranking: hashing.Ranking) -> None:
+        past = self.past[ranking.view.service]
+        if self.views_missed:
+            past.clear()
+            return
+        past.append(ranking)
+        del past[:-PAST_VIEWS_AT_MOST]
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -0,0 +1,145 @@
+"""What time alone brings about: ended waits, idle and unconfirmed flows."""
+
+from gentianspoke.core import packets
+from gentianspoke.core import verdicts
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import adoption
+from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+
+# How long an opening may stay unanswered by the upstream.
+HALF_OPEN_MS = 30_000
+# How long a packet of an unknown flow is remembered.
+ORPHAN_MS = 30_000
+# How long a restarted agent adopts flows that it does not know.
+RECOVERY_MS = 7_200_000
+
+State = agent_state.AgentState
+
+
+def expire(state: State, now: int) -> list[actions.Action]:
+    """Return what is due at ``now``."""
+    result = expire_queued(state, now)
+    result.extend(start_queued(state, now))
+    for flow in state.flow_schedule.take_due(now):
+        result.extend(_check_flow(state, flow, now))
+    for key, diverted in state.diversion_schedule.take_due(now):
+        if state.diversions.get(key) is diverted:
+            _check_diversion(state, (key, diverted), now)
+    _expire_orphans(state, now)
+    diversion.expire_loads(state, now)
+    if state.recovering and now - state.started_ms >= RECOVERY_MS:
+        state.recovering = False
+    return result
+
+
+def start_queued(state: State, now: int) -> list[actions.Action]:
+    """Return the deliveries of queued openings that got a slot."""
+    result: list[actions.Action] = []
+    for flow in admission.start_queued(state, now):
+        if flow.held is not None:
+            result.append(actions.Deliver(flow.held.raw))
+            evidence.note_up(flow, flow.held, now)
+            flow.held = None
+    return result
+
+
+def expire_queued(state: State, now: int) -> list[actions.Action]:
+    """Return the refusals of openings whose waiting time is over."""
+    result: list[actions.Action] = []
+    for queue in state.queues.values():
+        for flow in tuple(queue):
+            if now >= flow.queued_until_ms:
+                result.extend(_refuse_queued(state, flow, now))
+    return result
+
+
+def _refuse_queued(
+    state: State, flow: records.Flow, now: int
+) -> list[actions.Action]:
+    held = flow.held
+    service = state.served.get(flow.service)
+    if held is None or service is None:
+        tables.forget_flow(state, flow, now)
+        return [actions.Drop('other-service')]
+    if not ownership.holds_lease(state, service, now):
+        # Another agent may have taken a copy of the opening by now, so
+        # this one can neither start it nor say that it was not run.
+        tables.forget_flow(state, flow, now)
+        return [actions.Drop('lease-lost-in-queue')]
+    evidence.report_refusal(
+        state,
+        flow.key,
+        flow.service,
+        verdicts.Fault.UPSTREAM,
+        'no slot became free within the wait limit',
+    )
+    tables.end_flow(state, flow, now, records.Phase.REFUSED)
+    return [actions.Refuse(held, 'wait-expired')]
+
+
+def _check_flow(
+    state: State, flow: records.Flow, now: int
+) -> list[actions.Action]:
+    if state.flows.get(flow.key) is not flow:
+        return []
+    forward = flow.unconfirmed
+    if forward is not None:
+        return [adoption.disown(state, flow, forward, now)]
+    quiet_since_ms = max(flow.up_ms, flow.down_ms)
+    due_ms = quiet_since_ms + _quiet_at_most_ms(state, flow)
+    if now < due_ms:
+        state.flow_schedule.add(flow, due_ms)
+    elif flow.phase is not records.Phase.QUEUED:
+        _forget(state, flow, now)
+    return []
+
+
+def _quiet_at_most_ms(state: State, flow: records.Flow) -> int:
+    match flow.phase:
+        case records.Phase.CLOSED | records.Phase.REFUSED:
+            return tables.LINGER_MS
+        case records.Phase.OPEN if not flow.answered:
+            return HALF_OPEN_MS
+        case _:
+            return tables.idle_ms(state, flow.service)
+
+
+def _forget(state: State, flow: records.Flow, now: int) -> None:
+    if flow.phase is records.Phase.OPEN:
+        if flow.answered:
+            reason = 'no packet within the idle limit'
+            fault = verdicts.Fault.CALLER
+        else:
+            reason = 'the upstream did not answer the opening'
+            fault = verdicts.Fault.UPSTREAM
+        outcome = verdicts.Outcome.UNKNOWN
+        evidence.report_flow(state, flow, outcome, fault, reason, now)
+    tables.forget_flow(state, flow, now)
+
+
+def _check_diversion(
+    state: State,
+    item: tuple[packets.FlowKey, records.Diversion],
+    now: int,
+) -> None:
+    key, diverted = item
+    due_ms = diverted.used_ms + tables.diversion_idle_ms(state, diverted)
+    if now >= due_ms:
+        tables.remove_diversion(state, key)
+    else:
+        state.diversion_schedule.add((key, diverted), due_ms)
+
+
+def _expire_orphans(state: State, now: int) -> None:
+    # The oldest come first: a dict keeps the order of insertion.
+    while state.orphans:
+        key = next(iter(state.orphans))
+        if now - state.orphans[key] < ORPHAN_MS:
+            return
+        del state.orphans[key]
--- a/src/gentianspoke/decisions/hashing.py
+++ b/src/gentianspoke/decisions/hashing.py
@@ -7,6 +7,7 @@
 
 import functools
 import math
+import typing
 
 import xxhash
 
@@ -43,21 +44,34 @@
 
 
 class Ranking:
-    """The members of one view, ordered for each bucket when asked."""
+    """The members of one view, ordered for each bucket when asked.
 
-    def __init__(self, view: views.View) -> None:
+    Orders depend on the members' numbers and weights alone, so a view that
+    changes neither takes them over from the one before it.
+    """
+
+    def __init__(
+        self, view: views.View, earlier: typing.Optional['Ranking'] = None
+    ) -> None:
         """Keep the view; orders are computed when first needed."""
         self.view = view
         self.by_number = {member.number: member for member in view.members}
         self.live_count = sum(member.is_live for member in view.members)
+        self._weights = {item.number: item.weight for item in view.members}
+        self._numbers: dict[int, tuple[int, ...]] = {}
+        if earlier is not None and earlier._weights == self._weights:
+            self._numbers = earlier._numbers
         self._orders: dict[int, tuple[views.Member, ...]] = {}
         self._homes: dict[int, views.Member | None] = {}
+        self._least_acked: dict[int, float] = {}
 
     def order(self, bucket: int) -> tuple[views.Member, ...]:
         """Return all members, the highest score for ``bucket`` first."""
         order = self._orders.get(bucket)
         if order is None:
-            order = self._compute_order(bucket)
+            by_number = self.by_number
+            numbers = self._order_numbers(bucket)
+            order = tuple([by_number[number] for number in numbers])
             self._orders[bucket] = order
         return order
 
@@ -68,11 +82,38 @@
             self._homes[bucket] = next(live, None)
         return self._homes[bucket]
 
-    def _compute_order(self, bucket: int) -> tuple[views.Member, ...]:
+    def least_acked(self, own: int) -> float:
+        """Return the oldest view that a member but ``own`` may act on.
+
+        A closed member that has applied no view is about to join: it acts
+        on none before it has seen itself in one. Infinite where no member
+        is left.
+        """
+        if own not in self._least_acked:
+            acked = [
+                member.acked_view
+                for member in self.view.members
+                if member.number != own and not _is_joining(member)
+            ]
+            self._least_acked[own] = min(acked, default=math.inf)
+        return self._least_acked[own]
+
+    def _order_numbers(self, bucket: int) -> tuple[int, ...]:
+        numbers = self._numbers.get(bucket)
+        if numbers is None:
+            numbers = self._compute_order(bucket)
+            self._numbers[bucket] = numbers
+        return numbers
+
+    def _compute_order(self, bucket: int) -> tuple[int, ...]:
         service = self.view.service
+        scored = [
+            (score(service, bucket, number, weight), number)
+            for number, weight in self._weights.items()
+        ]
+        scored.sort(reverse=True)
+        return tuple([number for _, number in scored])
 
-        def sort_key(member: views.Member) -> tuple[float, int]:
-            number = member.number
-            return (score(service, bucket, number, member.weight), number)
 
-        return tuple(sorted(self.view.members, key=sort_key, reverse=True))
+def _is_joining(member: views.Member) -> bool:
+    return member.state is views.State.DRAINING and member.acked_view == 0
--- a/src/gentianspoke/shells/agent.py
+++ b/src/gentianspoke/shells/agent.py
@@ -70,13 +70,14 @@
 
     def take(self, update: feed_client.Update) -> int:
         """Take an update of the feed, return the version in force."""
+        self.state.note_feed(self._proc.clock.now())
         match update:
             case feed_client.CatalogueUpdate():
                 self._take_catalogue(update)
             case views.View():
                 self.state.set_view(update)
             case feed_client.Confirmed(age_ms=age_ms):
-                self.state.confirmed_ms = self._proc.clock.now() - age_ms
+                self.state.confirm_feed(self._proc.clock.now() - age_ms)
                 if self._proc.life.state == 'syncing':
                     self._proc.life.advance('serve')
         return self._version
--- /dev/null
+++ b/tests/agent/fakes.py
@@ -0,0 +1,137 @@
+"""Agents on a wire that the test controls: real decisions, no sockets."""
+
+import builders
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions import hashing
+
+LEASE_MS = 3_000
+
+
+def agent(
+    number: int,
+    entry: services.Service,
+    view: views.View | None = None,
+    slots: int = 4,
+    lease_until_ms: int = LEASE_MS,
+    **fields: object,
+) -> agent_state.AgentState:
+    """Return an agent that serves one service."""
+    state = agent_state.AgentState(
+        number=number,
+        zone=f'zone-{number % 3}',
+        capacity=agent_state.Capacity(slots, 2_000, 0),
+        started_ms=0,
+        lease_until_ms=lease_until_ms,
+        **fields,
+    )
+    state.set_catalogue([entry])
+    if view is not None:
+        state.set_view(view)
+    return state
+
+
+def order(members: int = 3, sport: int = 5_000) -> list[int]:
+    """Return the members 1 to ``members`` in the order of the bucket."""
+    ranking = hashing.Ranking(
+        builders.view(*(builders.member(n + 1) for n in range(members)))
+    )
+    bucket = hashing.bucket_of(builders.flow_key(sport), 1)
+    return [member.number for member in ranking.order(bucket)]
+
+
+def forward(
+    target: int,
+    segment: packets.Packet,
+    purpose: frames.Purpose = frames.Purpose.ROUTE,
+    wait_left_ms: int = 0,
+    **fields: object,
+) -> frames.Forward:
+    """Return a frame as an entry sends it."""
+    return frames.Forward(
+        service=1,
+        view=1,
+        bucket=hashing.bucket_of(segment.key, 1),
+        target=target,
+        packet=segment.raw,
+        purpose=purpose,
+        hops_left=24,
+        wait_left_ms=wait_left_ms,
+        offers_left=2,
+        **fields,
+    )
+
+
+class Wire:
+    """Carries frames between agents and keeps what became of packets."""
+
+    def __init__(self, *states: agent_state.AgentState) -> None:
+        """Connect the agents; no frame is held back."""
+        self.states = {state.number: state for state in states}
+        self.held: list[frames.Forward] = []
+        self.hold_to: set[int] = set()
+        self.lost_to: set[int] = set()
+        self.delivered: list[int] = []
+        self.refused: list[str] = []
+        self.dropped: list[str] = []
+        self.resets: list[str] = []
+
+    def send(
+        self,
+        target: int,
+        packet: packets.Packet,
+        now: int = 0,
+        **fields: object,
+    ) -> None:
+        """Let an entry send a packet to an agent, and what follows."""
+        self._carry(forward(target, packet, **fields), packet, now)
+
+    def release(self, packet: packets.Packet, now: int = 0) -> None:
+        """Let the frames that were held back arrive."""
+        self.hold_to.clear()
+        held, self.held = self.held, []
+        for frame in held:
+            self._carry(frame, packet, now)
+
+    def take(self, number: int, decided: list[actions.Action]) -> None:
+        """Take note of actions that an agent decided on by itself."""
+        self._take(number, decided, None, 0)
+
+    def _carry(
+        self, frame: frames.Forward, packet: packets.Packet, now: int
+    ) -> None:
+        if frame.target in self.hold_to:
+            self.held.append(frame)
+        elif frame.target in self.states and frame.target not in self.lost_to:
+            state = self.states[frame.target]
+            decided = core.on_forward(state, frame, packet, now)
+            self._take(frame.target, decided, packet, now)
+
+    def _take(
+        self,
+        number: int,
+        decided: list[actions.Action],
+        packet: packets.Packet | None,
+        now: int,
+    ) -> None:
+        for action in decided:
+            match action:
+                case actions.Deliver():
+                    self.delivered.append(number)
+                case actions.Pass(forward=onward):
+                    assert packet is not None
+                    self._carry(onward, packet, now)
+                case actions.Refuse(reason=reason):
+                    self.refused.append(reason)
+                case actions.Drop(reason=reason):
+                    self.dropped.append(reason)
+                case actions.ResetCaller(reason=reason):
+                    self.resets.append(f'caller {reason}')
+                case actions.ResetUpstream(reason=reason):
+                    self.resets.append(f'upstream {reason}')
--- /dev/null
+++ b/tests/agent/test_at_most_once.py
@@ -0,0 +1,290 @@
+"""A non-idempotent opening reaches one upstream, and refused is not run."""
+
+import dataclasses
+
+import builders
+import fakes
+import pytest
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import core
+
+SYN = builders.segment()
+NEXT_SYN = builders.segment(seq=900)
+HOME, SECOND, THIRD = fakes.order()
+LIVE, DRAINING, SUSPECT = views.State
+LATER_MS = 1_000
+
+
+def view(number=1, **changes):
+    members = [builders.member(n) for n in (1, 2, 3)]
+    for name, change in changes.items():
+        place = {'home': HOME, 'second': SECOND, 'third': THIRD}[name] - 1
+        members[place] = dataclasses.replace(members[place], **change)
+    return builders.view(*members, number=number)
+
+
+def acked(number, *names):
+    return {name: {'acked_view': number} for name in names}
+
+
+def closed(number, **fields):
+    return {'state': SUSPECT, 'closed_view': number, **fields}
+
+
+def full_home(entry):
+    """Return three agents of which the home has no free slot."""
+    states = {n: fakes.agent(n, entry, view()) for n in (1, 2, 3)}
+    states[HOME].total_running = 4
+    return states, fakes.Wire(*states.values())
+
+
+def test_copies_through_several_entries_reach_one_upstream():
+    states, wire = full_home(builders.service())
+    for target in (HOME, SECOND, THIRD, HOME):
+        wire.send(target, SYN)
+    assert len(set(wire.delivered)) == 1
+
+
+def test_an_offer_on_its_way_is_not_replaced_by_a_second_placement():
+    states, wire = full_home(builders.service())
+    wire.hold_to = {SECOND, THIRD}
+    wire.send(HOME, SYN)
+    target = wire.held[0].target
+    wire.hold_to = {target}
+    states[HOME].total_running = 0
+    # The copy reaches the target first, which does not know it yet.
+    wire.send(HOME, SYN, tried=(target,))
+    wire.release(SYN)
+    assert set(wire.delivered) == {target}
+
+
+@pytest.mark.parametrize(
+    ('opening', 'expected'),
+    [
+        pytest.param(SYN, [], id='copy'),
+        pytest.param(NEXT_SYN, [HOME], id='new-opening'),
+    ],
+)
+def test_an_opening_whose_target_is_lost_is_not_placed_again(
+    opening, expected
+):
+    states, wire = full_home(builders.service())
+    wire.hold_to = {SECOND, THIRD}
+    wire.send(HOME, SYN)
+    lost = wire.held[0].target
+    states[HOME].total_running = 0
+    members = [builders.member(n) for n in (1, 2, 3) if n != lost]
+    newer = [dataclasses.replace(item, acked_view=2) for item in members]
+    states[HOME].set_view(builders.view(*newer, number=2))
+    wire.send(HOME, opening)
+    assert (wire.delivered, wire.refused) == (expected, [])
+
+
+@pytest.mark.parametrize(
+    ('queued_at', 'lease_until_ms', 'expected'),
+    [
+        pytest.param(0, 5_000, ['deliver'], id='lease-held'),
+        pytest.param(0, 900, [], id='lease-over'),
+    ],
+)
+def test_a_queued_opening_starts_only_under_a_lease(
+    queued_at, lease_until_ms, expected
+):
+    entry = builders.service(services.Upload(False), wait_ms=4_000)
+    alone = builders.view(builders.member(1))
+    state = fakes.agent(1, entry, alone, 1, lease_until_ms)
+    state.total_running = 1
+    wire = fakes.Wire(state)
+    wire.send(1, SYN, queued_at, wait_left_ms=4_000)
+    state.total_running = 0
+    decided = core.on_tick(state, LATER_MS)
+    assert len(decided) == len(expected)
+
+
+def test_a_queued_opening_is_not_called_not_run_without_a_lease():
+    entry = builders.service(services.Upload(False))
+    alone = builders.view(builders.member(1))
+    state = fakes.agent(1, entry, alone, 1, lease_until_ms=500)
+    state.total_running = 1
+    wire = fakes.Wire(state)
+    wire.send(1, SYN, wait_left_ms=800)
+    wire.take(1, core.on_tick(state, LATER_MS))
+    assert (wire.refused, wire.dropped[-1]) == ([], 'lease-lost-in-queue')
+
+
+@pytest.mark.parametrize(
+    ('target_view', 'lease_until_ms', 'taken'),
+    [
+        pytest.param(view(), 3_000, True, id='same-view'),
+        pytest.param(view(), 0, False, id='target-without-lease'),
+        pytest.param(
+            view(2, home=closed(2)), 3_000, False, id='decider-closed'
+        ),
+        pytest.param(
+            view(3, home={'joined_view': 3}), 3_000, False, id='rejoined'
+        ),
+    ],
+)
+def test_an_offer_of_a_decider_that_is_not_home_any_more_is_not_taken(
+    target_view, lease_until_ms, taken
+):
+    entry = builders.service()
+    target = fakes.agent(THIRD, entry, target_view, 4, lease_until_ms)
+    wire = fakes.Wire(target)
+    wire.send(
+        THIRD,
+        SYN,
+        purpose=frames.Purpose.OFFER,
+        sender=HOME,
+        decider=HOME,
+    )
+    assert bool(wire.delivered) is taken
+
+
+def test_a_new_home_finds_an_opening_that_a_lost_home_had_diverted():
+    states, wire = full_home(builders.service())
+    wire.send(HOME, SYN)
+    (target,) = wire.delivered
+    del wire.states[HOME]
+    # Control has removed the lost home; the target reports the flow.
+    members = [
+        builders.member(n, acked_view=2) for n in (1, 2, 3) if n != HOME
+    ]
+    reported = {
+        number: core.oldest_flow_view(states[number], 1)
+        for number in (SECOND, THIRD)
+    }
+    newer = [
+        dataclasses.replace(item, oldest_flow_view=reported[item.number])
+        for item in members
+    ]
+    for number in (SECOND, THIRD):
+        states[number].set_view(builders.view(*newer, number=2))
+    wire.send(SECOND, SYN)
+    assert set(wire.delivered) == {target}
+
+
+@pytest.mark.parametrize(
+    ('newer', 'placed'),
+    [
+        pytest.param(
+            view(2, home=closed(2), **acked(2, 'second', 'third')),
+            False,
+            id='lost-home-still-listed',
+        ),
+        pytest.param(
+            view(
+                2,
+                home=closed(2, acked_view=2),
+                **acked(2, 'second'),
+                third={'acked_view': 1},
+            ),
+            False,
+            id='another-may-still-take-its-offers',
+        ),
+        pytest.param(
+            view(
+                2,
+                home={'state': DRAINING, 'closed_view': 2, 'acked_view': 2},
+                **acked(2, 'second', 'third'),
+            ),
+            True,
+            id='all-have-acknowledged',
+        ),
+        pytest.param(
+            view(
+                2,
+                home={'state': DRAINING, 'closed_view': 2, 'acked_view': 1},
+                **acked(2, 'second', 'third'),
+            ),
+            False,
+            id='drain-not-yet-acknowledged',
+        ),
+    ],
+)
+def test_a_new_home_waits_for_all_that_may_act_on_an_older_view(newer, placed):
+    entry = builders.service()
+    state = fakes.agent(SECOND, entry, view())
+    state.set_view(newer)
+    wire = fakes.Wire(state)
+    wire.send(SECOND, SYN)
+    assert bool(wire.delivered) is placed
+
+
+def test_a_bucket_that_kept_its_home_goes_on_while_another_member_is_lost():
+    entry = builders.service()
+    state = fakes.agent(HOME, entry, view())
+    state.set_view(view(2, third=closed(2), second={'acked_view': 1}))
+    wire = fakes.Wire(state)
+    wire.send(HOME, SYN)
+    assert wire.delivered == [HOME]
+
+
+def test_a_home_that_may_have_missed_a_view_waits_as_a_new_home_does():
+    entry = builders.service()
+    state = fakes.agent(HOME, entry, view())
+    state.confirmed_ms = 0
+    state.note_feed(2_500)
+    state.set_view(view(4))
+    wire = fakes.Wire(state)
+    wire.send(HOME, SYN, 2_500)
+    assert wire.dropped == ['awaiting-lease']
+
+
+def test_an_agent_that_joins_again_does_not_act_on_its_earlier_life():
+    entry = builders.service()
+    state = fakes.agent(HOME, entry, view(), joining=True)
+    wire = fakes.Wire(state)
+    wire.send(HOME, SYN)
+    assert (wire.delivered, wire.dropped) == ([], ['awaiting-lease'])
+
+
+@pytest.mark.parametrize(
+    ('opening', 'delivered', 'dropped'),
+    [
+        pytest.param(SYN, 1, ['late-opening'], id='late-copy'),
+        pytest.param(NEXT_SYN, 2, [], id='reused-five-tuple'),
+    ],
+)
+def test_a_late_copy_of_an_ended_flow_is_not_a_new_opening(
+    opening, delivered, dropped
+):
+    alone = builders.view(builders.member(1))
+    state = fakes.agent(1, builders.service(), alone)
+    wire = fakes.Wire(state)
+    wire.send(1, SYN)
+    core.on_reply(state, builders.segment(packets.RST), 10)
+    wire.send(1, opening, 20)
+    assert (len(wire.delivered), wire.dropped) == (delivered, dropped)
+
+
+def test_a_copy_of_a_refused_opening_is_refused_again():
+    alone = builders.view(builders.member(1))
+    state = fakes.agent(1, builders.service(), alone, slots=1)
+    state.total_running = 1
+    wire = fakes.Wire(state)
+    wire.send(1, SYN)
+    state.total_running = 0
+    wire.send(1, SYN, 500)
+    assert wire.refused == ['no-capacity', 'refused-before']
+    assert wire.delivered == []
+
+
+@pytest.mark.parametrize(
+    ('traffic', 'dropped'),
+    [
+        (services.Booking(False), ['opening-with-payload']),
+        (services.Booking(True), []),
+    ],
+)
+def test_an_opening_with_payload_is_dropped_where_work_runs_once(
+    traffic, dropped
+):
+    alone = builders.view(builders.member(1))
+    wire = fakes.Wire(fakes.agent(1, builders.service(traffic), alone))
+    wire.send(1, dataclasses.replace(SYN, payload_bytes=20))
+    assert wire.dropped == dropped
--- /dev/null
+++ b/tests/agent/test_ownership.py
@@ -0,0 +1,75 @@
+"""Who may decide on an opening while views differ."""
+
+import builders
+import fakes
+import pytest
+
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions import hashing
+
+LIVE = views.State.LIVE
+DRAINING = views.State.DRAINING
+SUSPECT = views.State.SUSPECT
+
+
+@pytest.mark.parametrize(
+    ('joined', 'acked', 'places'),
+    [
+        pytest.param(5, 4, False, id='has-not-seen-the-joiner'),
+        pytest.param(5, 5, True, id='has-seen-the-joiner'),
+        pytest.param(1, 0, False, id='acknowledged-nothing'),
+    ],
+)
+def test_a_joiner_places_once_the_member_it_succeeds_knows_of_it(
+    joined, acked, places
+):
+    home, second = fakes.order(2)
+    first = builders.member(home, joined_view=joined, acked_view=joined)
+    other = builders.member(second, joined_view=1, acked_view=acked)
+    assert may_place(home, first, other, number=joined) is places
+
+
+@pytest.mark.parametrize(
+    ('state', 'closed', 'acked', 'places'),
+    [
+        pytest.param(DRAINING, 7, 6, False, id='drain-not-yet-known'),
+        pytest.param(DRAINING, 7, 7, True, id='drain-acknowledged'),
+        pytest.param(SUSPECT, 7, 6, False, id='silent-with-a-lease'),
+        pytest.param(SUSPECT, 7, 0, False, id='silent-since-its-start'),
+        pytest.param(DRAINING, 7, 0, True, id='about-to-join'),
+    ],
+)
+def test_a_home_waits_for_the_closed_member_before_it(
+    state, closed, acked, places
+):
+    earlier, home = fakes.order(2)
+    before = builders.member(
+        earlier, state, closed_view=closed, acked_view=acked
+    )
+    own = builders.member(home, acked_view=closed)
+    assert may_place(home, before, own, number=closed) is places
+
+
+def may_place(home, *members, number):
+    view = builders.view(*members, number=number)
+    entry = builders.service()
+    agent = fakes.agent(home, entry, view)
+    ranking = agent.rankings[1]
+    bucket = hashing.bucket_of(builders.flow_key(), 1)
+    return ownership.may_place(agent, entry, ranking, bucket, now=0)
+
+
+@pytest.mark.parametrize(
+    ('tried', 'expected'),
+    [((), 2), ((2,), 3), ((2, 3), 4), ((2, 3, 4), None)],
+)
+def test_the_trail_asks_members_that_may_be_down_last(tried, expected):
+    order = (
+        builders.member(1),
+        builders.member(2),
+        builders.member(4, SUSPECT, closed_view=3),
+        builders.member(3),
+    )
+    found = ownership.next_on_trail(order, tried, own=1)
+    assert (found.number if found else None) == expected
