Split the agent's shell and let it join, stop and restart by announcement

Cause: an agent that restarted acted on a view from its earlier life, a planned stop exited before control had heard of it, the lease of an old incarnation passed to the next, and any error while handling one packet ended the agent. Ruled out: removing the old incarnation at once as "leaving", which needs the others to know that none of its offers is on its way. Counters of the packet path are plain, copied when a page is rendered.

--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -57,6 +57,7 @@
 def _encode_forward(frame: frames.Forward) -> envelope_pb2.Body:
     return envelope_pb2.Body(
         sender=frame.sender,
+        logical=frame.logical,
         forward=envelope_pb2.Forward(
             service=frame.service,
             view=frame.view,
@@ -91,12 +92,14 @@
         offers_left=forward.offers_left,
         sender=body.sender,
         decider=forward.decider,
+        logical=body.logical,
     )
 
 
 def _encode_load(frame: frames.LoadReport) -> envelope_pb2.Body:
     return envelope_pb2.Body(
         sender=frame.sender,
+        logical=frame.logical,
         load=envelope_pb2.LoadReport(
             service=frame.service,
             open_flows=frame.open_flows,
@@ -113,4 +116,5 @@
         open_flows=body.load.open_flows,
         running=body.load.running,
         queued=body.load.queued,
+        logical=body.logical,
     )
--- a/src/gentianspoke/commands/processes.py
+++ b/src/gentianspoke/commands/processes.py
@@ -31,9 +31,9 @@
 
     def __call__(self) -> None:
         """Run until a planned stop."""
-        from gentianspoke.shells import agent
+        from gentianspoke.shells.agent import main
 
-        asyncio.run(agent.run(settings.load(self.file)))
+        raise SystemExit(asyncio.run(main.run(settings.load(self.file))))
 
 
 @cappa.command(name='control')
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -22,7 +22,8 @@
     ``tried`` lists the members that did not own the flow, oldest first.
     ``target`` is the member that the frame is meant for. ``view`` is the
     sending entry's view, or in an offer the view in which ``decider``, the
-    bucket's home, decided on the opening.
+    bucket's home, decided on the opening. ``logical`` is the sender's
+    logical clock.
     """
 
     service: int
@@ -37,6 +38,7 @@
     offers_left: int = 0
     sender: int = ENTRY_SENDER
     decider: int = ENTRY_SENDER
+    logical: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,7 @@
     open_flows: int
     running: int
     queued: int
+    logical: int = 0
 
 
 Frame = Forward | LoadReport
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -20,6 +20,8 @@
 # joined, decided, lost its lease and been removed unseen. It is less than
 # the shortest lease.
 CONTINUITY_MS = 2_000
+# Queue waits kept between two ticks.
+WAITS_AT_MOST = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +42,15 @@
     verdict: verdicts.Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leftover:
+    """Flows that a planned stop leaves; running ones hold a slot."""
+
+    running: int
+    queued: int
+    open_flows: int
+
+
 @dataclasses.dataclass(slots=True)
 class AgentState:
     """State of one agent; ``number`` is its member number.
@@ -124,6 +135,10 @@
     heard_ms: int = 0
     reports: list[FlowReport] = dataclasses.field(default_factory=list)
     reports_lost: int = 0
+    # How long queued openings waited, in milliseconds, since the last tick.
+    queue_waits: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=WAITS_AT_MOST)
+    )
 
     def set_catalogue(self, entries: list[services.Service]) -> None:
         """Take the entries of a newer catalogue."""
@@ -133,7 +148,7 @@
     def set_view(self, view: views.View) -> bool:
         """Take a newer view of a service; return whether it was newer."""
         known = self.rankings.get(view.service)
-        if known is not None and known.view.order >= view.order:
+        if known is not None and known.view.order > view.order:
             return False
         if known is not None and known.view.number < view.number:
             self._keep_past(known)
@@ -174,6 +189,16 @@
         """Return the number of occupied slots over all services."""
         return self.total_running
 
+    def leftover(self) -> Leftover:
+        """Return the flows that are not finished."""
+        queued = sum(len(queue) for queue in self.queues.values())
+        return Leftover(self.total_running, queued, self.total_open)
+
+    def in_progress(self) -> bool:
+        """Return whether a flow holds a slot or waits for one."""
+        left = self.leftover()
+        return bool(left.running or left.queued)
+
     def _keep_past(self, ranking: hashing.Ranking) -> None:
         past = self.past[ranking.view.service]
         if self.views_missed:
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -42,6 +42,7 @@
     """Return the deliveries of queued openings that got a slot."""
     result: list[actions.Action] = []
     for flow in admission.start_queued(state, now):
+        state.queue_waits.append(now - flow.opened_ms)
         if flow.held is not None:
             result.append(actions.Deliver(flow.held.raw))
             evidence.note_up(flow, flow.held, now)
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -40,7 +40,7 @@
     def set_view(self, view: views.View) -> bool:
         """Take a newer view of a service; return whether it was newer."""
         known = self.rankings.get(view.service)
-        if known is not None and known.view.order >= view.order:
+        if known is not None and known.view.order > view.order:
             return False
         self.rankings[view.service] = hashing.Ranking(view)
         return True
@@ -78,7 +78,7 @@
     bucket = hashing.bucket_of(key, service.number)
     member = ranking.home(bucket) or next(iter(ranking.order(bucket)), None)
     if member is None:
-        return _answer_without_members(packet)
+        return _answer_without_members(service, packet)
     forward = frames.Forward(
         service=service.number,
         view=ranking.view.number,
@@ -92,9 +92,12 @@
     return actions.Pass(member, forward)
 
 
-def _answer_without_members(packet: packets.Packet) -> actions.Action:
-    # A reset that answers a SYN acts only on a caller that has sent no
-    # data yet, so it is a truthful "not run" even if a copy was placed.
+def _answer_without_members(
+    service: services.Service, packet: packets.Packet
+) -> actions.Action:
+    if services.needs_single_decider(service):
+        # Another entry may have sent a copy to a member of a newer view.
+        return actions.Drop('no-upstream')
     match packet:
         case packets.Segment() if packets.is_opening(packet):
             return actions.Refuse(packet, 'no-upstream')
--- /dev/null
+++ b/src/gentianspoke/shells/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process: carries out decisions on real sockets."""
--- /dev/null
+++ b/src/gentianspoke/shells/agent/effects.py
@@ -0,0 +1,94 @@
+"""Carries out the agent's actions on its sockets, and counts them."""
+
+from gentianspoke import clock
+from gentianspoke.codec import frame
+from gentianspoke.codec import ip
+from gentianspoke.config import settings
+from gentianspoke.core import packets
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.net import datagrams
+from gentianspoke.shells import process
+
+
+class Effects:
+    """The sockets and counters of one agent."""
+
+    def __init__(
+        self,
+        proc: process.Process,
+        cfg: settings.AgentSettings,
+        peers: datagrams.DatagramSocket,
+        upstream: datagrams.DatagramSocket,
+    ) -> None:
+        """Send to peers and the fabric by one socket, upstream by another."""
+        self._proc = proc
+        self._cfg = cfg
+        self._peers = peers
+        self._upstream = upstream
+
+    def carry_out(self, decided: core.Actions) -> None:
+        """Carry out actions in their order."""
+        for action in decided:
+            self._carry_out_one(action)
+
+    def write_reports(self, state: agent_state.AgentState) -> None:
+        """Write the reports of flows to the time line."""
+        counts = self._proc.metrics.counts
+        for report in state.reports:
+            verdict = report.verdict
+            service = state.served.get(report.service)
+            outcome = verdict.outcome.value
+            counts.verdicts[f'{outcome}-{verdict.fault.value}'] += 1
+            self._proc.events.write(
+                'flow-verdict',
+                service=service.name if service else '',
+                flow=packets.describe_key(report.key),
+                outcome=outcome,
+                fault=verdict.fault.value,
+                reason=verdict.reason,
+                **dict(verdict.evidence),
+            )
+        state.reports.clear()
+        while state.queue_waits:
+            wait_s = state.queue_waits.popleft() / clock.MS_PER_S
+            self._proc.metrics.observe_queue_wait(wait_s)
+        counts.dropped['report-overflow'] += state.reports_lost
+        state.reports_lost = 0
+
+    def _carry_out_one(self, action: actions.Action) -> None:
+        counts = self._proc.metrics.counts
+        match action:
+            case actions.Deliver(raw=raw):
+                self._upstream.send(raw, self._cfg.upstream)
+                counts.packets['delivered'] += 1
+            case actions.Answer(raw=raw):
+                self._peers.send(raw, self._cfg.fabric)
+                counts.packets['answered'] += 1
+            case actions.Pass(member=member, forward=forward):
+                forward.logical = self._proc.events.logical
+                data = frame.encode(forward, self._proc.ring)
+                self._peers.send(data, (member.host, member.port))
+                counts.packets['passed'] += 1
+            case actions.Drop(reason=reason):
+                counts.dropped[reason] += 1
+            case actions.Refuse(packet=packet, reason=reason):
+                self._peers.send(ip.reset_for(packet), self._cfg.fabric)
+                counts.refused[reason] += 1
+                self._write_flow('flow-refused', packet.key, reason)
+            case actions.ResetCaller(key=key, seq=seq, ack=ack):
+                raw = ip.reset_to_caller(key, seq, ack)
+                self._peers.send(raw, self._cfg.fabric)
+                counts.resets[action.reason] += 1
+                self._write_flow('flow-reset', key, action.reason)
+            case actions.ResetUpstream(key=key, seq=seq, ack=ack):
+                raw = ip.reset_to_upstream(key, seq, ack)
+                self._upstream.send(raw, self._cfg.upstream)
+                counts.resets[action.reason] += 1
+
+    def _write_flow(
+        self, event: str, key: packets.FlowKey, reason: str
+    ) -> None:
+        flow = packets.describe_key(key)
+        self._proc.events.write(event, flow=flow, reason=reason)
--- /dev/null
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -0,0 +1,118 @@
+"""Heartbeats of an agent to control, which grants the lease for them."""
+
+import asyncio
+import contextlib
+
+from gentianspoke.codec import feed
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.control import membership
+from gentianspoke.generated import feed_grpc
+from gentianspoke.generated import feed_pb2
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+
+HEARTBEAT_S = 0.5
+# Least time between two heartbeats, however often the views change.
+LEAST_PAUSE_S = 0.05
+ANNOUNCE_TIMEOUT_S = 1.0
+# The lease is given up this much early, against a clock that runs slow.
+LEASE_MARGIN_PERMILLE = 50
+PERMILLE = 1_000
+
+
+class Heartbeat:
+    """Announces the state of an agent, at once where it has changed."""
+
+    def __init__(
+        self,
+        proc: process.Process,
+        cfg: settings.AgentSettings,
+        state: agent_state.AgentState,
+    ) -> None:
+        """Begin without a lease."""
+        self._proc = proc
+        self._cfg = cfg
+        self._state = state
+        self._changed = asyncio.Event()
+        # Set once control has taken a heartbeat that says "draining".
+        self.drain_accepted = asyncio.Event()
+
+    def announce_now(self) -> None:
+        """Have the next heartbeat sent at once."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Announce to one control instance after the other."""
+        while True:
+            for address in self._proc.cfg.feeds:
+                with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+                    await self._announce_to(address)
+                await asyncio.sleep(LEAST_PAUSE_S)
+
+    async def _announce_to(self, address: units.Address) -> None:
+        async with feed_client.open_channel(address) as channel:
+            stub = feed_grpc.FeedStub(channel)
+            while True:
+                self._changed.clear()
+                sent = self._announcement()
+                sent_ms = self._proc.clock.now()
+                reply = await stub.Announce(
+                    feed.encode_announcement(sent, self._cfg.services),
+                    timeout=ANNOUNCE_TIMEOUT_S,
+                )
+                if not reply.granted:
+                    return
+                self._take_grant(sent, sent_ms, reply)
+                await self._wait_for_change()
+
+    def _take_grant(
+        self,
+        sent: membership.Announcement,
+        sent_ms: int,
+        reply: feed_pb2.AnnouncementReply,
+    ) -> None:
+        if sent.number != self._state.number:
+            # The upstream has restarted since; the lease is not its own.
+            return
+        margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
+        until_ms = sent_ms + reply.lease_ms - margin_ms
+        state = self._state
+        state.lease_until_ms = max(state.lease_until_ms, until_ms)
+        if sent.state is views.State.DRAINING and state.draining:
+            self.drain_accepted.set()
+
+    async def _wait_for_change(self) -> None:
+        await asyncio.sleep(LEAST_PAUSE_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HEARTBEAT_S - LEAST_PAUSE_S):
+                await self._changed.wait()
+
+    def _announcement(self) -> membership.Announcement:
+        state = self._state
+        host, port = self._cfg.listen
+        reports = tuple(
+            membership.ServiceReport(
+                service,
+                ranking.view.number,
+                core.oldest_flow_view(state, service),
+                state.counts[service].open_flows,
+            )
+            for service, ranking in state.rankings.items()
+        )
+        closed = state.draining or state.joining
+        return membership.Announcement(
+            number=state.number,
+            instance=self._proc.cfg.instance,
+            host=host,
+            port=port,
+            zone=self._proc.cfg.zone,
+            weight=self._cfg.weight,
+            state=views.State.DRAINING if closed else views.State.LIVE,
+            recovering=state.recovering,
+            services=(),
+            reports=reports,
+        )
--- /dev/null
+++ b/src/gentianspoke/shells/agent/main.py
@@ -0,0 +1,50 @@
+"""The agent process, from its settings to its planned stop."""
+
+import secrets
+
+from gentianspoke.config import settings
+from gentianspoke import errors
+from gentianspoke.net import datagrams
+from gentianspoke.shells.agent import agent as agent_shell
+from gentianspoke.shells.agent import status
+from gentianspoke.shells.agent import stopping
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+
+# Exit status of a planned stop whose grace ended before its flows did.
+EXIT_FLOWS_LEFT = 3
+
+
+async def run(cfg: settings.Settings) -> int:
+    """Run an agent until a planned stop; return its exit status."""
+    match cfg.role:
+        case settings.AgentSettings() as role:
+            pass
+        case _:
+            raise errors.SettingsError('settings', 'agent', 'missing; add it')
+    found = await status.read_status(role)
+    # Without a status page the agent cannot tell whether the upstream was
+    # there before it, so it takes the older incarnation as gone.
+    known = found.incarnation if found is not None else ''
+    incarnation = known or secrets.token_hex(8)
+    async with process.run_process(cfg, 'agent') as proc:
+        with (
+            datagrams.open_datagrams(role.listen) as peers,
+            datagrams.open_datagrams(role.upstream_side) as upstream,
+        ):
+            agent = agent_shell.Agent(
+                proc, role, peers, upstream, incarnation, bool(known)
+            )
+            async with process.run_tasks(
+                agent.read_peers(),
+                agent.read_upstream(),
+                agent.tick(),
+                agent.report_load(),
+                agent.heartbeat.run(),
+                agent.poll_status(),
+                feed_client.follow_feeds(proc, 'agent', agent.take),
+            ):
+                await proc.stop.wait()
+                proc.life.advance('stop')
+                left = await stopping.finish(proc, agent)
+    return EXIT_FLOWS_LEFT if left.running or left.queued else 0
--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import loguru
+
 from gentianspoke.codec import frame
 from gentianspoke.codec import ip
 from gentianspoke.config import settings
@@ -30,6 +32,7 @@
         self._sock = sock
         self._entries: dict[str, services.Service] = {}
         self.table = routing.RouteTable()
+        proc.metrics.on_render(self._set_gauges)
 
     def take(self, update: feed_client.Update) -> int:
         """Take an update of the feed, return the version in force."""
@@ -45,9 +48,18 @@
 
     async def forward_packets(self) -> None:
         """Forward packets until cancelled; one task reads the socket."""
+        dropped = self._proc.metrics.counts.dropped
         while True:
             for raw, sender in await self._sock.receive_burst():
-                self._forward(raw, sender)
+                try:
+                    self._forward(raw, sender)
+                except errors.PacketError as exc:
+                    dropped[exc.reason] += 1
+                except Exception:
+                    # A fault in the handling of one packet must not end
+                    # the task that carries all other flows.
+                    loguru.logger.exception('a packet was not handled')
+                    dropped['internal-error'] += 1
 
     def _take_catalogue(self, update: feed_client.CatalogueUpdate) -> None:
         if update.version < self.table.catalogue_version:
@@ -59,21 +71,23 @@
         self._proc.events.write('catalogue-in-force', version=update.version)
 
     def _forward(self, raw: bytes, sender: units.Address) -> None:
-        try:
-            packet = ip.parse(raw)
-        except errors.PacketError as exc:
-            self._proc.metrics.dropped.inc({'reason': exc.reason})
-            return
-        match routing.route(self.table, packet):
+        counts = self._proc.metrics.counts
+        match routing.route(self.table, ip.parse(raw)):
             case actions.Pass(member=member, forward=forward):
+                forward.logical = self._proc.events.logical
                 data = frame.encode(forward, self._proc.ring)
                 self._sock.send(data, (member.host, member.port))
-                self._proc.metrics.packets.inc({'action': 'forwarded'})
+                counts.packets['forwarded'] += 1
             case actions.Refuse(packet=refused, reason=reason):
                 self._sock.send(ip.reset_for(refused), sender)
-                self._proc.metrics.refused.inc({'reason': reason})
+                counts.refused[reason] += 1
             case actions.Drop(reason=reason):
-                self._proc.metrics.dropped.inc({'reason': reason})
+                counts.dropped[reason] += 1
+
+    def _set_gauges(self) -> None:
+        gauges = self._proc.metrics.set_gauge
+        gauges('services', len(self.table.rankings))
+        gauges('unsent', self._sock.unsent)
 
 
 async def run(cfg: settings.Settings) -> None:
--- a/src/gentianspoke/telemetry/metrics.py
+++ b/src/gentianspoke/telemetry/metrics.py
@@ -1,5 +1,9 @@
 """Prometheus metrics of one process, through aioprometheus."""
 
+import collections
+import collections.abc
+import dataclasses
+
 import aioprometheus
 from aioprometheus import collectors
 
@@ -14,6 +18,33 @@
 ]
 
 
+WAIT_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """Counts of the packet path by label, copied when a page is rendered.
+
+    A plain counter costs far less than a collector's look-up by labels.
+    """
+
+    packets: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    dropped: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    resets: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    verdicts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
 class Metrics:
     """The collectors of one process; unused ones stay without a sample."""
 
@@ -36,6 +67,18 @@
         self.gauges = self._gauge(
             'gentianspoke_state', 'Current counts, by name'
         )
+        self.verdicts = self._counter(
+            'gentianspoke_verdicts_total', 'Failed flows, by outcome and fault'
+        )
+        self.counts = Counts()
+        self._on_render: list[collections.abc.Callable[[], None]] = []
+        self.queue_wait = aioprometheus.Histogram(
+            'gentianspoke_queue_wait_seconds',
+            'Time that a queued opening waited for its slot',
+            const_labels=self._labels,
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
         self.placement = aioprometheus.Histogram(
             'gentianspoke_placement_seconds',
             'Time that one decision took',
@@ -44,8 +87,32 @@
             registry=self.registry,
         )
 
+    def on_render(self, update: collections.abc.Callable[[], None]) -> None:
+        """Call ``update`` before each page, to set the gauges."""
+        self._on_render.append(update)
+
+    def set_gauge(self, name: str, value: int) -> None:
+        """Set a current count."""
+        self.gauges.set({'name': name}, value)
+
+    def observe_placement(self, duration_s: float) -> None:
+        """Take note of how long the decision on an opening took."""
+        self.placement.observe({}, duration_s)
+
+    def observe_queue_wait(self, duration_s: float) -> None:
+        """Take note of how long an opening waited for its slot."""
+        self.queue_wait.observe({}, duration_s)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its HTTP headers."""
+        for update in self._on_render:
+            update()
+        counts = self.counts
+        _copy(counts.packets, self.packets, 'action')
+        _copy(counts.dropped, self.dropped, 'reason')
+        _copy(counts.refused, self.refused, 'reason')
+        _copy(counts.resets, self.resets, 'reason')
+        _copy(counts.verdicts, self.verdicts, 'verdict')
         return aioprometheus.render(self.registry, [])
 
     def _counter(self, name: str, text: str) -> aioprometheus.Counter:
@@ -57,3 +124,12 @@
         return aioprometheus.Gauge(
             name, text, const_labels=self._labels, registry=self.registry
         )
+
+
+def _copy(
+    counts: collections.Counter[str],
+    counter: aioprometheus.Counter,
+    label: str,
+) -> None:
+    for name, count in counts.items():
+        counter.set({label: name}, count)
