--- a/src/gentianspoke/decisions/timeline/events.py
+++ b/src/gentianspoke/decisions/timeline/events.py
@@ -65,7 +65,10 @@
     """A planned stop has waited for flows in progress."""
 
     running_left: int
+    queued_left: int
     open_left: int
+    announced: bool
+    took_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
