Feed views as deltas with digests, relay the leader's feed, count consumers in sums

Cause: every consumer got every view whole, from the leader only, and a consumer that fell silent was not counted.

--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -1,7 +1,9 @@
 """Announcements and views between protobuf and data classes."""
 
 from gentianspoke.core import views
+from gentianspoke.decisions.control import consumers
 from gentianspoke.decisions.control import membership
+from gentianspoke.decisions import view_delta
 from gentianspoke.generated import feed_pb2
 
 STATES = {
@@ -22,8 +24,42 @@
     )
 
 
-def decode_view(message: feed_pb2.View) -> views.View:
-    """Return a message as a view, its members ordered by number."""
+def encode_delta(delta: view_delta.ViewDelta) -> feed_pb2.View:
+    """Return the difference of two views as a message."""
+    base_number, base_revision = delta.base
+    return feed_pb2.View(
+        service=delta.service,
+        number=delta.number,
+        revision=delta.revision,
+        members=[_encode_member(member) for member in delta.changed],
+        delta=True,
+        base_number=base_number,
+        base_revision=base_revision,
+        removed=delta.removed,
+    )
+
+
+def decode_view(
+    message: feed_pb2.View,
+) -> views.View | view_delta.ViewDelta:
+    """Return a message as a view or as the difference from one."""
+    if message.delta:
+        return _decode_delta(message)
+    return _decode_whole(message)
+
+
+def _decode_delta(message: feed_pb2.View) -> view_delta.ViewDelta:
+    return view_delta.ViewDelta(
+        service=message.service,
+        base=(message.base_number, message.base_revision),
+        number=message.number,
+        revision=message.revision,
+        changed=tuple(_decode_member(item) for item in message.members),
+        removed=tuple(message.removed),
+    )
+
+
+def _decode_whole(message: feed_pb2.View) -> views.View:
     members = sorted(
         (_decode_member(item) for item in message.members),
         key=lambda member: member.number,
@@ -89,6 +125,37 @@
     )
 
 
+def encode_summary(summary: consumers.Summary) -> feed_pb2.Summary:
+    """Return what the consumers behind a relay run as a message."""
+    return feed_pb2.Summary(
+        counts=[
+            feed_pb2.VersionCount(version=version, consumers=count)
+            for version, count in summary.counts.items()
+        ],
+        laggards=[_encode_laggard(item) for item in summary.laggards],
+        departed=[_encode_laggard(item) for item in summary.departed],
+        arrived=sorted(summary.arrived),
+    )
+
+
+def decode_summary(message: feed_pb2.Summary) -> consumers.Summary:
+    """Return a message as what the consumers behind a relay run."""
+    return consumers.Summary(
+        counts={item.version: item.consumers for item in message.counts},
+        laggards=tuple(_decode_laggard(item) for item in message.laggards),
+        departed=tuple(_decode_laggard(item) for item in message.departed),
+        arrived=frozenset(message.arrived),
+    )
+
+
+def _encode_laggard(item: consumers.Laggard) -> feed_pb2.Laggard:
+    return feed_pb2.Laggard(instance=item.instance, version=item.version)
+
+
+def _decode_laggard(message: feed_pb2.Laggard) -> consumers.Laggard:
+    return consumers.Laggard(message.instance, message.version)
+
+
 def _encode_member(member: views.Member) -> feed_pb2.Member:
     return feed_pb2.Member(
         id=member.number,
--- /dev/null
+++ b/src/gentianspoke/decisions/control/consumers.py
@@ -0,0 +1,176 @@
+"""Which consumers of the feed run which catalogue version, in sums.
+
+A control instance counts the consumers that follow it and adds the
+summaries of the instances that relay its feed, so that the leader learns
+of all of them by one message from each relay.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+COUNTS_KEPT = 16
+LAGGARDS_KEPT = 16
+# How long a consumer that went silent counts as one that lags.
+DEPARTED_KEPT_MS = 60_000
+# Longer, because an old source notices a departure after the arrival.
+ARRIVED_KEPT_MS = 90_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Laggard:
+    """A consumer and the version that it runs."""
+
+    instance: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What the consumers of one control instance and its relays run.
+
+    ``counts`` maps versions to numbers of consumers; the oldest one also
+    holds those of still older versions. ``laggards`` run the oldest
+    versions. ``departed`` fell silent and ``arrived`` came a short while
+    ago; one that did both has moved to another control instance.
+    """
+
+    counts: dict[int, int] = dataclasses.field(default_factory=dict)
+    laggards: tuple[Laggard, ...] = ()
+    departed: tuple[Laggard, ...] = ()
+    arrived: frozenset[str] = frozenset()
+
+    @property
+    def consumers(self) -> int:
+        """Number of consumers, with those that fell silent."""
+        return sum(self.counts.values()) + len(self.lost())
+
+    def in_force(self, version: int) -> int:
+        """Return how many consumers run ``version`` or a newer one."""
+        return sum(
+            count for known, count in self.counts.items() if known >= version
+        )
+
+    def lagging(self, version: int) -> list[str]:
+        """Return names of consumers that do not yet run ``version``."""
+        lagging = [
+            item.instance for item in self.laggards if item.version < version
+        ]
+        return sorted(lagging) + self.lost()
+
+    def lost(self) -> list[str]:
+        """Return the consumers that fell silent and have not moved."""
+        names = {item.instance for item in self.departed} - self.arrived
+        return sorted(names)
+
+
+@dataclasses.dataclass(slots=True)
+class _Connected:
+    instance: str
+    version: int
+    since_ms: int
+    summary: Summary | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departed:
+    version: int
+    at_ms: int
+
+
+class Consumers:
+    """The consumers that follow one control instance."""
+
+    def __init__(self) -> None:
+        """Begin without a consumer."""
+        self._connected: dict[int, _Connected] = {}
+        self._departed: dict[str, _Departed] = {}
+        self._last_number = 0
+
+    def connect(self, instance: str, version: int, now: int) -> int:
+        """Add a consumer; return the number of its connection."""
+        self._last_number += 1
+        self._connected[self._last_number] = _Connected(instance, version, now)
+        self._departed.pop(instance, None)
+        return self._last_number
+
+    def acknowledge(self, connection: int, version: int) -> None:
+        """Note the version that a consumer runs."""
+        self._connected[connection].version = version
+
+    def report(self, connection: int, summary: Summary) -> None:
+        """Note what the consumers behind a relay run."""
+        self._connected[connection].summary = summary
+
+    def disconnect(self, connection: int, now: int, *, planned: bool) -> None:
+        """Remove a consumer; unless ``planned`` it counts as silent."""
+        gone = self._connected.pop(connection)
+        if not planned and gone.summary is None:
+            self._departed[gone.instance] = _Departed(gone.version, now)
+
+    def summary(self, now: int) -> Summary:
+        """Return the sum over all consumers and relays."""
+        own = [i for i in self._connected.values() if i.summary is None]
+        relayed = [
+            item.summary
+            for item in self._connected.values()
+            if item.summary is not None
+        ]
+        return _merge([self._own_summary(own, now), *relayed])
+
+    def _own_summary(self, connected: list[_Connected], now: int) -> Summary:
+        self._forget_departed(now)
+        present = {item.instance for item in connected}
+        departed = tuple(
+            Laggard(name, item.version)
+            for name, item in self._departed.items()
+            if name not in present
+        )
+        arrived = (
+            item.instance
+            for item in connected
+            if now - item.since_ms < ARRIVED_KEPT_MS
+        )
+        return Summary(
+            counts=dict(collections.Counter(i.version for i in connected)),
+            laggards=tuple(Laggard(i.instance, i.version) for i in connected),
+            departed=departed,
+            arrived=frozenset(arrived),
+        )
+
+    def _forget_departed(self, now: int) -> None:
+        for name, item in tuple(self._departed.items()):
+            if now - item.at_ms >= DEPARTED_KEPT_MS:
+                del self._departed[name]
+
+
+def _merge(summaries: collections.abc.Sequence[Summary]) -> Summary:
+    counts: collections.Counter[int] = collections.Counter()
+    for summary in summaries:
+        counts.update(summary.counts)
+    laggards = sorted(
+        (item for summary in summaries for item in summary.laggards),
+        key=lambda item: (item.version, item.instance),
+    )
+    arrived: frozenset[str] = frozenset().union(
+        *(summary.arrived for summary in summaries)
+    )
+    departed = tuple(
+        item
+        for summary in summaries
+        for item in summary.departed
+        if item.instance not in arrived
+    )
+    return Summary(
+        _bounded(counts), tuple(laggards[:LAGGARDS_KEPT]), departed, arrived
+    )
+
+
+def _bounded(counts: collections.Counter[int]) -> dict[int, int]:
+    """Return the newest counts; older versions count as the oldest."""
+    versions = sorted(counts)
+    kept = {version: counts[version] for version in versions[-COUNTS_KEPT:]}
+    older = versions[:-COUNTS_KEPT]
+    if older:
+        kept[older[0]] = sum(counts[version] for version in older)
+    return kept
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -40,7 +40,7 @@
     def set_view(self, view: views.View) -> bool:
         """Take a newer view of a service; return whether it was newer."""
         known = self.rankings.get(view.service)
-        if known is not None and known.view.order >= view.order:
+        if known is not None and known.view.order > view.order:
             return False
         self.rankings[view.service] = hashing.Ranking(view)
         return True
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -27,7 +27,7 @@
         log: log_port.CatalogueLog,
         consumers: hub.Hub,
     ) -> None:
-        """Serve the log, and wake the consumers after each edit."""
+        """Serve the log, and tell of the consumers."""
         self._proc = proc
         self._log = log
         self._hub = consumers
@@ -42,14 +42,27 @@
         """Accept or refuse edits."""
         message = await calls.receive(stream)
         request = _checked(catalogue_codec.decode_request, message)
-        answer = await self._log.submit(request)
-        await stream.send_message(catalogue_codec.encode_answer(answer))
+        key = request.idempotency_key
+        known = self._log.catalogue.known_answer(key) is not None
+        try:
+            answer = await self._log.submit(request)
+        except errors.NotLeaderError as exc:
+            await stream.send_message(
+                catalogue_pb2.ApplyReply(leader=exc.leader, redirected=True)
+            )
+            return
+        except errors.ControlError as exc:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.UNAVAILABLE, str(exc)
+            ) from exc
+        reply = catalogue_codec.encode_answer(answer)
+        reply.repeated_answer = known
+        await stream.send_message(reply)
         self._proc.events.write(
             'catalogue-answered',
             accepted=answer.accepted,
             version=answer.version,
         )
-        self._hub.wake()
 
     async def List(  # noqa: N802
         self,
@@ -103,19 +116,21 @@
     ) -> None:
         """Return how many consumers run a version."""
         request = await calls.receive(stream)
-        wanted = request.version or self._log.catalogue.version
-        lagging = self._hub.lagging(wanted)
-        consumers = len(self._hub.subscribers)
-        await stream.send_message(
-            catalogue_pb2.StatusReply(
-                version=self._log.catalogue.version,
-                consumers=consumers,
-                in_force=consumers - len(lagging),
-                laggards=lagging[:LAGGARDS_NAMED],
-                confirmed_age_ms=self._log.confirmed_age_ms(),
-                role='leader',
-            )
+        version = self._log.catalogue.version
+        reply = catalogue_pb2.StatusReply(
+            version=version,
+            confirmed_age_ms=self._log.confirmed_age_ms(),
+            leader=self._log.leader,
+            term=self._log.term,
+            role='leader' if self._log.is_leader else 'follower',
         )
+        if self._log.is_leader:
+            summary = self._hub.summary()
+            wanted = request.version or version
+            reply.consumers = summary.consumers
+            reply.in_force = summary.in_force(wanted)
+            reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
+        await stream.send_message(reply)
 
 
 def _checked(
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -5,40 +5,44 @@
 
 import grpclib.server
 
-from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke import clock
 from gentianspoke.codec import feed as feed_codec
-from gentianspoke.decisions.control import membership
+from gentianspoke.decisions.control import scopes
+from gentianspoke import errors
 from gentianspoke.generated import feed_grpc
 from gentianspoke.generated import feed_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import leadership
 from gentianspoke.shells.control import log as log_port
+from gentianspoke.shells.control import relay
+from gentianspoke.shells.control import subscriber
 from gentianspoke.shells import process
 
-TICK_S = 0.1
-CONFIRMATION_S = 0.5
-SUSPECT_SHARE = 0.6
+CONFIRMATION_MS = 1_000
+# Changes that come within this time go out together.
+COALESCE_S = 0.1
+# Consumers send a heartbeat each second.
+SILENT_S = 5.0
 
 
 class FeedService(feed_grpc.FeedBase):
-    """Keeps the membership and feeds the consumers."""
+    """Takes the agents' heartbeats and feeds the consumers."""
 
     def __init__(
         self,
         proc: process.Process,
         log: log_port.CatalogueLog,
         consumers: hub.Hub,
-        lease_ms: int,
+        lead: leadership.Leadership,
+        relayed: relay.Relay,
     ) -> None:
-        """Begin with an empty membership."""
+        """Serve what the membership and the relay bring to the hub."""
         self._proc = proc
         self._log = log
         self._hub = consumers
-        limits = membership.MembershipLimits(
-            lease_ms, int(lease_ms * SUSPECT_SHARE)
-        )
-        self._limits = limits
-        self._members = membership.Membership(0, limits, proc.clock.now())
+        self._lead = lead
+        self._relay = relayed
 
     async def Announce(  # noqa: N802
         self,
@@ -49,21 +53,24 @@
     ) -> None:
         """Take an agent's heartbeat and grant its lease."""
         message = await calls.receive(stream)
+        self._proc.events.observe(message.logical)
+        entries = self._log.catalogue.entries
         numbers = {
-            entry.name: entry.number
-            for entry in self._log.catalogue.entry_list()
+            name: entries[name].number
+            for name in message.service_names
+            if name in entries
         }
-        if not self._log.is_leader:
-            await stream.send_message(
-                feed_pb2.AnnouncementReply(leader=self._log.leader)
-            )
-            return
         announcement = feed_codec.decode_announcement(message, numbers)
-        now = self._proc.clock.now()
-        grant = self._lead(now).announce(
-            announcement, now, self._log.confirmed_age_ms()
-        )
-        await stream.send_message(feed_codec.encode_grant(grant))
+        try:
+            grant = self._lead.announce(announcement)
+        except errors.NotLeaderError as exc:
+            reply = feed_pb2.AnnouncementReply(
+                leader=exc.leader, reason=str(exc)
+            )
+        else:
+            reply = feed_codec.encode_grant(grant)
+        reply.logical = self._proc.events.logical
+        await stream.send_message(reply)
 
     async def Follow(  # noqa: N802
         self,
@@ -72,38 +79,61 @@
             ' feed_pb2.FollowReply]'
         ),
     ) -> None:
-        """Feed one consumer until it goes."""
-        first = await calls.receive(stream)
-        subscriber = hub.Subscriber(first.subscribe)
-        for view in self._members.all_views():
-            if not self._members.is_complete(self._proc.clock.now()):
-                break
-            subscriber.views[view.service] = feed_codec.encode_view(view)
-        self._hub.subscribers.add(subscriber)
-        try:
-            async with process.run_tasks(self._send_feed(stream, subscriber)):
-                while (message := await stream.recv_message()) is not None:
-                    acked = message.acknowledge.catalogue_version
-                    subscriber.acked_version = acked
-        finally:
-            self._hub.subscribers.discard(subscriber)
+        """Feed one consumer until it goes or falls silent."""
+        message = await calls.receive(stream)
+        first = message.subscribe
+        self._proc.events.observe(first.logical)
+        item = subscriber.Subscriber(
+            self._hub.source,
+            scopes.scope_of(first.role, frozenset(first.services)),
+            first.catalogue_version,
+            {
+                held.service: (held.number, held.revision)
+                for held in first.held
+            },
+        )
+        with (
+            self._hub.subscribed(item),
+            hub.counted(
+                self._hub,
+                first.instance,
+                first.catalogue_version,
+                self._proc.clock,
+            ) as count,
+            contextlib.suppress(TimeoutError),
+        ):
+            async with process.run_tasks(self._send_feed(stream, item)):
+                await self._read(stream, item, count)
 
-    async def tick(self) -> None:
-        """Suspect and remove members whose heartbeats are missing."""
+    async def _read(
+        self,
+        stream: (
+            'grpclib.server.Stream[feed_pb2.FollowRequest,'
+            ' feed_pb2.FollowReply]'
+        ),
+        item: subscriber.Subscriber,
+        count: hub.Count,
+    ) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
-            if self._log.is_leader:
-                now = self._proc.clock.now()
-                members = self._lead(now)
-                members.tick(now, self._log.confirmed_age_ms())
-                self._hub.publish(members.take_changed(now))
+            async with asyncio.timeout(SILENT_S):
+                message = await stream.recv_message()
+            if message is None:
+                count.planned = True
+                return
+            match message.WhichOneof('content'):
+                case 'acknowledge':
+                    self._take_acknowledge(message.acknowledge, count)
+                case 'resync':
+                    item.reset()
+                    item.wake.set()
 
-    def _lead(self, now: int) -> membership.Membership:
-        if self._members.term != self._log.term:
-            self._members = membership.Membership(
-                self._log.term, self._limits, now
-            )
-        return self._members
+    def _take_acknowledge(
+        self, message: feed_pb2.Acknowledge, count: hub.Count
+    ) -> None:
+        self._proc.events.observe(message.logical)
+        count.acknowledge(message.catalogue_version)
+        if message.HasField('summary'):
+            count.report(feed_codec.decode_summary(message.summary))
 
     async def _send_feed(
         self,
@@ -111,35 +141,44 @@
             'grpclib.server.Stream[feed_pb2.FollowRequest,'
             ' feed_pb2.FollowReply]'
         ),
-        subscriber: hub.Subscriber,
+        item: subscriber.Subscriber,
     ) -> None:
+        confirm_ms = self._proc.clock.now()
         while True:
-            for reply in self._due(subscriber):
+            item.wake.clear()
+            for reply in item.take_due():
                 await stream.send_message(reply)
-            subscriber.wake.clear()
+            now = self._proc.clock.now()
+            if now >= confirm_ms:
+                await stream.send_message(self._confirmation(item))
+                confirm_ms = now + CONFIRMATION_MS
+            await asyncio.sleep(COALESCE_S)
+            left_s = (
+                max(0, confirm_ms - self._proc.clock.now()) / clock.MS_PER_S
+            )
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CONFIRMATION_S):
-                    await subscriber.wake.wait()
+                async with asyncio.timeout(left_s):
+                    await item.wake.wait()
 
-    def _due(self, subscriber: hub.Subscriber) -> list[feed_pb2.FollowReply]:
-        due: list[feed_pb2.FollowReply] = []
-        version = self._log.catalogue.version
-        if subscriber.sent_version != version:
-            changed = self._log.catalogue.changed_since(
-                subscriber.sent_version
-            )
-            update = feed_pb2.CatalogueUpdate(
-                snapshot=subscriber.sent_version == 0,
-                version=version,
-                entries=[catalogue_codec.encode_entry(e) for e in changed],
-            )
-            due.append(feed_pb2.FollowReply(catalogue=update))
-            subscriber.sent_version = version
-        for view in subscriber.views.values():
-            due.append(feed_pb2.FollowReply(view=view))
-        subscriber.views.clear()
+    def _confirmation(
+        self, item: subscriber.Subscriber
+    ) -> feed_pb2.FollowReply:
+        views_ms = self._views_age_ms()
         confirmation = feed_pb2.Confirmation(
-            age_ms=self._log.confirmed_age_ms(), catalogue_version=version
+            age_ms=max(self._log.confirmed_age_ms(), views_ms or 0),
+            catalogue_version=self._log.catalogue.version,
+            digest=item.digest(),
+            logical=self._proc.events.logical,
+            complete=views_ms is not None,
         )
-        due.append(feed_pb2.FollowReply(confirmation=confirmation))
-        return due
+        return feed_pb2.FollowReply(confirmation=confirmation)
+
+    def _views_age_ms(self) -> int | None:
+        if self._lead.is_complete():
+            return 0
+        views_ms = self._relay.age_ms()
+        if views_ms is not None and self._log.is_leader:
+            # During its grace a leader goes on with its predecessor's
+            # views, which nobody can change meanwhile.
+            return 0
+        return views_ms
--- /dev/null
+++ b/src/gentianspoke/shells/control/feed_source.py
@@ -0,0 +1,116 @@
+"""What a control instance feeds: its newest views and its catalogue.
+
+Messages and digests that many consumers share are made once.
+"""
+
+import dataclasses
+
+from gentianspoke.codec import feed as feed_codec
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions.control import scopes
+from gentianspoke.decisions import view_delta
+from gentianspoke.generated import feed_pb2
+from gentianspoke.shells.control import log as log_port
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Prepared:
+    """A view as it is sent, with its digest."""
+
+    view: views.View
+    digest: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StepKey:
+    """What a message brings a consumer from and to."""
+
+    detail: scopes.Detail
+    service: int
+    old: view_delta.Order | None
+    new: view_delta.Order
+
+
+class FeedSource:
+    """The newest views, beside the catalogue of the log.
+
+    The views come from the own membership while this instance leads, and
+    else from the leader's feed; either way only newer ones are taken.
+    """
+
+    def __init__(self, log: log_port.CatalogueLog) -> None:
+        """Begin without views."""
+        self.log = log
+        self.views: dict[int, views.View] = {}
+        self._prepared: dict[tuple[scopes.Detail, int], Prepared] = {}
+        self._messages: dict[_StepKey, feed_pb2.FollowReply] = {}
+        self._digests: dict[scopes.Scope, tuple[int, int]] = {}
+
+    @property
+    def version(self) -> int:
+        """The catalogue version of this instance."""
+        return self.log.catalogue.version
+
+    def take_view(self, view: views.View) -> bool:
+        """Take a newer view; return whether it was newer."""
+        known = self.views.get(view.service)
+        if known is not None and known.order >= view.order:
+            return False
+        self.views[view.service] = view
+        for detail in scopes.Detail:
+            self._prepared.pop((detail, view.service), None)
+        for key in [k for k in self._messages if k.service == view.service]:
+            del self._messages[key]
+        return True
+
+    def view_for(self, scope: scopes.Scope, service: int) -> Prepared:
+        """Return a view as consumers of a scope get it."""
+        key = (scope.detail, service)
+        prepared = self._prepared.get(key)
+        if prepared is None:
+            view = self.views[service]
+            if scope.detail is scopes.Detail.ROUTING:
+                view = view_delta.for_routing(view)
+            prepared = Prepared(view, view_delta.view_digest(view))
+            self._prepared[key] = prepared
+        return prepared
+
+    def message_for(
+        self, detail: scopes.Detail, old: views.View | None, new: views.View
+    ) -> feed_pb2.FollowReply:
+        """Return the message that brings a consumer to a newer view."""
+        order = old.order if old else None
+        key = _StepKey(detail, new.service, order, new.order)
+        message = self._messages.get(key)
+        if message is None:
+            message = feed_pb2.FollowReply(view=_encode_step(old, new))
+            self._messages[key] = message
+        return message
+
+    def wants(self, scope: scopes.Scope, service: int) -> bool:
+        """Return whether a service is in a scope."""
+        return scope.wants_number(service, self.log.catalogue.entries)
+
+    def entries_for(self, scope: scopes.Scope) -> list[services.Service]:
+        """Return the entries of a scope."""
+        return scope.select(self.log.catalogue.entries)
+
+    def entries_digest(self, scope: scopes.Scope) -> int:
+        """Return the digest of a scope's entries at the present version."""
+        if not scope.catalogue:
+            return 0
+        known = self._digests.get(scope)
+        if known is None or known[0] != self.version:
+            digest = view_delta.add_digests(
+                *map(view_delta.entry_digest, self.entries_for(scope))
+            )
+            known = (self.version, digest)
+            self._digests[scope] = known
+        return known[1]
+
+
+def _encode_step(old: views.View | None, new: views.View) -> feed_pb2.View:
+    if old is None:
+        return feed_codec.encode_view(new)
+    return feed_codec.encode_delta(view_delta.difference(old, new))
--- a/src/gentianspoke/shells/control/hub.py
+++ b/src/gentianspoke/shells/control/hub.py
@@ -1,49 +1,90 @@
-"""The consumers of the feed, and what each still has to be sent."""
+"""The consumers that follow this control instance."""
 
-import asyncio
+import collections.abc
+import contextlib
 
-from gentianspoke.codec import feed as feed_codec
+from gentianspoke import clock
 from gentianspoke.core import views
-from gentianspoke.generated import feed_pb2
-
-
-class Subscriber:
-    """One consumer of the feed, with what it still has to be sent."""
-
-    def __init__(self, subscribe: feed_pb2.Subscribe) -> None:
-        """Begin with all that the consumer lacks."""
-        self.instance = subscribe.instance
-        self.sent_version = subscribe.catalogue_version
-        self.acked_version = subscribe.catalogue_version
-        self.views: dict[int, feed_pb2.View] = {}
-        self.wake = asyncio.Event()
+from gentianspoke.decisions.control import consumers
+from gentianspoke.shells.control import feed_source
+from gentianspoke.shells.control import log as log_port
+from gentianspoke.shells.control import subscriber
 
 
 class Hub:
-    """All consumers that follow this control instance."""
+    """Brings what is new to the consumers, and counts them."""
 
-    def __init__(self) -> None:
-        """Begin without a consumer."""
-        self.subscribers: set[Subscriber] = set()
+    def __init__(self, log: log_port.CatalogueLog, time: clock.Clock) -> None:
+        """Begin without views and consumers."""
+        self.source = feed_source.FeedSource(log)
+        self.consumers = consumers.Consumers()
+        self._clock = time
+        self._subscribers: set[subscriber.Subscriber] = set()
 
-    def publish(self, changed: list[views.View]) -> None:
-        """Queue changed views for every consumer."""
+    def publish(self, changed: collections.abc.Iterable[views.View]) -> None:
+        """Take newer views and let the consumers have them."""
         for view in changed:
-            message = feed_codec.encode_view(view)
-            for subscriber in self.subscribers:
-                subscriber.views[view.service] = message
-        if changed:
-            self.wake()
+            if not self.source.take_view(view):
+                continue
+            for item in self._subscribers:
+                item.mark(view.service)
 
     def wake(self) -> None:
         """Let every consumer look for what it still has to be sent."""
-        for subscriber in self.subscribers:
-            subscriber.wake.set()
-
-    def lagging(self, version: int) -> list[str]:
-        """Return the instances that do not yet run a version, sorted."""
-        return sorted(
-            item.instance
-            for item in self.subscribers
-            if item.acked_version < version
+        for item in self._subscribers:
+            item.wake.set()
+
+    def summary(self) -> consumers.Summary:
+        """Return what the consumers run."""
+        return self.consumers.summary(self._clock.now())
+
+    @contextlib.contextmanager
+    def subscribed(
+        self, item: subscriber.Subscriber
+    ) -> collections.abc.Iterator[None]:
+        """Keep a consumer for the time of the context."""
+        self._subscribers.add(item)
+        try:
+            yield
+        finally:
+            self._subscribers.discard(item)
+
+    async def watch_catalogue(self) -> None:
+        """Wake the consumers after each edit, until cancelled."""
+        version = 0
+        while True:
+            await self.source.log.wait_applied(version)
+            version = self.source.version
+            self.wake()
+
+
+@contextlib.contextmanager
+def counted(
+    hub: Hub, instance: str, version: int, time: clock.Clock
+) -> collections.abc.Iterator['Count']:
+    """Count a consumer for the time of the context."""
+    count = Count(hub, hub.consumers.connect(instance, version, time.now()))
+    try:
+        yield count
+    finally:
+        hub.consumers.disconnect(
+            count.connection, time.now(), planned=count.planned
         )
+
+
+class Count:
+    """One consumer as it is counted; ``planned`` tells that it took leave."""
+
+    def __init__(self, hub: Hub, connection: int) -> None:
+        """Begin with a consumer that was just counted."""
+        self.connection = connection
+        self.planned = False
+        self._hub = hub
+
+    def acknowledge(self, version: int) -> None:
+        """Note the version that the consumer runs."""
+        self._hub.consumers.acknowledge(self.connection, version)
+
+    def report(self, summary: consumers.Summary) -> None:
+        """Note what the consumers behind a relay run."""
+        self._hub.consumers.report(self.connection, summary)
--- /dev/null
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -0,0 +1,77 @@
+"""The membership, kept while this control instance leads."""
+
+import asyncio
+
+from gentianspoke.decisions.control import membership
+from gentianspoke import errors
+from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import log as log_port
+from gentianspoke.shells import process
+
+TICK_S = 0.1
+SUSPECT_PERMILLE = 600
+
+
+class Leadership:
+    """Begins a new membership in each term that this instance leads."""
+
+    def __init__(
+        self,
+        proc: process.Process,
+        log: log_port.CatalogueLog,
+        consumers: hub.Hub,
+        lease_ms: int,
+    ) -> None:
+        """Begin without a membership; ``lease_ms`` is a lease's duration."""
+        self._proc = proc
+        self._log = log
+        self._hub = consumers
+        self._limits = membership.MembershipLimits(
+            lease_ms, lease_ms * SUSPECT_PERMILLE // membership.PERMILLE
+        )
+        self._members: membership.Membership | None = None
+
+    def announce(
+        self, announcement: membership.Announcement
+    ) -> membership.Grant:
+        """Take a heartbeat and return what lease the agent gets.
+
+        Raises :class:`gentianspoke.errors.NotLeaderError`.
+        """
+        members = self._current()
+        if members is None:
+            raise errors.NotLeaderError(self._log.leader)
+        return members.announce(
+            announcement,
+            self._proc.clock.now(),
+            self._log.confirmed_age_ms(),
+        )
+
+    def is_complete(self) -> bool:
+        """Return whether this instance leads and issues views."""
+        members = self._current()
+        if members is None:
+            return False
+        return members.is_complete(self._proc.clock.now())
+
+    async def tick(self) -> None:
+        """Suspect and remove silent members and issue views, without end."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            members = self._current()
+            if members is None:
+                continue
+            now = self._proc.clock.now()
+            members.tick(now, self._log.confirmed_age_ms())
+            self._hub.publish(members.take_changed(now))
+
+    def _current(self) -> membership.Membership | None:
+        if not self._log.is_leader:
+            return None
+        term = self._log.term
+        if self._members is None or self._members.term != term:
+            now = self._proc.clock.now()
+            self._members = membership.Membership(term, self._limits, now)
+            self._members.adopt(self._hub.source.views.values(), now)
+            self._proc.events.write('membership-begun', term=term)
+        return self._members
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -8,7 +8,9 @@
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import leadership
 from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import relay
 from gentianspoke.shells import process
 
 
@@ -23,8 +25,10 @@
             )
     async with process.run_process(cfg, 'control') as proc:
         log = local_log.LocalLog()
-        consumers = hub.Hub()
-        feed = feed_service.FeedService(proc, log, consumers, role.lease_ms)
+        consumers = hub.Hub(log, proc.clock)
+        lead = leadership.Leadership(proc, log, consumers, role.lease_ms)
+        relayed = relay.Relay(proc, log, consumers)
+        feed = feed_service.FeedService(proc, log, consumers, lead, relayed)
         operators = catalogue_service.CatalogueService(proc, log, consumers)
         server = grpclib.server.Server([feed, operators])
         channel_auth.protect_server(
@@ -32,7 +36,9 @@
         )
         await server.start(*role.listen)
         proc.life.advance('serve')
-        async with process.run_tasks(feed.tick()):
+        async with process.run_tasks(
+            lead.tick(), relayed.follow_leader(), consumers.watch_catalogue()
+        ):
             await proc.stop.wait()
             proc.life.advance('stop')
         server.close()
--- /dev/null
+++ b/src/gentianspoke/shells/control/subscriber.py
@@ -0,0 +1,133 @@
+"""One consumer of the feed, and what it still has to be sent."""
+
+import asyncio
+
+from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.core import views
+from gentianspoke.decisions.control import scopes
+from gentianspoke.decisions import view_delta
+from gentianspoke.generated import feed_pb2
+from gentianspoke.shells.control import feed_source
+
+
+class Subscriber:
+    """One consumer of the feed, with what it has been sent."""
+
+    def __init__(
+        self,
+        source: feed_source.FeedSource,
+        scope: scopes.Scope,
+        version: int,
+        held: dict[int, view_delta.Order],
+    ) -> None:
+        """Begin with what the consumer says that it holds."""
+        self.scope = scope
+        self.wake = asyncio.Event()
+        self._source = source
+        self._version = version
+        self._sent: dict[int, feed_source.Prepared] = {}
+        self._ahead: dict[int, view_delta.Order] = {}
+        self._dirty: set[int] = set()
+        self._digest = 0
+        self._start(held)
+
+    def mark(self, service: int) -> None:
+        """Note that a view has changed."""
+        if self._source.wants(self.scope, service):
+            self._dirty.add(service)
+            self.wake.set()
+
+    def reset(self) -> None:
+        """Send all again."""
+        self._version = 0
+        self._sent.clear()
+        self._ahead.clear()
+        self._digest = 0
+        self._start({})
+
+    def take_due(self) -> list[feed_pb2.FollowReply]:
+        """Return what the consumer still has to be sent, as sent."""
+        due = self._catalogue_update()
+        for service in sorted(self._dirty):
+            due.extend(self._view_update(service))
+        self._dirty.clear()
+        return due
+
+    def digest(self) -> int:
+        """Return the digest of what the consumer holds, 0 if not known.
+
+        It is not known where the consumer has more than this instance.
+        """
+        version = self._source.version
+        if self._ahead or self._version != version:
+            return 0
+        return view_delta.add_digests(
+            self._digest, self._source.entries_digest(self.scope)
+        )
+
+    def _start(self, held: dict[int, view_delta.Order]) -> None:
+        for service in self._source.views:
+            if not self._source.wants(self.scope, service):
+                continue
+            prepared = self._source.view_for(self.scope, service)
+            order = held.get(service)
+            if order is None or order < prepared.view.order:
+                self._dirty.add(service)
+            elif order > prepared.view.order:
+                self._ahead[service] = order
+            else:
+                self._note_sent(prepared)
+
+    def _catalogue_update(self) -> list[feed_pb2.FollowReply]:
+        version = self._source.version
+        if self._version >= version:
+            return []
+        if not self.scope.catalogue:
+            self._version = version
+            return []
+        changed = [
+            entry
+            for entry in self._source.entries_for(self.scope)
+            if entry.version > self._version
+        ]
+        update = feed_pb2.CatalogueUpdate(
+            snapshot=self._version == 0,
+            version=version,
+            entries=[catalogue_codec.encode_entry(item) for item in changed],
+        )
+        self._version = version
+        for entry in changed:
+            if entry.number in self._source.views:
+                if entry.number not in self._sent:
+                    self._dirty.add(entry.number)
+        return [feed_pb2.FollowReply(catalogue=update)]
+
+    def _view_update(self, service: int) -> list[feed_pb2.FollowReply]:
+        new = self._source.view_for(self.scope, service)
+        if service in self._ahead:
+            if self._ahead[service] >= new.view.order:
+                return []
+            del self._ahead[service]
+        sent = self._sent.get(service)
+        old = sent.view if sent else None
+        if old is not None and _is_same(self.scope, old, new.view):
+            return []
+        self._note_sent(new)
+        detail = self.scope.detail
+        return [self._source.message_for(detail, old, new.view)]
+
+    def _note_sent(self, prepared: feed_source.Prepared) -> None:
+        service = prepared.view.service
+        before = self._sent.get(service)
+        self._sent[service] = prepared
+        self._digest = view_delta.add_digests(
+            self._digest, prepared.digest, -before.digest if before else 0
+        )
+
+
+def _is_same(scope: scopes.Scope, old: views.View, new: views.View) -> bool:
+    # A routing view keeps its old revision where only the agents' reports
+    # have changed, so that nothing needs to be sent.
+    if scope.detail is scopes.Detail.ROUTING:
+        return (old.number, old.members) == (new.number, new.members)
+    return old.order == new.order
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -2,24 +2,37 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
+import random
 
 import grpclib
+import grpclib.client
 import h2.exceptions
 
+from gentianspoke import clock
 from gentianspoke.codec import catalogue
-from gentianspoke.codec import feed
+from gentianspoke.codec import feed as feed_codec
+from gentianspoke.config import settings
 from gentianspoke.config import units
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions import feed_copy
+from gentianspoke.decisions import view_delta
+from gentianspoke import errors
 from gentianspoke.generated import feed_grpc
 from gentianspoke.generated import feed_pb2
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells import process
 
+# A source is left when it is silent or unconfirmed for this long.
 STALE_MS = 3_000
-RETRY_PAUSE_S = 0.25
-MS_PER_S = 1_000
+# A source is left when it has had no leader's views for this long.
+INCOMPLETE_MS = 6_000
+# Pause before the next source, doubled up to the longest one while none
+# gives a confirmation, and drawn at random up to that.
+SHORTEST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2.0
 
 CHANNEL_ERRORS = (
     grpclib.GRPCError,
@@ -27,6 +40,7 @@
     h2.exceptions.ProtocolError,
     OSError,
     TimeoutError,
+    errors.ControlError,
 )
 
 
@@ -50,6 +64,172 @@
 Update = CatalogueUpdate | views.View | Confirmed
 # Takes an update and returns the catalogue version now in force.
 Take = collections.abc.Callable[[Update], int]
+FollowStream = grpclib.client.Stream[
+    feed_pb2.FollowRequest, feed_pb2.FollowReply
+]
+
+
+class Feed:
+    """What one consumer has of the feed, from whichever source.
+
+    ``take`` gets whole views and newer catalogue entries only, and a
+    confirmation only from a source that has a leader's views.
+    """
+
+    def __init__(
+        self,
+        proc: process.Process,
+        role: str,
+        take: Take,
+        names: tuple[str, ...] = (),
+        acknowledge: (
+            collections.abc.Callable[[], feed_pb2.Acknowledge] | None
+        ) = None,
+    ) -> None:
+        """Begin with nothing; ``names`` limits the feed to services."""
+        self.copy = feed_copy.FeedCopy()
+        self.confirmed = False
+        self._proc = proc
+        self._role = role
+        self._take = take
+        self._names = names
+        self._make_acknowledge = acknowledge or self._acknowledge
+        self._in_force = 0
+        self._incomplete_ms: int | None = None
+
+    async def follow(
+        self,
+        address: units.Address,
+        is_wanted: collections.abc.Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Follow one source over a new connection until it is stale.
+
+        Return then, or once ``is_wanted`` is no longer true, which is
+        asked after each message; the time line gets the reason.
+        """
+        self.confirmed = False
+        self._incomplete_ms = None
+        try:
+            async with channel_auth.open_channel(
+                address, self._proc.current_ring, self._proc.cfg.instance
+            ) as channel:
+                stub = feed_grpc.FeedStub(channel)
+                async with stub.Follow.open() as stream:
+                    await self._read(stream, is_wanted)
+        except CHANNEL_ERRORS as exc:
+            self._proc.events.write(
+                'feed-lost',
+                source=units.format_address(address),
+                reason=repr(exc),
+            )
+
+    async def _read(
+        self,
+        stream: FollowStream,
+        is_wanted: collections.abc.Callable[[], bool],
+    ) -> None:
+        subscribe = feed_pb2.FollowRequest(subscribe=self._subscribe())
+        await stream.send_message(subscribe)
+        try:
+            while is_wanted():
+                async with asyncio.timeout(STALE_MS / clock.MS_PER_S):
+                    reply = await stream.recv_message()
+                if reply is None:
+                    raise errors.ControlError('the source closed the feed')
+                await self._on_reply(stream, reply)
+        except asyncio.CancelledError:
+            # A planned stop: the source need not wait for this consumer.
+            with contextlib.suppress(*CHANNEL_ERRORS):
+                await stream.end()
+            raise
+
+    async def _on_reply(
+        self, stream: FollowStream, reply: feed_pb2.FollowReply
+    ) -> None:
+        match reply.WhichOneof('content'):
+            case 'catalogue':
+                self._on_catalogue(reply.catalogue)
+                await self._send_acknowledge(stream)
+            case 'view':
+                self._on_view(reply.view)
+            case 'confirmation':
+                self._on_confirmation(reply.confirmation)
+                await self._send_acknowledge(stream)
+                if self._differs(reply.confirmation):
+                    await self._ask_again(stream)
+
+    def _on_catalogue(self, message: feed_pb2.CatalogueUpdate) -> None:
+        entries = [catalogue.decode_entry(item) for item in message.entries]
+        if self.copy.take_entries(
+            message.version, entries, snapshot=message.snapshot
+        ):
+            self._in_force = self._take(
+                CatalogueUpdate(message.snapshot, message.version, entries)
+            )
+
+    def _on_view(self, message: feed_pb2.View) -> None:
+        match feed_codec.decode_view(message):
+            case views.View() as whole:
+                view = whole if self.copy.take_view(whole) else None
+            case view_delta.ViewDelta() as delta:
+                view = self.copy.take_delta(delta)
+        if view is not None:
+            self._take(view)
+
+    def _on_confirmation(self, message: feed_pb2.Confirmation) -> None:
+        self._proc.events.observe(message.logical)
+        if message.age_ms >= STALE_MS:
+            raise errors.ControlError(
+                f'no majority has confirmed it for {message.age_ms} ms'
+            )
+        if message.complete:
+            self.confirmed = True
+            self._incomplete_ms = None
+            self._in_force = self._take(
+                Confirmed(message.age_ms, message.catalogue_version)
+            )
+            return
+        now = self._proc.clock.now()
+        if self._incomplete_ms is None:
+            self._incomplete_ms = now
+        if now - self._incomplete_ms >= INCOMPLETE_MS:
+            raise errors.ControlError('it has no views of a leader')
+
+    def _differs(self, message: feed_pb2.Confirmation) -> bool:
+        return bool(message.digest) and message.digest != self.copy.digest()
+
+    async def _ask_again(self, stream: FollowStream) -> None:
+        self._proc.events.write('feed-differs', version=self.copy.version)
+        self.copy = feed_copy.FeedCopy()
+        await stream.send_message(
+            feed_pb2.FollowRequest(resync=feed_pb2.Resync())
+        )
+
+    async def _send_acknowledge(self, stream: FollowStream) -> None:
+        message = self._make_acknowledge()
+        message.logical = self._proc.events.logical
+        await stream.send_message(feed_pb2.FollowRequest(acknowledge=message))
+
+    def _acknowledge(self) -> feed_pb2.Acknowledge:
+        return feed_pb2.Acknowledge(catalogue_version=self._in_force)
+
+    def _subscribe(self) -> feed_pb2.Subscribe:
+        return feed_pb2.Subscribe(
+            instance=self._proc.cfg.instance,
+            role=self._role,
+            zone=self._proc.cfg.zone,
+            catalogue_version=self.copy.version,
+            services=self._names,
+            held=[
+                feed_pb2.HeldView(
+                    service=view.service,
+                    number=view.number,
+                    revision=view.revision,
+                )
+                for view in self.copy.held.values()
+            ],
+            logical=self._proc.events.logical,
+        )
 
 
 async def follow_feeds(proc: process.Process, role: str, take: Take) -> None:
@@ -57,79 +237,26 @@
 
     A source that breaks, falls silent, or whose last confirmation by a
     majority is too old, is left for the next one, over a new connection.
+    What was taken stays in force meanwhile. Each consumer begins with
+    another source, so that they spread over the control instances.
     """
-    version = 0
+    feed = Feed(proc, role, take, _names(proc.cfg))
+    pause_s = SHORTEST_PAUSE_S
+    rng = random.Random(proc.cfg.instance)
+    sources = list(proc.cfg.feeds)
+    rng.shuffle(sources)
     while True:
-        for address in proc.cfg.feeds:
-            try:
-                version = await _follow(proc, role, address, take, version)
-            except CHANNEL_ERRORS as exc:
-                proc.events.write(
-                    'feed-lost',
-                    source=units.format_address(address),
-                    reason=repr(exc),
-                )
-            await asyncio.sleep(RETRY_PAUSE_S)
-
-
-async def _follow(
-    proc: process.Process,
-    role: str,
-    address: units.Address,
-    take: Take,
-    version: int,
-) -> int:
-    async with channel_auth.open_channel(
-        address, proc.current_ring, proc.cfg.instance
-    ) as channel:
-        stub = feed_grpc.FeedStub(channel)
-        async with stub.Follow.open() as stream:
-            subscribe = feed_pb2.Subscribe(
-                instance=proc.cfg.instance,
-                role=role,
-                zone=proc.cfg.zone,
-                catalogue_version=version,
-            )
-            await stream.send_message(
-                feed_pb2.FollowRequest(subscribe=subscribe)
-            )
-            while True:
-                async with asyncio.timeout(STALE_MS / MS_PER_S):
-                    reply = await stream.recv_message()
-                update = _decode(reply) if reply is not None else None
-                if update is None or _is_stale(update):
-                    return version
-                in_force = take(update)
-                if in_force != version:
-                    version = in_force
-                    await stream.send_message(_acknowledge(version))
-
-
-def _is_stale(update: Update) -> bool:
-    match update:
-        case Confirmed(age_ms=age_ms):
-            return age_ms >= STALE_MS
-        case _:
-            return False
-
-
-def _acknowledge(version: int) -> feed_pb2.FollowRequest:
-    acknowledge = feed_pb2.Acknowledge(catalogue_version=version)
-    return feed_pb2.FollowRequest(acknowledge=acknowledge)
-
-
-def _decode(reply: feed_pb2.FollowReply) -> Update | None:
-    match reply.WhichOneof('content'):
-        case 'catalogue':
-            update = reply.catalogue
-            entries = [catalogue.decode_entry(item) for item in update.entries]
-            return CatalogueUpdate(update.snapshot, update.version, entries)
-        case 'view':
-            return feed.decode_view(reply.view)
-        case 'confirmation':
-            confirmation = reply.confirmation
-            return Confirmed(
-                confirmation.age_ms, confirmation.catalogue_version
-            )
+        for address in sources:
+            await feed.follow(address)
+            pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+            if feed.confirmed:
+                pause_s = SHORTEST_PAUSE_S
+            await asyncio.sleep(rng.uniform(SHORTEST_PAUSE_S / 2, pause_s))
+
+
+def _names(cfg: settings.Settings) -> tuple[str, ...]:
+    match cfg.role:
+        case settings.AgentSettings(services=names):
+            return names
         case _:
-            return None
+            return ()
