--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -12,6 +12,7 @@
 from gentianspoke.decisions.control import membership
 from gentianspoke.generated import feed_grpc
 from gentianspoke.generated import feed_pb2
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
 
@@ -54,7 +55,9 @@
                 await asyncio.sleep(LEAST_PAUSE_S)
 
     async def _announce_to(self, address: units.Address) -> None:
-        async with feed_client.open_channel(address) as channel:
+        async with channel_auth.open_channel(
+            address, self._proc.current_ring, self._proc.cfg.instance
+        ) as channel:
             stub = feed_grpc.FeedStub(channel)
             while True:
                 self._changed.clear()
@@ -78,6 +81,9 @@
         if sent.number != self._state.number:
             # The upstream has restarted since; the lease is not its own.
             return
+        held = self._state.lease_until_ms > self._proc.clock.now()
+        if reply.renewal_only and not held:
+            return
         margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
         until_ms = sent_ms + reply.lease_ms - margin_ms
         state = self._state
