--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -21,6 +21,19 @@
         super().__init__(f'{place}: {remedy}')
 
 
+class StartError(GentianspokeError):
+    """A process that the system did not let start."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the settings file and the system's reason."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot start ({reason}); check that its addresses are'
+            ' of this instance and unused, and that the folders of its files'
+            ' exist and are writable'
+        )
+
+
 class CatalogueFileError(SettingsError):
     """A catalogue file whose entries are not valid."""
 
@@ -162,3 +175,15 @@
             f'{file}: cannot be made durable ({reason}); check space and'
             ' health of the disk, then start this instance again'
         )
+
+
+class LogFileError(GentianspokeError):
+    """A log file that the time line cannot read."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and why it cannot be read."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot be read ({reason}); check path and rights, or'
+            ' copy the log to this instance'
+        )
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -29,7 +29,7 @@
         log: log_port.CatalogueLog,
         consumers: hub.Hub,
     ) -> None:
-        """Serve the log, and wake the consumers after each edit."""
+        """Serve the log, and tell of the consumers."""
         self._proc = proc
         self._log = log
         self._hub = consumers
@@ -50,18 +50,27 @@
                 ' split the file',
             )
         request = _checked(catalogue_codec.decode_request, message)
+        key = request.idempotency_key
+        known = self._log.catalogue.known_answer(key) is not None
         try:
             answer = await self._log.submit(request)
-        except errors.ControlError as exc:
-            await stream.send_message(_not_answered(exc))
+        except errors.NotLeaderError as exc:
+            await stream.send_message(
+                catalogue_pb2.ApplyReply(leader=exc.leader, redirected=True)
+            )
             return
-        await stream.send_message(catalogue_codec.encode_answer(answer))
+        except errors.ControlError as exc:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.UNAVAILABLE, str(exc)
+            ) from exc
+        reply = catalogue_codec.encode_answer(answer)
+        reply.repeated_answer = known
+        await stream.send_message(reply)
         self._proc.events.write(
             'catalogue-answered',
             accepted=answer.accepted,
             version=answer.version,
         )
-        self._hub.wake()
 
     async def List(  # noqa: N802
         self,
@@ -110,31 +119,21 @@
     ) -> None:
         """Return how many consumers run a version."""
         request = await calls.receive(stream)
-        wanted = request.version or self._log.catalogue.version
-        lagging = self._hub.lagging(wanted)
-        consumers = len(self._hub.subscribers)
-        await stream.send_message(
-            catalogue_pb2.StatusReply(
-                version=self._log.catalogue.version,
-                consumers=consumers,
-                in_force=consumers - len(lagging),
-                laggards=lagging[:LAGGARDS_NAMED],
-                confirmed_age_ms=self._log.confirmed_age_ms(),
-                role='leader' if self._log.is_leader else 'follower',
-                leader=self._log.leader,
-            )
+        version = self._log.catalogue.version
+        reply = catalogue_pb2.StatusReply(
+            version=version,
+            confirmed_age_ms=self._log.confirmed_age_ms(),
+            leader=self._log.leader,
+            term=self._log.term,
+            role='leader' if self._log.is_leader else 'follower',
         )
-
-
-def _not_answered(exc: errors.ControlError) -> catalogue_pb2.ApplyReply:
-    """Return the reply that names the leader, or raise where none does."""
-    match exc:
-        case errors.NotLeaderError(leader=str(leader)) if leader:
-            return catalogue_pb2.ApplyReply(leader=leader)
-        case _:
-            raise grpclib.GRPCError(
-                grpclib.const.Status.UNAVAILABLE, str(exc)
-            ) from exc
+        if self._log.is_leader:
+            summary = self._hub.summary()
+            wanted = request.version or version
+            reply.consumers = summary.consumers
+            reply.in_force = summary.in_force(wanted)
+            reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
+        await stream.send_message(reply)
 
 
 def _checked(
--- a/src/gentianspoke/shells/control/monitor.py
+++ b/src/gentianspoke/shells/control/monitor.py
@@ -39,4 +39,4 @@
         'catalogue_version': log.catalogue.version,
     }
     for name, value in values.items():
-        proc.metrics.gauges.set({'name': name}, value)
+        proc.metrics.set_gauge(name, value)
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -45,9 +45,9 @@
         self.running = {}
         self.key_path = str(folder / 'keys.yaml')
         key = {'id': 1, 'hex': secrets.token_hex(32)}
-        pathlib.Path(self.key_path).write_text(
-            yaml.safe_dump({'active': 1, 'keys': [key]})
-        )
+        keys = pathlib.Path(self.key_path)
+        keys.touch(mode=0o600)
+        keys.write_text(yaml.safe_dump({'active': 1, 'keys': [key]}))
         self._ring = key_file.load(self.key_path)
         names = [f'control-{position}' for position in range(size)]
         for position, name in enumerate(names):
@@ -142,7 +142,7 @@
             reply = await self.catalogue(name, 'Apply', message)
         except feed_client.CHANNEL_ERRORS:
             return None
-        return None if reply.leader else codec.decode_answer(reply)
+        return None if reply.redirected else codec.decode_answer(reply)
 
     async def apply(self, request):
         """Send an edit with its key again until it is answered."""
