--- a/src/gentianspoke/shells/control/monitor.py
+++ b/src/gentianspoke/shells/control/monitor.py
@@ -14,7 +14,8 @@
     proc: process.Process, log: replicated_log.ReplicatedLog
 ) -> None:
     """Set the gauges, and report isolation and its end, without end."""
-    is_isolated = False
+    # A new instance knows nothing that a majority has confirmed.
+    is_isolated = True
     while True:
         age_ms = log.confirmed_age_ms()
         _set_gauges(proc, log, age_ms)
--- a/tests/control/proof_control_group.py
+++ b/tests/control/proof_control_group.py
@@ -134,22 +134,15 @@
             await group.kill('control-0')
             await group.leader()
             await group.start('control-0')
-            await asyncio.sleep(1)
-        await asyncio.sleep(1)
-        healthy = await group.status('control-0')
-        assert healthy.confirmed_age_ms < states.Timing().election_min_ms
+            await group.confirmed('control-0')
+        await group.confirmed('control-0')
         proxy.lost = way
         await asyncio.sleep(feed_client.STALE_MS / 1000 + 0.5)
         cut = await group.status('control-0')
         assert cut.confirmed_age_ms >= feed_client.STALE_MS
         assert await group.leader() != 'control-0'
         proxy.lost = ''
-        async with asyncio.timeout(control_group.WAIT_AT_MOST_S):
-            while True:
-                reply = await group.status('control-0')
-                if reply.confirmed_age_ms < states.Timing().election_min_ms:
-                    break
-                await asyncio.sleep(0.1)
+        await group.confirmed('control-0')
 
 
 async def command(group, *words):
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -25,6 +25,7 @@
 HOST = '127.0.0.1'
 CALL_TIMEOUT_S = 5.0
 WAIT_AT_MOST_S = 30.0
+FRESH_MS = 1000
 SOURCES = pathlib.Path(__file__).parent.parent / 'src'
 
 
@@ -92,6 +93,19 @@
                 env=environment(),
                 stderr=asyncio.subprocess.PIPE,
             )
+        for name in names or tuple(self.addresses):
+            await self._await_listening(name)
+
+    async def _await_listening(self, name):
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while self.running[name].returncode is None:
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection(
+                        *self.addresses[name]
+                    )
+                    writer.close()
+                    return
+                await asyncio.sleep(0.05)
 
     async def kill(self, name):
         """Kill an instance at once."""
@@ -172,6 +186,16 @@
             name, 'Members', replica_pb2.MembersRequest()
         )
 
+    async def confirmed(self, name):
+        """Wait until a majority has just confirmed an instance."""
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+                    reply = await self.status(name)
+                    if reply.confirmed_age_ms < FRESH_MS:
+                        return
+                await asyncio.sleep(0.05)
+
     async def voters(self, count, name):
         """Wait until an instance knows of so many voters."""
         async with asyncio.timeout(WAIT_AT_MOST_S):
