--- a/benchmarks/policy/chosen.py
+++ b/benchmarks/policy/chosen.py
@@ -94,7 +94,8 @@
                 self._agents[member].draining = True
             case schemes.Crash(member=member):
                 del self._agents[member]
-                self._now += LEASE_MS + LEASE_MS // 2
+                for _ in range(0, LEASE_MS + LEASE_MS // 2, HEARTBEAT_MS):
+                    self.step(HEARTBEAT_MS)
             case schemes.Join(member=member):
                 self._add(member, started_ms=self._now)
             case schemes.Lie(member=member, open_flows=open_flows):
