Take others' loads to grow between reports as the own one does

Cause: while a service fills, a home compares its fresh count with counts of others that are up to 500 ms old, finds itself above the bound, and diverts. Ruled out: shorter report intervals (more traffic for each member pair).

--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -2,9 +2,11 @@
 
 A load report is a hint. It may be late, wrong or a lie, so its weight is
 bounded: it is taken as no less than half and no more than twice what is
-typical, it counts no longer than ``REPORT_AGE_MS``, and what this agent
-itself placed at the member since is added to it. A member without a
-usable report is taken as typical; it neither attracts nor repels.
+typical, and it counts no longer than ``REPORT_AGE_MS``. Between reports a
+member is taken to grow as this upstream does, or by what this agent placed
+there where that is more; otherwise a home whose service grows would find
+itself above a mean of old counts, and divert flows for nothing. A member
+without a usable report is taken as typical; it neither attracts nor repels.
 """
 
 import math
@@ -37,7 +39,9 @@
         return typical + sent
     least = typical // LEAST_DIVISOR
     most = typical * MOST_FACTOR + 1
-    return min(max(report.open_flows, least), most) + sent
+    then = state.own_then[(service, number)]
+    grown = max(state.counts[service].open_flows - then, sent)
+    return max(0, min(max(report.open_flows, least), most) + grown)
 
 
 def load_limit(
@@ -101,6 +105,7 @@
         return
     state.loads[place] = report
     state.sent.pop(place, None)
+    state.own_then[place] = state.counts[report.service].open_flows
     state.fresh_loads.add(place)
     state.typical.pop(report.service, None)
 
@@ -113,6 +118,7 @@
     for place in tuple(state.loads):
         if place not in state.fresh_loads:
             del state.loads[place]
+            del state.own_then[place]
             state.sent.pop(place, None)
     state.fresh_loads.clear()
     state.typical.clear()
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -111,6 +111,10 @@
     loads: dict[tuple[int, int], frames.LoadReport] = dataclasses.field(
         default_factory=dict
     )
+    # The own open flows when a member's last report came.
+    own_then: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     # Flows placed at a member since its last report, by service and member.
     sent: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
     # Members whose report was renewed since reports were last expired.
--- /dev/null
+++ b/tests/agent/test_diversion.py
@@ -0,0 +1,61 @@
+"""What an agent takes the loads of others to be between their reports."""
+
+import builders
+import pytest
+
+from gentianspoke.core import frames
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import state as agent_state
+
+OWN, OTHER, THIRD, FOURTH = 1, 2, 3, 4
+
+
+def agent_with(own_flows, reports):
+    """Return an agent that heard these reports at its own load."""
+    state = agent_state.AgentState(
+        number=OWN,
+        zone='zone-1',
+        capacity=agent_state.Capacity(4, 10**6, 0),
+        started_ms=0,
+    )
+    state.set_catalogue([builders.service(services.Board())])
+    members = (builders.member(number) for number in range(OWN, FOURTH + 1))
+    state.set_view(views.View(1, 1, tuple(members)))
+    state.counts[1].open_flows = own_flows
+    for sender, open_flows in reports.items():
+        report = frames.LoadReport(1, sender, open_flows, 0, 0)
+        core.on_load(state, report)
+    return state
+
+
+@pytest.mark.parametrize(
+    ('own_now', 'placed', 'expected'),
+    [
+        pytest.param(100, 0, 100, id='no-growth'),
+        pytest.param(130, 0, 130, id='grows-as-the-own-load'),
+        pytest.param(130, 40, 140, id='placed-there-more-than-the-growth'),
+        pytest.param(80, 0, 100, id='own-loss-is-not-taken-for-theirs'),
+    ],
+)
+def test_a_load_grows_between_reports(own_now, placed, expected):
+    state = agent_with(100, {OTHER: 100, THIRD: 100})
+    state.counts[1].open_flows = own_now
+    for _ in range(placed):
+        diversion.count_placed(state, 1, OTHER)
+    assert diversion.load_of(state, 1, OTHER) == expected
+
+
+@pytest.mark.parametrize(
+    ('reported', 'least', 'most'),
+    [
+        pytest.param(0, 50, 50, id='claims-to-be-idle'),
+        pytest.param(10**9, 200, 201, id='claims-to-be-full'),
+        pytest.param(110, 110, 110, id='plausible'),
+    ],
+)
+def test_a_false_report_has_a_bounded_weight(reported, least, most):
+    state = agent_with(100, {OTHER: reported, THIRD: 100, FOURTH: 100})
+    assert least <= diversion.load_of(state, 1, OTHER) <= most
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -7,13 +7,13 @@
 import dataclasses
 
 import builders
+from membership import test_views
 import pytest
 
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.control import membership
-from membership import test_views
 
 LIMITS = test_views.LIMITS
 GRACE_MS = LIMITS.removal_ms
