--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -40,7 +40,7 @@
     wait_ms: int = 0
     idle_ms: int = 7_200_000
     bound_permille: int = 1050
-    retry_permille: int = 200
+    retry_permille: int = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -3,10 +3,10 @@
 A load report is a hint. It may be late, wrong or a lie, so its weight is
 bounded: it is taken as no less than half and no more than twice what is
 typical, and it counts no longer than ``REPORT_AGE_MS``. Between reports a
-member is taken to grow as this upstream does, or by what this agent placed
-there where that is more; otherwise a home whose service grows would find
-itself above a mean of old counts, and divert flows for nothing. A member
-without a usable report is taken as typical; it neither attracts nor repels.
+member is taken to grow as this upstream does, and by what this agent placed
+there; otherwise a home whose service grows would find itself above a mean
+of old counts, and divert flows for nothing. A member without a usable
+report is taken as typical; it neither attracts nor repels.
 """
 
 import math
@@ -40,7 +40,7 @@
     least = typical // LEAST_DIVISOR
     most = typical * MOST_FACTOR + 1
     then = state.own_then[(service, number)]
-    grown = max(state.counts[service].open_flows - then, sent)
+    grown = max(0, state.counts[service].open_flows - then) + sent
     return max(0, min(max(report.open_flows, least), most) + grown)
 
 
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -10,7 +10,7 @@
 from gentianspoke.decisions import hashing
 
 HOPS_AT_MOST = 24
-OFFERS_AT_MOST = 2
+OFFERS_AT_MOST = 3
 
 Endpoint = tuple[int, bytes, int]
 
