--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -1,5 +1,7 @@
 """The control process itself."""
 
+import typing
+
 import grpclib.server
 
 from gentianspoke.config import settings
@@ -7,10 +9,16 @@
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
+from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import leadership
-from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import members_service
+from gentianspoke.shells.control import monitor
+from gentianspoke.shells.control import open_log
+from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import relay
+from gentianspoke.shells.control import replica_service
+from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
 
 
@@ -24,22 +32,50 @@
                 'settings', 'control', 'missing; add it'
             )
     async with process.run_process(cfg, 'control') as proc:
-        log = local_log.LocalLog()
-        consumers = hub.Hub(log, proc.clock)
-        lead = leadership.Leadership(proc, log, consumers, role.lease_ms)
-        relayed = relay.Relay(proc, log, consumers)
-        feed = feed_service.FeedService(proc, log, consumers, lead, relayed)
-        operators = catalogue_service.CatalogueService(proc, log, consumers)
-        server = grpclib.server.Server([feed, operators])
-        channel_auth.protect_server(
-            server, proc.current_ring, on_refused=proc.write_refused_call
-        )
-        await server.start(*role.listen)
-        proc.life.advance('serve')
-        async with process.run_tasks(
-            lead.tick(), relayed.follow_leader(), consumers.watch_catalogue()
-        ):
-            await proc.stop.wait()
-            proc.life.advance('stop')
-        server.close()
-        await server.wait_closed()
+        with open_log.open_log(proc, role.data_folder) as log:
+            await _run(proc, log, role)
+
+
+async def _run(
+    proc: process.Process,
+    log: replicated_log.ReplicatedLog,
+    role: settings.ControlSettings,
+) -> None:
+    consumers = hub.Hub(log, proc.clock)
+    lead = leadership.Leadership(proc, log, consumers, role.lease_ms)
+    relayed = relay.Relay(proc, log, consumers)
+    services: list[typing.Any] = [
+        feed_service.FeedService(proc, log, consumers, lead, relayed),
+        catalogue_service.CatalogueService(proc, log, consumers),
+        replica_service.ReplicaService(proc, log),
+        members_service.MembersService(proc, log),
+    ]
+    server = grpclib.server.Server(services)
+    channel_auth.protect_server(
+        server, proc.current_ring, on_refused=proc.write_refused_call
+    )
+    await server.start(*role.listen)
+    async with process.run_tasks(
+        log.run(),
+        log.tick(),
+        log.propose(),
+        peers.Peers(proc, log).run(),
+        forming.find_group(proc, log, role),
+        lead.tick(),
+        relayed.follow_leader(),
+        consumers.watch_catalogue(),
+        monitor.watch(proc, log),
+        _serve_in_group(proc, log),
+    ):
+        await proc.stop.wait()
+        proc.life.advance('stop')
+    server.close()
+    await server.wait_closed()
+
+
+async def _serve_in_group(
+    proc: process.Process, log: replicated_log.ReplicatedLog
+) -> None:
+    """Call the process ready once it belongs to a group."""
+    await log.group_known.wait()
+    proc.life.advance('serve')
