Demonstrate both users' sizes under planned and unplanned changes

Cause: the demonstration had one made-up size, a perfect network, planned changes only, and one module for everything. Its callers did not reset connections that a late duplicate of an opening brings about, and its upstreams did not answer an opening again, as TCP does.

--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,9 @@
 unit: $(VENV)/.ready
 	$(RUN) -m pytest
 
+# Every shell sets USER, so only one given on make's command line counts.
 demo: $(VENV)/.ready
-	$(RUN) -m demo
+	$(RUN) -m demo $(if $(filter command line,$(origin USER)),$(USER))
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -13,18 +13,32 @@
 
 FIRST_TIMEOUT_S = 0.3
 TRIES = 7
+TIMEOUT_GROWTH = 1.5
 SYN = int(packets.Flags.SYN)
+RST = int(packets.Flags.RST)
 ACK = int(packets.Flags.ACK)
 FIN_ACK = int(packets.Flags.FIN | packets.Flags.ACK)
 PSH_ACK = int(packets.Flags.PSH | packets.Flags.ACK)
 
 
+class _Reset(Exception):
+    """A reset arrived."""
+
+
 class Refused(Exception):
     """The opening was refused as not run."""
 
 
 class Broken(Exception):
-    """The connection was reset or fell silent."""
+    """The connection was reset or fell silent.
+
+    ``since`` is when the exchange that failed began, by the loop's clock.
+    """
+
+    def __init__(self, reason: str, since: float) -> None:
+        """Keep the reason and the time."""
+        self.since = since
+        super().__init__(reason)
 
 
 Send = collections.abc.Callable[[bytes], None]
@@ -52,7 +66,7 @@
         syn = segments.build(self.key, SYN, self._seq, 0)
         expected = (self._isn + 1) % segments.SEQ_MODULUS
         answer = await self._exchange(
-            syn, lambda item: item.ack == expected, Refused
+            syn, lambda item: item.ack == expected, is_connect=True
         )
         self._seq = expected
         self._ack = (answer.seq + 1) % segments.SEQ_MODULUS
@@ -70,7 +84,7 @@
                 and item.ack == expected
             )
 
-        answer = await self._exchange(data, answers, Broken)
+        answer = await self._exchange(data, answers)
         self._seq = expected
         self._ack += answer.payload_bytes
         self._ack %= segments.SEQ_MODULUS
@@ -80,9 +94,7 @@
     async def close(self) -> None:
         """Close both directions; raises ``Broken``."""
         fin = segments.build(self.key, FIN_ACK, self._seq, self._ack)
-        await self._exchange(
-            fin, lambda item: bool(item.flags & packets.FIN), Broken
-        )
+        await self._exchange(fin, lambda item: bool(item.flags & packets.FIN))
         self._seq += 1
         self._ack += 1
         self._acknowledge()
@@ -94,27 +106,31 @@
         self,
         raw: bytes,
         is_answer: collections.abc.Callable[[packets.Segment], bool],
-        on_reset: type[Exception],
+        is_connect: bool = False,
     ) -> packets.Segment:
         timeout_s = FIRST_TIMEOUT_S
+        since = asyncio.get_running_loop().time()
         for _ in range(TRIES):
             self._send(raw)
             try:
                 async with asyncio.timeout(timeout_s):
-                    return await self._wait_for(is_answer, on_reset)
+                    return await self._wait_for(is_answer)
             except TimeoutError:
-                timeout_s *= 1.5
-        raise Broken('silent')
+                timeout_s *= TIMEOUT_GROWTH
+            except _Reset as exc:
+                if is_connect:
+                    raise Refused from exc
+                raise Broken('reset', since) from exc
+        raise Broken('silent', since)
 
     async def _wait_for(
         self,
         is_answer: collections.abc.Callable[[packets.Segment], bool],
-        on_reset: type[Exception],
     ) -> packets.Segment:
         while True:
             segment = await self.inbox.get()
             if segment.flags & packets.RST:
-                raise on_reset('reset')
+                raise _Reset
             if is_answer(segment):
                 return segment
 
@@ -157,9 +173,15 @@
             packet = ip.parse(raw, reply=True)
         except errors.PacketError:
             return
+        if not isinstance(packet, packets.Segment):
+            return
         connection = self.connections.get(packet.key)
-        if connection is not None and isinstance(packet, packets.Segment):
+        if connection is not None:
             connection.inbox.put_nowait(packet)
+        elif packet.flags & packets.SYN:
+            # TCP resets a connection that it did not ask for, such as one
+            # that a late duplicate of an opening brought about.
+            self._send(segments.build(packet.key, RST, packet.ack, 0))
 
     def _send(self, raw: bytes) -> None:
         self.sock.send(raw, self.fabric)
--- a/demo/fabric.py
+++ b/demo/fabric.py
@@ -1,10 +1,14 @@
-"""Stand-in fabric: sprays callers' packets over the ready entries."""
+"""Stand-in fabric: sprays callers' packets over the ready entries.
+
+It loses, repeats and reorders packets as :mod:`demo.faults` decides.
+"""
 
 import asyncio
 import random
 
 import h11
 
+from demo import faults
 from gentianspoke.codec import ip
 from gentianspoke.core import packets
 from gentianspoke import errors
@@ -25,6 +29,7 @@
         callers: Address,
         services: set[bytes],
         rng: random.Random,
+        unreliable: faults.Faults,
     ) -> None:
         """Spray over ``entries``, which maps each to its ready page."""
         self._sock = sock
@@ -32,8 +37,8 @@
         self._callers = callers
         self._services = services
         self._rng = rng
+        self._faults = unreliable
         self._ready: list[Address] = []
-        self.sprayed = 0
 
     async def probe(self) -> None:
         """Keep the list of ready entries current until cancelled."""
@@ -59,14 +64,27 @@
 
     def _carry(self, raw: bytes) -> None:
         try:
-            key = ip.parse(raw).key
+            packet = ip.parse(raw)
         except errors.PacketError:
             self._sock.send(raw, self._callers)
             return
-        if packets.service_address(key) not in self._services:
+        loop = asyncio.get_running_loop()
+        to_service = packets.service_address(packet.key) in self._services
+        is_opening = (
+            to_service
+            and isinstance(packet, packets.Segment)
+            and packets.is_opening(packet)
+        )
+        for delay_s in self._faults.delays(is_opening):
+            if delay_s:
+                loop.call_later(delay_s, self._hand_on, raw, to_service)
+            else:
+                self._hand_on(raw, to_service)
+
+    def _hand_on(self, raw: bytes, to_service: bool) -> None:
+        if not to_service:
             self._sock.send(raw, self._callers)
         elif self._ready:
-            self.sprayed += 1
             self._sock.send(raw, self._rng.choice(self._ready))
 
 
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,77 @@
+"""The product's processes of the demonstration."""
+
+import asyncio
+import collections.abc
+import contextlib
+import os
+import sys
+
+from demo import deployment
+from demo import plan as plans
+
+STOP_TIMEOUT_S = 30.0
+COMMAND = (sys.executable, '-m', 'gentianspoke')
+
+
+class Processes:
+    """The product's processes, started and stopped by name."""
+
+    def __init__(self, plan: plans.Plan) -> None:
+        """Write the settings files of the plan."""
+        self._plan = plan
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+        self.roles = deployment.write_settings(plan)
+
+    async def start(self, instance: str) -> None:
+        """Start the process of an instance."""
+        path = self._plan.folder / f'{instance}.yaml'
+        self._running[instance] = await asyncio.create_subprocess_exec(
+            *COMMAND, self.roles[instance], str(path), env={**os.environ}
+        )
+
+    async def stop(self, instance: str) -> int:
+        """Stop an instance as planned and return its exit status."""
+        running = self._running.pop(instance)
+        with contextlib.suppress(ProcessLookupError):
+            running.terminate()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await running.wait()
+
+    async def kill(self, instance: str) -> None:
+        """Kill an instance without warning."""
+        running = self._running.pop(instance)
+        with contextlib.suppress(ProcessLookupError):
+            running.kill()
+        await running.wait()
+
+    async def stop_all(self) -> dict[str, int]:
+        """Stop all instances and return their exit statuses."""
+        names = list(self._running)
+        statuses = await asyncio.gather(*(self.stop(name) for name in names))
+        return dict(zip(names, statuses, strict=True))
+
+    async def kill_all(self) -> None:
+        """Kill what still runs."""
+        for name in list(self._running):
+            await self.kill(name)
+
+
+@contextlib.asynccontextmanager
+async def run_processes(
+    plan: plans.Plan, later: frozenset[str]
+) -> collections.abc.AsyncIterator[Processes]:
+    """Run all processes but those of ``later``; kill what is left."""
+    processes = Processes(plan)
+    try:
+        for name in processes.roles:
+            if name not in later:
+                await processes.start(name)
+        yield processes
+    finally:
+        await processes.kill_all()
+
+
+async def run_command(*arguments: str) -> int:
+    """Run an operators' command and return its exit status."""
+    running = await asyncio.create_subprocess_exec(*COMMAND, *arguments)
+    return await running.wait()
--- /dev/null
+++ b/demo/sizes.py
@@ -0,0 +1,68 @@
+"""The users' sizes, read from the settings in ``examples``."""
+
+import dataclasses
+import pathlib
+
+from gentianspoke.config import catalogue_file
+from gentianspoke.config import settings
+from gentianspoke.config import settings_file
+from gentianspoke.core import services
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
+POOLS = {
+    'aromas-del-plata': (('pricing', 7), ('inspection', 3)),
+    'tirnica': (('siding', 7), ('manifest', 3)),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """Upstreams that serve the same services."""
+
+    endpoints: int
+    example: settings.AgentSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """One user's services and upstreams; each class has one service."""
+
+    user: str
+    catalogue: pathlib.Path
+    board: services.Service
+    booking: services.Service
+    upload: services.Service
+    pools: tuple[Pool, ...]
+
+    @property
+    def services(self) -> tuple[services.Service, ...]:
+        """All services."""
+        return self.board, self.booking, self.upload
+
+
+def load(user: str) -> Size:
+    """Return the size of a user; raises ``SystemExit`` for another one."""
+    if user not in POOLS:
+        raise SystemExit(f'{user}: no such user; use {" or ".join(POOLS)}')
+    folder = EXAMPLES / user
+    catalogue = folder / 'catalogue.yaml'
+    found: dict[str, services.Service] = {}
+    for item in catalogue_file.load(str(catalogue)):
+        match item.service.traffic:
+            case services.Board():
+                found['board'] = item.service
+            case services.Booking():
+                found['booking'] = item.service
+            case services.Upload():
+                found['upload'] = item.service
+    pools = tuple(
+        Pool(endpoints, _agent(folder / f'agent-{name}.yaml'))
+        for name, endpoints in POOLS[user]
+    )
+    return Size(user, catalogue, pools=pools, **found)
+
+
+def _agent(path: pathlib.Path) -> settings.AgentSettings:
+    role = settings_file.load(str(path)).role
+    assert isinstance(role, settings.AgentSettings)
+    return role
--- a/demo/upstreams.py
+++ b/demo/upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import hashlib
 import json
 import random
 
@@ -19,6 +20,10 @@
 FIN_ACK = int(packets.Flags.FIN | packets.Flags.ACK)
 PSH_ACK = int(packets.Flags.PSH | packets.Flags.ACK)
 WORK_S = 0.03
+# "An upstream that is leaving gets no new work after a few seconds."
+DRAIN_NOTICE_S = 3.0
+FORGET_S = 5.0
+ANSWER_OPENING_AGAIN_S = (1.0, 2.0, 4.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +34,8 @@
     seq: int
     ack: int
     answer: bytes = b''
+    confirmed: bool = False
+    parts: 'hashlib._Hash' = dataclasses.field(default_factory=hashlib.sha256)
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,7 +46,7 @@
         default_factory=collections.Counter
     )
     wrong_service: int = 0
-    opened_while_draining: int = 0
+    opened_late_in_drain: int = 0
 
 
 class Upstream:
@@ -56,7 +63,8 @@
     ) -> None:
         """Serve the endpoints ``served``, replying through ``agent``."""
         self.name = name
-        self.draining = False
+        self.joined = True
+        self.draining_since: float | None = None
         self.incarnation = f'{name}-{rng.randrange(1 << 32):x}'
         self.connections: dict[packets.FlowKey, Accepted] = {}
         self._sock = sock
@@ -69,7 +77,7 @@
         """Return the status page that the agent polls."""
         status = {
             'incarnation': self.incarnation,
-            'draining': self.draining,
+            'draining': self.draining_since is not None,
             'load': len(self.connections),
         }
         return 200, json.dumps(status).encode(), 'application/json'
@@ -94,7 +102,7 @@
         if not isinstance(packet, packets.Segment):
             return
         if packets.is_opening(packet):
-            self._accept(packet)
+            self._accept(packet, group)
             return
         accepted = self.connections.get(key)
         if accepted is None:
@@ -103,28 +111,42 @@
             return
         self._take_established(packet, accepted, group)
 
-    def _accept(self, packet: packets.Segment) -> None:
+    def _accept(
+        self, packet: packets.Segment, group: asyncio.TaskGroup
+    ) -> None:
         accepted = self.connections.get(packet.key)
         if accepted is None:
-            if self.draining:
-                self._tally.opened_while_draining += 1
+            if self._is_late_in_drain():
+                self._tally.opened_late_in_drain += 1
             accepted = Accepted(
                 packet.seq,
                 self._rng.randrange(1 << 32),
                 (packet.seq + 1) % segments.SEQ_MODULUS,
             )
             self.connections[packet.key] = accepted
+            group.create_task(self._answer_again(packet.key, accepted))
         if accepted.isn != packet.seq:
             self._send(packet.key, ACK, accepted.seq, accepted.ack)
             return
         self._send(packet.key, SYN_ACK, accepted.seq, accepted.ack)
 
+    def drain(self) -> None:
+        """Begin to drain: the status page says so."""
+        self.draining_since = asyncio.get_running_loop().time()
+
+    def _is_late_in_drain(self) -> bool:
+        if self.draining_since is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - self.draining_since > DRAIN_NOTICE_S
+
     def _take_established(
         self,
         packet: packets.Segment,
         accepted: Accepted,
         group: asyncio.TaskGroup,
     ) -> None:
+        accepted.confirmed = True
         if packet.flags & packets.RST:
             del self.connections[packet.key]
         elif packet.flags & packets.FIN:
@@ -149,13 +171,28 @@
         if request['kind'] == 'booking':
             self._tally.runs[request['id']] += 1
             await asyncio.sleep(WORK_S)
-        answer = json.dumps({'id': request['id'], 'by': self.name}).encode()
+        elif request['kind'] == 'upload':
+            accepted.parts.update(request['data'].encode())
+        content = {'id': request['id'], 'by': self.name}
+        content['digest'] = accepted.parts.hexdigest()
+        answer = json.dumps(content).encode()
         accepted.answer = answer
         self._send(packet.key, PSH_ACK, accepted.seq + 1, accepted.ack, answer)
         accepted.seq += len(answer)
 
+    async def _answer_again(
+        self, key: packets.FlowKey, accepted: Accepted
+    ) -> None:
+        for pause_s in ANSWER_OPENING_AGAIN_S:
+            await asyncio.sleep(pause_s)
+            if accepted.confirmed:
+                return
+            self._send(key, SYN_ACK, accepted.seq, accepted.ack)
+        if self.connections.get(key) is accepted:
+            del self.connections[key]
+
     async def _forget_later(self, key: packets.FlowKey) -> None:
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(FORGET_S)
         self.connections.pop(key, None)
 
     def _send(
