--- a/src/gentianspoke/commands/processes.py
+++ b/src/gentianspoke/commands/processes.py
@@ -11,7 +11,7 @@
 from gentianspoke import errors
 
 Run = collections.abc.Callable[
-    [settings.Settings], collections.abc.Coroutine[object, object, None]
+    [settings.Settings], collections.abc.Coroutine[object, object, int | None]
 ]
 
 
@@ -38,9 +38,9 @@
 
     def __call__(self) -> None:
         """Run until a planned stop."""
-        from gentianspoke.shells import agent
+        from gentianspoke.shells.agent import main
 
-        _run(self.file, agent.run)
+        _run(self.file, main.run)
 
 
 @cappa.command(name='control')
@@ -60,8 +60,9 @@
 def _run(file: str, run: Run) -> None:
     cfg = settings_file.load(file)
     try:
-        asyncio.run(run(cfg))
+        status = asyncio.run(run(cfg))
     except OSError as exc:
         # Sockets and files are opened before the tasks begin, so an error
         # of the system that is in no group of errors comes from the start.
         raise errors.StartError(file, exc.strerror or str(exc)) from exc
+    raise SystemExit(status)
