Explain the evidence that agents now give

Cause: agents name their evidence otherwise than the reader expected, and write a reset or refusal near their verdict, which was counted as a further flow where it came after the verdict.

Conclusion: what the same agent writes within a second of its verdict, and an opening refused before, is of the same flow.

--- a/src/gentianspoke/decisions/timeline/blame.py
+++ b/src/gentianspoke/decisions/timeline/blame.py
@@ -8,11 +8,19 @@
 
 # Evidence of an agent without which a reader cannot check its verdict.
 EXPECTED_EVIDENCE = {
-    verdicts.Outcome.SILENT: ('unanswered_ms', 'retransmissions'),
+    verdicts.Outcome.SILENT: (
+        'last_up_ms_ago',
+        'last_down_ms_ago',
+        'up_repeats',
+        'down_repeats',
+    ),
 }
 # An agent's own verdict, a reset, a refusal: the first tells most.
 VERDICT_WEIGHT = 2
 RESET_WEIGHT = 1
+# An opening that the caller sent again after its refusal.
+REFUSED_BEFORE = 'refused-before'
+SILENT_PREFIX = 'silent-'
 REFUSED = verdicts.Outcome.REFUSED_NOT_RUN
 
 
@@ -71,7 +79,7 @@
     reason: str, event: events.Event, seen: context.Context
 ) -> Finding:
     match reason:
-        case 'no-capacity' | 'wait-expired':
+        case 'no-capacity' | 'wait-expired' | 'draining':
             return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
         case 'no-upstream' | 'no-live-upstream':
             around = seen.at(event.instance)
@@ -79,10 +87,12 @@
                 # The view may be old, so the upstreams may be there.
                 return Finding(REFUSED, verdicts.Fault.BALANCER, reason)
             return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
+        case _ if reason == REFUSED_BEFORE:
+            missing = ('the first refusal, which is not in these logs',)
+            return Finding(REFUSED, None, reason, unknown=missing)
         case _:
-            return Finding(
-                REFUSED, None, reason, unknown=('the cause of this reason',)
-            )
+            missing = ('the cause of this reason',)
+            return Finding(REFUSED, None, reason, unknown=missing)
 
 
 def _from_reset(
@@ -104,7 +114,17 @@
         case 'no-owner':
             evidence, fault = (), None
             unknown += ('whether the flow was ever open, and where',)
+        case _ if reason.startswith(SILENT_PREFIX):
+            outcome = verdicts.Outcome.SILENT
+            evidence, fault = (), _fault(reason.removeprefix(SILENT_PREFIX))
+            unknown += (
+                'the verdict of the agent, which is not in these logs',
+            )
         case _:
             evidence, fault = (), None
             unknown += ('the cause of this reason',)
     return Finding(outcome, fault, reason, evidence, unknown, RESET_WEIGHT)
+
+
+def _fault(name: str) -> verdicts.Fault | None:
+    return next((item for item in verdicts.Fault if item.value == name), None)
--- a/src/gentianspoke/decisions/timeline/explaining.py
+++ b/src/gentianspoke/decisions/timeline/explaining.py
@@ -9,6 +9,8 @@
 from gentianspoke.decisions.timeline import events
 
 UNKNOWN = 'unknown'
+# How long after an agent's verdict its own reset or refusal may be written.
+JOIN_MS = 1_000
 UNNAMED_SERVICE = '?'
 PERMILLE = 1000
 
@@ -23,6 +25,7 @@
     flow: str
     service: str
     first_wall_ms: int
+    last_wall_ms: int
     finding: blame.Finding
     instances: set[str]
     events: int = 1
@@ -84,7 +87,7 @@
         if finding is None:
             return
         known = self._latest.get(event.flow)
-        if known is None or _has_verdict(known):
+        if known is None or not _belongs(known, event, finding):
             self._add(event, finding)
         else:
             _join(known, event, finding)
@@ -116,6 +119,7 @@
             event.flow,
             event.service,
             event.wall_ms,
+            event.wall_ms,
             finding,
             {event.instance},
         )
@@ -138,14 +142,24 @@
     return sorted(found.values(), key=lambda item: -item.failures)
 
 
-def _has_verdict(known: Failure) -> bool:
+def _belongs(
+    known: Failure, event: events.Event, finding: blame.Finding
+) -> bool:
     # A later flow may use the same five-tuple: an agent gives one verdict
-    # for each flow, and nothing is told of a flow after its verdict.
-    return known.finding.weight == blame.VERDICT_WEIGHT
+    # for each flow, at about the time of its refusal or reset.
+    if known.finding.weight < blame.VERDICT_WEIGHT:
+        return True
+    if finding.weight == blame.VERDICT_WEIGHT:
+        return False
+    if finding.reason == blame.REFUSED_BEFORE:
+        return True
+    is_near = event.wall_ms - known.last_wall_ms <= JOIN_MS
+    return is_near and event.instance in known.instances
 
 
 def _join(known: Failure, event: events.Event, finding: blame.Finding) -> None:
     known.events += 1
+    known.last_wall_ms = event.wall_ms
     known.instances.add(event.instance)
     known.service = known.service or event.service
     if finding.weight > known.finding.weight:
