--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -83,6 +83,8 @@
         '--wait',
         '--control',
         stage.plan.control_text,
+        '--key-file',
+        str(stage.plan.keys),
     )
     if status:
         raise SystemExit('the catalogue was not accepted')
