--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -137,6 +137,7 @@
                 if reply is None:
                     raise errors.ControlError('the source closed the feed')
                 await self._on_reply(stream, reply)
+            await stream.cancel()
         except asyncio.CancelledError:
             # A planned stop: the source need not wait for this consumer.
             with contextlib.suppress(*CHANNEL_ERRORS):
--- /dev/null
+++ b/tests/feed/control_fakes.py
@@ -0,0 +1,108 @@
+"""Control instances in this process, over a log that tests steer."""
+
+import asyncio
+import contextlib
+
+import grpclib.server
+
+from gentianspoke import clock
+from gentianspoke.codec import keys
+from gentianspoke.config import settings
+from gentianspoke.decisions import lifecycle
+from gentianspoke.shells import channel_auth
+from gentianspoke.shells.control import catalogue_service
+from gentianspoke.shells.control import feed_service
+from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import leadership
+from gentianspoke.shells.control import local_log
+from gentianspoke.shells.control import relay
+from gentianspoke.shells import process
+from gentianspoke.telemetry import logs
+from gentianspoke.telemetry import metrics
+
+RING = keys.KeyRing(1, {1: b'k' * 32})
+HOST = '127.0.0.1'
+LEASE_MS = 200
+
+
+class SteeredLog(local_log.LocalLog):
+    """A log whose leader and confirmation the test sets."""
+
+    def __init__(self, catalogue=None):
+        super().__init__()
+        if catalogue is not None:
+            self.catalogue = catalogue
+        self.age_ms = 0
+
+    def confirmed_age_ms(self):
+        return self.age_ms
+
+
+def make_process(name, feeds=(), role=None):
+    """Return what a process has, without files, signals and pages."""
+    role = role or settings.EntrySettings((HOST, 1))
+    cfg = settings.Settings(
+        instance=name,
+        zone='zone-a',
+        key_file='',
+        log_file=None,
+        log_level='INFO',
+        metrics=None,
+        grace_ms=0,
+        feeds=tuple(feeds),
+        role=role,
+    )
+    time = clock.Clock()
+    return process.Process(
+        cfg=cfg,
+        clock=time,
+        ring=RING,
+        events=logs.EventLog(name, 'test', time),
+        metrics=metrics.Metrics(name, 'test'),
+        life=lifecycle.Lifecycle(lambda state: None),
+        stop=asyncio.Event(),
+    )
+
+
+class Control:
+    """One control instance."""
+
+    def __init__(self, name, port, log, lease_ms=LEASE_MS):
+        self.address = (HOST, port)
+        self.log = log
+        self.proc = make_process(name)
+        self.hub = hub.Hub(log, self.proc.clock)
+        self.lead = leadership.Leadership(self.proc, log, self.hub, lease_ms)
+        self.relay = relay.Relay(self.proc, log, self.hub)
+        self.feed = feed_service.FeedService(
+            self.proc, log, self.hub, self.lead, self.relay
+        )
+        self.operators = catalogue_service.CatalogueService(
+            self.proc, log, self.hub
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_control(name, port, log, lease_ms=LEASE_MS):
+    """Run a control instance on a port of this host."""
+    control = Control(name, port, log, lease_ms)
+    server = grpclib.server.Server([control.feed, control.operators])
+    channel_auth.protect_server(server, control.proc.current_ring)
+    await server.start(*control.address)
+    try:
+        async with process.run_tasks(
+            control.lead.tick(),
+            control.relay.follow_leader(),
+            control.hub.watch_catalogue(),
+        ):
+            yield control
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+async def until(condition, at_most_s=15.0):
+    """Wait for a condition; the limit only ends a test that would hang."""
+    async with asyncio.timeout(at_most_s):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/feed/test_consumers.py
@@ -0,0 +1,79 @@
+"""Consumers are counted through relays, and the ones that lag are named."""
+
+import pytest
+
+from gentianspoke.codec import feed as feed_codec
+from gentianspoke.decisions.control import consumers
+
+KEPT_MS = consumers.DEPARTED_KEPT_MS
+
+
+def counted(versions, now=0):
+    found = consumers.Consumers()
+    numbers = {}
+    for name, version in versions.items():
+        numbers[name] = found.connect(name, 0, now)
+        found.acknowledge(numbers[name], version)
+    return found, numbers
+
+
+@pytest.mark.parametrize(
+    ('version', 'in_force', 'lagging'),
+    [(1, 3, []), (2, 2, ['c']), (3, 1, ['b', 'c']), (4, 0, ['a', 'b', 'c'])],
+)
+@pytest.mark.parametrize('relayed', [False, True])
+def test_sums_through_a_relay_equal_direct_ones(
+    version, in_force, lagging, relayed
+):
+    found, _ = counted({'a': 3, 'b': 2, 'c': 1})
+    summary = found.summary(0)
+    if relayed:
+        leader = consumers.Consumers()
+        message = feed_codec.encode_summary(summary)
+        leader.report(
+            leader.connect('relay', 0, 0), feed_codec.decode_summary(message)
+        )
+        summary = leader.summary(0)
+    assert summary.consumers == 3
+    assert summary.in_force(version) == in_force
+    assert summary.lagging(version) == lagging
+
+
+@pytest.mark.parametrize(
+    ('planned', 'later', 'consumers_left'),
+    [
+        (True, 0, 1),
+        (False, 0, 2),
+        (False, KEPT_MS - 1, 2),
+        (False, KEPT_MS, 1),
+    ],
+)
+def test_a_consumer_that_fell_silent_lags_for_a_while(
+    planned, later, consumers_left
+):
+    found, numbers = counted({'a': 3, 'b': 3})
+    found.disconnect(numbers['a'], 0, planned=planned)
+    summary = found.summary(later)
+    assert summary.consumers == consumers_left
+    assert summary.in_force(3) == 1
+    assert summary.lagging(3) == (['a'] if consumers_left == 2 else [])
+
+
+def test_a_consumer_that_moved_to_another_relay_counts_once():
+    leader = consumers.Consumers()
+    old, numbers = counted({'a': 3})
+    new, _ = counted({'a': 3})
+    old.disconnect(numbers['a'], 5, planned=False)
+    for name, relay in (('old', old), ('new', new)):
+        leader.report(leader.connect(name, 0, 0), relay.summary(5))
+    assert leader.summary(5).consumers == 1
+    assert leader.summary(5).lagging(3) == []
+
+
+def test_many_versions_are_reported_in_a_bounded_message():
+    found, _ = counted({f'agent-{n}': n for n in range(1, 101)})
+    summary = found.summary(0)
+    assert len(summary.counts) <= consumers.COUNTS_KEPT + 1
+    assert len(summary.laggards) == consumers.LAGGARDS_KEPT
+    assert summary.consumers == 100
+    assert summary.in_force(91) == 10
--- /dev/null
+++ b/tests/feed/test_copies.py
@@ -0,0 +1,192 @@
+"""Deltas, digests and scopes: a consumer's copy equals its source."""
+
+import random
+
+import builders
+import control_fakes
+import pytest
+
+from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.codec import feed as feed_codec
+from gentianspoke.core import views
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import membership
+from gentianspoke.decisions.control import scopes
+from gentianspoke.decisions import feed_copy
+from gentianspoke.decisions import view_delta
+from gentianspoke.shells.control import feed_source
+from gentianspoke.shells.control import subscriber
+from membership import test_views
+
+SEED = 11
+ALL = scopes.Scope(scopes.Detail.FULL)
+ROUTING = scopes.Scope(scopes.Detail.ROUTING)
+ONLY_A = scopes.Scope(scopes.Detail.FULL, frozenset({'a'}))
+
+
+def view(number, revision, *members):
+    return views.View(1, number, tuple(members), revision)
+
+
+ONE, TWO = builders.member(1), builders.member(2)
+TWO_ACKED = builders.member(2, acked_view=7)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'changed', 'removed'),
+    [
+        pytest.param((ONE,), (ONE, TWO), 1, 0, id='joins'),
+        pytest.param((ONE, TWO), (ONE,), 0, 1, id='goes'),
+        pytest.param((ONE, TWO), (ONE, TWO_ACKED), 1, 0, id='acks'),
+        pytest.param((ONE,), (TWO,), 1, 1, id='replaced'),
+        pytest.param((), (), 0, 0, id='empty'),
+    ],
+)
+def test_a_delta_brings_the_base_to_the_newer_view(old, new, changed, removed):
+    before, after = view(1, 1, *old), view(2, 2, *new)
+    delta = view_delta.difference(before, after)
+    assert (len(delta.changed), len(delta.removed)) == (changed, removed)
+    decoded = feed_codec.decode_view(feed_codec.encode_delta(delta))
+    assert view_delta.apply_delta(before, decoded) == after
+    assert view_delta.apply_delta(view(1, 2, *old), decoded) is None
+
+
+@pytest.mark.parametrize(
+    ('known', 'offered', 'taken'),
+    [((2, 1), (2, 0), False), ((2, 1), (1, 9), False), ((2, 1), (2, 2), True)],
+)
+def test_a_copy_takes_no_older_view(known, offered, taken):
+    copy = feed_copy.FeedCopy()
+    copy.take_view(view(*known, ONE))
+    assert copy.take_view(view(*offered, TWO)) is taken
+
+
+def edited(log, name, number, base=0):
+    entry = builders.service(number=number)
+    entry = type(entry)(
+        **{
+            field: getattr(entry, field)
+            for field in entry.__dataclass_fields__
+            if field not in ('name', 'ports')
+        },
+        name=name,
+        ports=(number,),
+    )
+    edit = catalogue.Edit(name, base, catalogue.Put(entry))
+    key = f'{name}/{log.catalogue.version}'
+    assert log.catalogue.apply(
+        catalogue.Request(key, 'operator', (edit,))
+    ).accepted
+
+
+def deliver(due, copy):
+    for reply in due:
+        match reply.WhichOneof('content'):
+            case 'catalogue':
+                entries = map(
+                    catalogue_codec.decode_entry, reply.catalogue.entries
+                )
+                copy.take_entries(
+                    reply.catalogue.version,
+                    entries,
+                    snapshot=reply.catalogue.snapshot,
+                )
+            case 'view':
+                match feed_codec.decode_view(reply.view):
+                    case views.View() as whole:
+                        assert copy.take_view(whole)
+                    case delta:
+                        assert copy.take_delta(delta)
+
+
+@pytest.mark.parametrize('scope', [ALL, ROUTING, ONLY_A])
+def test_a_copy_equals_its_source_after_any_changes(scope):
+    rng = random.Random(SEED)
+    log = control_fakes.SteeredLog()
+    for number, name in enumerate('abc', 1):
+        edited(log, name, number)
+    source = feed_source.FeedSource(log)
+    members = membership.Membership(1, test_views.LIMITS, 0)
+    copy = feed_copy.FeedCopy()
+    item = subscriber.Subscriber(source, scope, 0, {})
+    for step in range(200):
+        now = 4_000 + step * 300
+        announcement = test_views.heartbeat(
+            rng.randrange(1, 6),
+            rng.choice((test_views.LIVE, test_views.DRAINING)),
+            services=(1, 2, 3),
+            acked=rng.randrange(2**32, 2**32 + 400),
+        )
+        members.announce(announcement, now)
+        members.tick(now)
+        for changed in members.take_changed(now):
+            source.take_view(changed)
+            item.mark(changed.service)
+        if step % 20 == 0:
+            name = rng.choice('abc')
+            base = log.catalogue.entries[name].version
+            edited(log, name, 'abc'.index(name) + 1, base)
+        deliver(item.take_due(), copy)
+        assert item.digest() == copy.digest()
+    wanted = 1 if scope.names else 3
+    assert (len(copy.held), len(copy.entries)) == (wanted, wanted)
+    assert copy.version == log.catalogue.version
+
+
+def started_source():
+    log = control_fakes.SteeredLog()
+    edited(log, 'a', 1)
+    source = feed_source.FeedSource(log)
+    source.take_view(view(5, 5, ONE, TWO))
+    return log, source
+
+
+@pytest.mark.parametrize(
+    ('scope', 'sent'),
+    [pytest.param(ALL, 1, id='agent'), pytest.param(ROUTING, 0, id='entry')],
+)
+def test_an_entry_is_not_sent_what_only_agents_need(scope, sent):
+    _, source = started_source()
+    item = subscriber.Subscriber(source, scope, 0, {})
+    item.take_due()
+    source.take_view(view(5, 6, ONE, TWO_ACKED))
+    item.mark(1)
+    assert len(item.take_due()) == sent
+
+
+@pytest.mark.parametrize(
+    ('held', 'version', 'messages', 'comparable'),
+    [
+        pytest.param({}, 0, 2, True, id='nothing'),
+        pytest.param({1: (5, 5)}, 1, 0, True, id='all'),
+        pytest.param({1: (4, 9)}, 1, 1, True, id='older-view'),
+        pytest.param({1: (6, 0)}, 1, 0, False, id='newer-view'),
+        pytest.param({1: (5, 5)}, 7, 0, False, id='newer-catalogue'),
+    ],
+)
+def test_a_source_sends_only_what_the_consumer_lacks(
+    held, version, messages, comparable
+):
+    _, source = started_source()
+    item = subscriber.Subscriber(source, ALL, version, held)
+    assert len(item.take_due()) == messages
+    assert bool(item.digest()) is comparable
+
+
+def test_a_source_that_was_behind_sends_what_is_newer_later():
+    _, source = started_source()
+    item = subscriber.Subscriber(source, ALL, 1, {1: (6, 0)})
+    for number, sent in ((6, 0), (7, 1)):
+        source.take_view(view(number, 0, ONE))
+        item.mark(1)
+        assert len(item.take_due()) == sent
+
+
+def test_hundreds_of_changes_are_caught_up_by_one_update():
+    log, source = started_source()
+    for base in range(1, 501):
+        edited(log, 'a', 1, base)
+    item = subscriber.Subscriber(source, ALL, 1, {1: (5, 5)})
+    (reply,) = item.take_due()
+    assert not reply.catalogue.snapshot
+    assert [entry.version for entry in reply.catalogue.entries] == [501]
--- /dev/null
+++ b/tests/feed/test_relays.py
@@ -0,0 +1,203 @@
+"""Consumers follow any control instance, and leave one that is stale."""
+
+import contextlib
+
+import builders
+import control_fakes
+import pytest
+
+from gentianspoke.core import views
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+from membership import test_views
+
+PORTS = (31_020, 31_021, 31_022)
+LEADER = f'127.0.0.1:{PORTS[0]}'
+
+
+class Consumer:
+    """Takes updates as an entry does and remembers their sources."""
+
+    def __init__(self, name, ports=PORTS, role=None):
+        feeds = [('127.0.0.1', port) for port in ports]
+        self.proc = control_fakes.make_process(name, feeds, role)
+        self.version = 0
+        self.views = {}
+        self.orders = []
+        self.confirmed = []
+
+    def take(self, update):
+        match update:
+            case feed_client.CatalogueUpdate(version=version):
+                self.version = version
+            case views.View():
+                self.views[update.service] = update
+                self.orders.append(update.order)
+            case feed_client.Confirmed(age_ms=age_ms):
+                self.confirmed.append(age_ms)
+        return self.version
+
+    def follow(self):
+        return feed_client.follow_feeds(self.proc, 'entry', self.take)
+
+
+def put(name, number, base=0):
+    entry = builders.service(number=number)
+    port_entry = catalogue.Put(
+        type(entry)(
+            number=number,
+            name=name,
+            owner='owner',
+            address=entry.address,
+            ports=(number,),
+            protocol=entry.protocol,
+            traffic=entry.traffic,
+            limits=entry.limits,
+            version=0,
+        )
+    )
+    edit = catalogue.Edit(name, base, port_entry)
+    return catalogue.Request(f'{name}-{base}', 'operator', (edit,))
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(count=3):
+    """Run a leader and its followers, which share one catalogue."""
+    shared = catalogue.Catalogue()
+    shared.apply(put('a', 1))
+    async with contextlib.AsyncExitStack() as stack:
+        found = []
+        for position in range(count):
+            log = control_fakes.SteeredLog(shared)
+            log.is_leader = position == 0
+            log.leader = LEADER
+            running = control_fakes.run_control(
+                f'control-{position}', PORTS[position], log
+            )
+            found.append(await stack.enter_async_context(running))
+        yield found
+
+
+def announce(control, number, **fields):
+    control.lead.announce(test_views.heartbeat(number, **fields))
+
+
+@pytest.mark.parametrize('position', [0, 1, 2])
+async def test_any_control_instance_serves_the_leaders_views(position):
+    async with run_cluster() as controls:
+        consumer = Consumer('entry-1', (PORTS[position],))
+        async with process.run_tasks(consumer.follow()):
+            announce(controls[0], 1)
+            await control_fakes.until(lambda: 1 in consumer.views)
+            await control_fakes.until(lambda: consumer.confirmed)
+            announce(controls[0], 2)
+            await control_fakes.until(lambda: has_member(consumer, 2))
+            await control_fakes.until(lambda: consumer.version == 1)
+            summary = controls[0].hub.summary
+            await control_fakes.until(lambda: summary().in_force(1) == 1)
+        assert summary().consumers == 1
+
+
+async def test_only_the_leader_takes_announcements():
+    async with run_cluster() as controls:
+        announce(controls[0], 1)
+        with pytest.raises(Exception, match=LEADER):
+            announce(controls[1], 1)
+
+
+async def test_a_relay_adds_the_time_since_the_leader_confirmed():
+    async with run_cluster() as controls:
+        controls[0].log.age_ms = 700
+        relay = controls[1].relay
+        await control_fakes.until(lambda: relay.age_ms() is not None)
+        assert relay.age_ms() >= 700
+
+
+@pytest.mark.parametrize(
+    'fault', ['isolated-both-ways', 'silent', 'relay-lost-its-leader']
+)
+async def test_a_consumer_leaves_a_stale_source_for_a_fresh_one(
+    fault, monkeypatch
+):
+    monkeypatch.setattr(feed_client, 'STALE_MS', 1_500)
+    async with run_cluster() as controls:
+        consumer = Consumer('entry-1', PORTS[1:])
+        async with process.run_tasks(consumer.follow()):
+            await control_fakes.until(lambda: consumer.confirmed)
+            first, other = controls[1], controls[2]
+            if not has_consumer(first):
+                first, other = other, first
+            match fault:
+                case 'isolated-both-ways':
+                    first.log.age_ms = 5_000
+                case 'silent':
+                    first.feed._confirmation = hang
+                case 'relay-lost-its-leader':
+                    first.log.leader = ''
+            await control_fakes.until(lambda: has_consumer(other))
+            announce(controls[0], 1)
+            await control_fakes.until(lambda: 1 in consumer.views)
+        assert consumer.orders == sorted(consumer.orders)
+
+
+def has_member(consumer, number):
+    return any(m.number == number for m in consumer.views[1].members)
+
+
+def hang(item):
+    raise TimeoutError
+
+
+def has_consumer(control):
+    return control.hub.consumers.summary(0).consumers > 0
+
+
+async def test_a_new_leader_goes_on_with_newer_views():
+    async with run_cluster(2) as controls:
+        consumer = Consumer('entry-1', PORTS[1:2])
+        old, new = controls
+        async with process.run_tasks(consumer.follow()):
+            announce(old, 1)
+            await control_fakes.until(lambda: 1 in consumer.views)
+            before = consumer.views[1].order
+            old.log.is_leader = False
+            old.log.leader = new.log.leader = f'127.0.0.1:{PORTS[1]}'
+            old.log.term = new.log.term = 2
+            new.log.is_leader = True
+            announce(new, 1)
+            await control_fakes.until(lambda: consumer.views[1].order > before)
+        (member,) = consumer.views[1].members
+        assert member.joined_view >> views.TERM_SHIFT_BITS == 2
+
+
+async def test_a_consumer_that_has_followed_takes_only_what_differs():
+    async with run_cluster() as controls:
+        consumer = Consumer('entry-1', PORTS[1:2])
+        feed = feed_client.Feed(consumer.proc, 'entry', consumer.take)
+        announce(controls[0], 1)
+        for port, expected in ((PORTS[1], 1), (PORTS[2], 1)):
+            consumer.confirmed.clear()
+            control = controls[PORTS.index(port)]
+            await control_fakes.until(lambda: control.hub.source.views)
+            await feed.follow(
+                ('127.0.0.1', port), lambda: not consumer.confirmed
+            )
+            assert len(consumer.orders) == expected
+
+
+async def test_a_copy_that_differs_is_sent_again():
+    async with run_cluster(1) as controls:
+        consumer = Consumer('entry-1', PORTS[:1])
+        feed = feed_client.Feed(consumer.proc, 'entry', consumer.take)
+        announce(controls[0], 1)
+        await control_fakes.until(lambda: controls[0].hub.source.views)
+        wrong = builders.view(builders.member(9))
+        right = controls[0].hub.source.views[1]
+        feed.copy.take_view(
+            views.View(1, right.number, wrong.members, right.revision)
+        )
+        await feed.follow(
+            controls[0].address, lambda: consumer.views.get(1) is None
+        )
+    assert [m.number for m in feed.copy.held[1].members] == [1]
