Complete the operators' catalogue commands

Cause: only apply and list existed, asked the first instance that answered and gave up on a lost answer.

--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -113,6 +113,28 @@
     )
 
 
+def encode_history(item: catalogue.HistoryItem) -> catalogue_pb2.HistoryItem:
+    """Return one accepted text of an entry as a message."""
+    return catalogue_pb2.HistoryItem(
+        version=item.version,
+        operator=item.operator,
+        idempotency_key=item.idempotency_key,
+        entry=encode_entry(item.entry),
+    )
+
+
+def decode_history(
+    message: catalogue_pb2.HistoryItem,
+) -> catalogue.HistoryItem:
+    """Return a message as one accepted text of an entry."""
+    return catalogue.HistoryItem(
+        version=message.version,
+        operator=message.operator,
+        idempotency_key=message.idempotency_key,
+        entry=decode_entry(message.entry),
+    )
+
+
 def _encode_traffic(
     traffic: services.TrafficClass,
 ) -> tuple[catalogue_pb2.TrafficClass, bool]:
--- /dev/null
+++ b/src/gentianspoke/commands/catalogue_output.py
@@ -0,0 +1,186 @@
+"""How the catalogue's subcommands print: text for people, or JSON."""
+
+import dataclasses
+import json
+import sys
+import typing
+
+from gentianspoke.config import catalogue_file
+from gentianspoke.config import units
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.shells import catalogue_client
+
+COLUMN_GAP = '  '
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One field of an entry that differs; texts are empty where absent."""
+
+    name: str
+    field: str
+    old: str
+    new: str
+
+
+def changes(
+    old: services.Service | None, new: services.Service
+) -> list[Change]:
+    """Return the fields in which an entry differs from its current text."""
+    before = catalogue_file.flatten(old) if old else {}
+    after = catalogue_file.flatten(new)
+    return [
+        Change(new.name, field, before.get(field, ''), text)
+        for field, text in after.items()
+        if before.get(field) != text
+    ]
+
+
+class Output:
+    """Prints results to standard output, as JSON lines or as text."""
+
+    def __init__(self, as_json: bool) -> None:
+        """Print JSON where ``as_json``."""
+        self._as_json = as_json
+
+    def entry(self, entry: services.Service) -> None:
+        """Print an entry whole."""
+        if self._as_json:
+            self._json(_entry_content(entry))
+        else:
+            print(catalogue_file.to_text([entry]), end='')
+
+    def entries(self, entries: list[services.Service]) -> None:
+        """Print one row for each entry."""
+        if self._as_json:
+            for entry in entries:
+                self._json(_entry_content(entry))
+            return
+        head = ('NAME', 'VERSION', 'CLASS', 'OWNER', 'ADDRESS', 'PORTS')
+        print_table(head, [_entry_row(entry) for entry in entries])
+
+    def changes(self, found: list[Change]) -> None:
+        """Print one row for each changed field."""
+        if self._as_json:
+            for change in found:
+                self._json(dataclasses.asdict(change))
+            return
+        rows: list[tuple[str, ...]] = [
+            (change.name, change.field, change.old or '-', change.new)
+            for change in found
+        ]
+        print_table(('NAME', 'FIELD', 'NOW', 'FILE'), rows)
+
+    def history(self, items: list[catalogue.HistoryItem]) -> None:
+        """Print what each version of an entry changed."""
+        rows: list[tuple[str, ...]] = []
+        before: services.Service | None = None
+        for item in items:
+            found = changes(before, item.entry)
+            before = item.entry
+            if self._as_json:
+                self._json(_history_content(item))
+            text = ' '.join(f'{c.field}={c.new}' for c in found)
+            if item.entry.retired:
+                text = 'retired'
+            rows.append((str(item.version), item.operator, text))
+        if not self._as_json:
+            print_table(('VERSION', 'OPERATOR', 'CHANGE'), rows)
+
+    def statuses(self, found: list[catalogue_client.Status]) -> None:
+        """Print one row for each instance, then the laggards."""
+        if self._as_json:
+            for item in found:
+                self._json(_status_content(item))
+            return
+        head = ('ADDRESS', 'ROLE', 'TERM', 'VERSION', 'AGE', 'IN FORCE')
+        print_table(head, [_status_row(item) for item in found])
+        for item in found:
+            if item.laggards:
+                print('lagging: ' + ' '.join(item.laggards))
+
+    def applied(self, applied: catalogue_client.Applied, key: str) -> None:
+        """Print the answer to an edit, with the entries in conflict."""
+        answer = applied.answer
+        if self._as_json:
+            self._json(
+                {
+                    'accepted': answer.accepted,
+                    'version': answer.version,
+                    'key': key,
+                    'repeated_answer': applied.repeated,
+                    'conflicts': [_conflict(c) for c in answer.conflicts],
+                }
+            )
+            return
+        again = ' (answer to an earlier request)' if applied.repeated else ''
+        if answer.accepted:
+            print(f'accepted as version {answer.version}{again}')
+            return
+        for item in answer.conflicts:
+            if item.current is not None:
+                text = catalogue_file.to_text([item.current])
+                print(f'# current entry\n{text}', end='', file=sys.stderr)
+
+    def in_force(self, version: int, status: catalogue_client.Status) -> None:
+        """Print how many consumers run a version."""
+        if self._as_json:
+            self._json(_status_content(status) | {'waited_for': version})
+        elif status.is_everywhere:
+            print(f'in force on {status.in_force} consumers')
+
+    def _json(self, content: dict[str, typing.Any]) -> None:
+        print(json.dumps(content, separators=(',', ':')))
+
+
+def print_table(head: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    """Print rows below their head, in columns as wide as needed."""
+    widths = [max(map(len, column)) for column in zip(head, *rows)]
+    for row in (head, *rows):
+        cells = [text.ljust(width) for text, width in zip(row, widths)]
+        print(COLUMN_GAP.join(cells).rstrip())
+
+
+def _entry_row(entry: services.Service) -> tuple[str, ...]:
+    fields = catalogue_file.flatten(entry)
+    kind = fields['class'] + (' (retired)' if entry.retired else '')
+    ports = f'{fields["protocol"]} ' + ','.join(map(str, entry.ports))
+    version = str(entry.version)
+    return (entry.name, version, kind, entry.owner, fields['address'], ports)
+
+
+def _status_row(item: catalogue_client.Status) -> tuple[str, ...]:
+    leads = item.role == 'leader'
+    in_force = f'{item.in_force} of {item.consumers}' if leads else '-'
+    return (
+        units.format_address(item.address),
+        item.role,
+        str(item.term),
+        str(item.version),
+        f'{item.confirmed_age_ms}ms',
+        in_force,
+    )
+
+
+def _entry_content(entry: services.Service) -> dict[str, typing.Any]:
+    return catalogue_file.to_content(entry) | {'retired': entry.retired}
+
+
+def _history_content(item: catalogue.HistoryItem) -> dict[str, typing.Any]:
+    return {
+        'version': item.version,
+        'operator': item.operator,
+        'key': item.idempotency_key,
+        'entry': _entry_content(item.entry),
+    }
+
+
+def _conflict(item: catalogue.Conflict) -> dict[str, typing.Any]:
+    current = _entry_content(item.current) if item.current else None
+    return {'name': item.name, 'reason': item.reason, 'current': current}
+
+
+def _status_content(item: catalogue_client.Status) -> dict[str, typing.Any]:
+    content = dataclasses.asdict(item)
+    return content | {'address': units.format_address(item.address)}
--- a/src/gentianspoke/config/catalogue_file.py
+++ b/src/gentianspoke/config/catalogue_file.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import ipaddress
+import typing
+
+import yaml
 
 from gentianspoke.config import units
 from gentianspoke.config import yaml_files
@@ -12,6 +15,7 @@
 
 PERMILLE = 1000
 PROTOCOLS = {'tcp': packets.TCP, 'udp': packets.UDP}
+PROTOCOL_NAMES = {number: name for name, number in PROTOCOLS.items()}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,3 +111,53 @@
 def _duration(value: catalogue_file_model.Duration | str) -> int:
     text = value if isinstance(value, str) else value.root
     return units.duration_ms(text)
+
+
+def to_text(entries: list[services.Service]) -> str:
+    """Return entries as the YAML text of a catalogue file.
+
+    Each is based on its present version, so that an edit of the text is
+    refused where somebody else was faster.
+    """
+    content = {'services': [to_content(entry) for entry in entries]}
+    return yaml.safe_dump(content, sort_keys=False)
+
+
+def to_content(entry: services.Service) -> dict[str, typing.Any]:
+    """Return an entry as what a catalogue file says of it."""
+    return _to_model(entry).model_dump(mode='json', by_alias=True)
+
+
+def flatten(entry: services.Service) -> dict[str, str]:
+    """Return what a file says of an entry, as texts by dotted keys."""
+    content = to_content(entry)
+    del content['base_version']
+    limits = content.pop('limits')
+    content.update((f'limits.{key}', value) for key, value in limits.items())
+    return {key: str(value) for key, value in content.items()}
+
+
+def _to_model(
+    entry: services.Service,
+) -> catalogue_file_model.ServiceEntry:
+    return catalogue_file_model.ServiceEntry.model_validate(
+        {
+            'name': entry.name,
+            'owner': entry.owner,
+            'address': str(ipaddress.ip_address(entry.address)),
+            'ports': list(entry.ports),
+            'protocol': PROTOCOL_NAMES[entry.protocol],
+            'class': type(entry.traffic).__name__.lower(),
+            'idempotent': not services.needs_single_decider(entry),
+            'limits': {
+                'connections': entry.limits.connections,
+                'slots': entry.limits.slots,
+                'queue': entry.limits.queue,
+                'wait': units.format_duration(entry.limits.wait_ms),
+                'idle': units.format_duration(entry.limits.idle_ms),
+                'bound': entry.limits.bound_permille / PERMILLE,
+                'retry_share': entry.limits.retry_permille / PERMILLE,
+            },
+            'base_version': entry.version,
+        }
+    )
--- a/src/gentianspoke/config/units.py
+++ b/src/gentianspoke/config/units.py
@@ -23,6 +23,16 @@
     )
 
 
+def format_duration(milliseconds: int) -> str:
+    """Return a duration in its largest whole unit, such as ``3s``."""
+    for unit, size in sorted(
+        UNITS_MS.items(), key=lambda item: item[1], reverse=True
+    ):
+        if milliseconds and milliseconds % size == 0:
+            return f'{milliseconds // size}{unit}'
+    return f'{milliseconds}ms'
+
+
 def host_port(text: str) -> Address:
     """Return an address such as ``127.0.0.1:7000`` as host and port.
 
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -92,6 +92,37 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class OutcomeUnknownError(ControlError):
+    """An edit whose answer was lost."""
+
+    def __init__(self, key: str) -> None:
+        """Name the idempotency key of the edit."""
+        self.key = key
+        super().__init__(
+            'no control instance answered in time, so the edit may have been'
+            f' accepted; run the same command again with --key {key}'
+        )
+
+
+class EditRefusedError(ControlError):
+    """An edit that was not accepted, with nothing of it applied."""
+
+
+class NotInForceError(ControlError):
+    """A version that is not in force everywhere within the time limit."""
+
+    def __init__(
+        self, version: int, in_force: int, consumers: int, lagging: str
+    ) -> None:
+        """Count the consumers and name those that lag."""
+        self.version = version
+        super().__init__(
+            f'version {version} is accepted, but in force on {in_force} of'
+            f' {consumers} consumers only; look at those that lag:'
+            f' {lagging or "none is named"}'
+        )
+
+
 class ChannelError(GentianspokeError):
     """The other end of a channel did not show that it holds a key."""
 
--- /dev/null
+++ b/src/gentianspoke/shells/catalogue_client.py
@@ -0,0 +1,238 @@
+"""Operators' calls to the control instances, whichever of them leads."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+
+from gentianspoke.codec import catalogue as codec
+from gentianspoke.codec import keys
+from gentianspoke.config import units
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+from gentianspoke import errors
+from gentianspoke.generated import catalogue_grpc
+from gentianspoke.generated import catalogue_pb2
+from gentianspoke.shells import channel_auth
+from gentianspoke.shells import feed_client
+
+REQUEST_TIMEOUT_S = 5.0
+# How long an edit is sent again before its outcome is given up as unknown.
+APPLY_AT_MOST_S = 20.0
+RETRY_PAUSE_S = 0.3
+WAIT_POLL_S = 0.2
+# A read from an instance that no majority has confirmed for longer may
+# lack accepted edits.
+FRESH_MS = 3_000
+OPERATOR = 'operator'
+
+Reply = typing.TypeVar('Reply')
+Call = collections.abc.Callable[
+    [catalogue_grpc.CatalogueStub], collections.abc.Awaitable[Reply]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """The answer to an edit; ``repeated`` where it is an earlier one's."""
+
+    answer: catalogue.Answer
+    repeated: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """The entries as one control instance has them."""
+
+    entries: dict[str, services.Service]
+    version: int
+    confirmed_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """What a control instance says of itself and, leading, of consumers."""
+
+    address: units.Address
+    role: str
+    term: int
+    version: int
+    confirmed_age_ms: int
+    leader: str
+    consumers: int
+    in_force: int
+    laggards: tuple[str, ...]
+    complete: bool
+
+    @property
+    def is_everywhere(self) -> bool:
+        """Whether every consumer runs the version that was asked for."""
+        return self.complete and self.in_force >= self.consumers
+
+
+class CatalogueClient:
+    """Asks control instances, each over a new connection."""
+
+    def __init__(
+        self, addresses: tuple[units.Address, ...], ring: keys.KeyRing
+    ) -> None:
+        """Ask the instances at ``addresses``, in this order."""
+        self._addresses = addresses
+        self._ring = ring
+
+    async def apply(self, request: catalogue.Request) -> Applied:
+        """Return the answer to a request, asking the leader.
+
+        The request is sent again with the same idempotency key where the
+        answer was lost, so that it takes effect once. Raises
+        :class:`gentianspoke.errors.OutcomeUnknownError`.
+        """
+        message = codec.encode_request(request)
+        try:
+            async with asyncio.timeout(APPLY_AT_MOST_S):
+                reply = await self._send_until_answered(message)
+        except TimeoutError as exc:
+            raise errors.OutcomeUnknownError(request.idempotency_key) from exc
+        return Applied(codec.decode_answer(reply), reply.repeated_answer)
+
+    async def list_entries(self) -> Listing:
+        """Return all entries, retired ones included.
+
+        Of the instances that answer, the first one that a majority has
+        confirmed lately is taken, else the one confirmed last.
+        """
+        found: list[Listing] = []
+        for address in self._addresses:
+            reply = await self._try(address, _list)
+            if reply is None:
+                continue
+            entries = map(codec.decode_entry, reply.entries)
+            listing = Listing(
+                {entry.name: entry for entry in entries},
+                reply.version,
+                reply.confirmed_age_ms,
+            )
+            if listing.confirmed_age_ms < FRESH_MS:
+                return listing
+            found.append(listing)
+        if not found:
+            raise self._unreachable()
+        return min(found, key=lambda item: item.confirmed_age_ms)
+
+    async def history(self, name: str) -> list[catalogue.HistoryItem]:
+        """Return the accepted texts of an entry, oldest first."""
+        request = catalogue_pb2.HistoryRequest(name=name)
+        for address in self._addresses:
+            reply = await self._try(
+                address,
+                lambda stub: stub.History(request, timeout=REQUEST_TIMEOUT_S),
+            )
+            if reply is not None:
+                return [codec.decode_history(item) for item in reply.items]
+        raise self._unreachable()
+
+    async def statuses(self, version: int = 0) -> list[Status]:
+        """Return what each instance that answers says of ``version``."""
+        found = [
+            await self._status(address, version) for address in self._addresses
+        ]
+        return [status for status in found if status is not None]
+
+    async def wait_in_force(
+        self, version: int, timeout_s: float
+    ) -> Status | None:
+        """Wait until a version is in force everywhere, for a limited time.
+
+        Return the leader's last status, ``None`` if no leader answered.
+        """
+        status: Status | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                while status is None or not status.is_everywhere:
+                    status = await self._leader_status(version) or status
+                    await asyncio.sleep(WAIT_POLL_S)
+        except TimeoutError:
+            return status
+        return status
+
+    async def _send_until_answered(
+        self, message: catalogue_pb2.ApplyRequest
+    ) -> catalogue_pb2.ApplyReply:
+        while True:
+            for address in self._addresses:
+                reply = await self._send_to_leader(address, message)
+                if reply is not None:
+                    return reply
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _send_to_leader(
+        self, address: units.Address, message: catalogue_pb2.ApplyRequest
+    ) -> catalogue_pb2.ApplyReply | None:
+        def send(
+            stub: catalogue_grpc.CatalogueStub,
+        ) -> collections.abc.Awaitable[catalogue_pb2.ApplyReply]:
+            return stub.Apply(message, timeout=REQUEST_TIMEOUT_S)
+
+        reply = await self._try(address, send)
+        if reply is not None and reply.redirected and reply.leader:
+            reply = await self._try(units.host_port(reply.leader), send)
+        return None if reply is None or reply.redirected else reply
+
+    async def _leader_status(self, version: int) -> Status | None:
+        for address in self._addresses:
+            status = await self._status(address, version)
+            if status is None:
+                continue
+            if status.role != 'leader' and status.leader:
+                leader = units.host_port(status.leader)
+                status = await self._status(leader, version)
+            if status is not None and status.role == 'leader':
+                return status
+        return None
+
+    async def _status(
+        self, address: units.Address, version: int
+    ) -> Status | None:
+        request = catalogue_pb2.StatusRequest(version=version)
+        reply = await self._try(
+            address,
+            lambda stub: stub.Status(request, timeout=REQUEST_TIMEOUT_S),
+        )
+        if reply is None:
+            return None
+        return Status(
+            address=address,
+            role=reply.role,
+            term=reply.term,
+            version=reply.version,
+            confirmed_age_ms=reply.confirmed_age_ms,
+            leader=reply.leader,
+            consumers=reply.consumers,
+            in_force=reply.in_force,
+            laggards=tuple(reply.laggards),
+            complete=reply.complete,
+        )
+
+    async def _try(
+        self, address: units.Address, call: Call[Reply]
+    ) -> Reply | None:
+        try:
+            async with channel_auth.open_channel(
+                address, lambda: self._ring, OPERATOR
+            ) as channel:
+                return await call(catalogue_grpc.CatalogueStub(channel))
+        except feed_client.CHANNEL_ERRORS as exc:
+            channel_auth.raise_if_refused(exc)
+            return None
+
+    def _unreachable(self) -> errors.ControlUnreachableError:
+        return errors.ControlUnreachableError(
+            ','.join(map(units.format_address, self._addresses))
+        )
+
+
+def _list(
+    stub: catalogue_grpc.CatalogueStub,
+) -> collections.abc.Awaitable[catalogue_pb2.ListReply]:
+    request = catalogue_pb2.ListRequest(include_retired=True)
+    return stub.List(request, timeout=REQUEST_TIMEOUT_S)
--- a/src/gentianspoke/shells/channel_auth.py
+++ b/src/gentianspoke/shells/channel_auth.py
@@ -179,3 +179,19 @@
 
 def _refusal(exc: errors.ChannelError) -> grpclib.GRPCError:
     return grpclib.GRPCError(grpclib.const.Status.UNAUTHENTICATED, str(exc))
+
+
+def raise_if_refused(exc: BaseException) -> None:
+    """Raise what a person must mend, and let other call errors pass.
+
+    Raises :class:`gentianspoke.errors.ControlError` where the other end
+    refused the keys or the request itself.
+    """
+    match exc:
+        case grpclib.GRPCError(
+            status=(
+                grpclib.const.Status.UNAUTHENTICATED
+                | grpclib.const.Status.INVALID_ARGUMENT
+            )
+        ):
+            raise errors.ControlError(str(exc.message)) from exc
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -12,6 +12,7 @@
 from gentianspoke.generated import catalogue_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import leadership
 from gentianspoke.shells.control import log as log_port
 from gentianspoke.shells import process
 
@@ -26,11 +27,13 @@
         proc: process.Process,
         log: log_port.CatalogueLog,
         consumers: hub.Hub,
+        lead: leadership.Leadership,
     ) -> None:
         """Serve the log, and tell of the consumers."""
         self._proc = proc
         self._log = log
         self._hub = consumers
+        self._lead = lead
 
     async def Apply(  # noqa: N802
         self,
@@ -96,12 +99,7 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
-            catalogue_pb2.HistoryItem(
-                version=item.version,
-                operator=item.operator,
-                idempotency_key=item.idempotency_key,
-                entry=catalogue_codec.encode_entry(item.entry),
-            )
+            catalogue_codec.encode_history(item)
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
@@ -129,6 +127,7 @@
             wanted = request.version or version
             reply.consumers = summary.consumers
             reply.in_force = summary.in_force(wanted)
+            reply.complete = self._lead.is_complete()
             reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
         await stream.send_message(reply)
 
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -29,7 +29,9 @@
         lead = leadership.Leadership(proc, log, consumers, role.lease_ms)
         relayed = relay.Relay(proc, log, consumers)
         feed = feed_service.FeedService(proc, log, consumers, lead, relayed)
-        operators = catalogue_service.CatalogueService(proc, log, consumers)
+        operators = catalogue_service.CatalogueService(
+            proc, log, consumers, lead
+        )
         server = grpclib.server.Server([feed, operators])
         channel_auth.protect_server(
             server, proc.current_ring, on_refused=proc.write_refused_call
--- /dev/null
+++ b/tests/commands/test_catalogue_commands.py
@@ -0,0 +1,260 @@
+"""Operators' catalogue commands against control instances on loopback."""
+
+import asyncio
+import contextlib
+import json
+
+import cappa
+import control_fakes
+import pytest
+import yaml
+
+from gentianspoke.commands import root
+from gentianspoke.decisions.control import catalogue
+from gentianspoke import errors
+from gentianspoke.shells import catalogue_client
+from gentianspoke.shells.control import relay
+
+PORTS = (31_030, 31_031)
+CONTROL = ','.join(f'127.0.0.1:{port}' for port in PORTS)
+ENTRY = {
+    'name': 'booking',
+    'owner': 'yard',
+    'address': '10.1.0.1',
+    'ports': [8002],
+    'class': 'booking',
+}
+
+
+class LossyLog(control_fakes.SteeredLog):
+    """A log that follows, loses answers or answers nothing, as told."""
+
+    def __init__(self, shared):
+        super().__init__(shared)
+        self.answers_lost = 0
+        self.submitted = 0
+
+    async def submit(self, request):
+        if not self.is_leader:
+            raise errors.NotLeaderError(self.leader)
+        answer = await super().submit(request)
+        self.submitted += 1
+        if self.submitted <= self.answers_lost:
+            raise errors.ControlError('the outcome is not known')
+        return answer
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    """Give up sooner than in a deployment."""
+    monkeypatch.setattr(catalogue_client, 'APPLY_AT_MOST_S', 1.0)
+    monkeypatch.setattr(catalogue_client, 'RETRY_PAUSE_S', 0.02)
+    monkeypatch.setattr(catalogue_client, 'WAIT_POLL_S', 0.02)
+    monkeypatch.setattr(relay, 'PAUSE_S', 0.02)
+
+
+class World:
+    """Two control instances and an operator's files."""
+
+    def __init__(self, folder, controls):
+        self.folder = folder
+        self.logs = [control.log for control in controls]
+        self.controls = controls
+        keys = {'active': 1, 'keys': [{'id': 1, 'hex': (b'k' * 32).hex()}]}
+        self.keys = self.write('keys.yaml', keys)
+        self.keys.chmod(0o600)
+
+    def write(self, name, content):
+        path = self.folder / name
+        path.write_text(yaml.safe_dump(content))
+        return path
+
+    def entries(self, *changes):
+        return self.write(
+            'catalogue.yaml', {'services': [ENTRY | item for item in changes]}
+        )
+
+    async def run(self, *arguments):
+        """Run a subcommand as the program does, in a thread of its own."""
+        first, *rest = map(str, arguments)
+        argv = ['catalogue', first, '--control', CONTROL]
+        argv += ['--key-file', str(self.keys), *rest]
+        await asyncio.to_thread(
+            cappa.invoke, root.Gentianspoke, argv=argv, color=False
+        )
+
+
+@pytest.fixture
+async def world(tmp_path):
+    shared = catalogue.Catalogue()
+    async with contextlib.AsyncExitStack() as stack:
+        controls = []
+        for position, port in enumerate(PORTS):
+            log = LossyLog(shared)
+            log.is_leader = position == 1
+            log.leader = f'127.0.0.1:{PORTS[1]}'
+            running = control_fakes.run_control(f'c-{position}', port, log)
+            controls.append(await stack.enter_async_context(running))
+        yield World(tmp_path, controls)
+
+
+async def test_an_edit_goes_to_the_leader_and_is_shown(world, capsys):
+    await world.run('apply', world.entries({}))
+    await world.run('apply', world.entries({'owner': 'port'}))
+    await world.run('apply', world.entries({'owner': 'port'}))
+    out = capsys.readouterr().out
+    assert out.splitlines() == [
+        'accepted as version 1',
+        'accepted as version 2',
+        'nothing to change at version 2',
+    ]
+    await world.run('history', 'booking', '--json')
+    lines = map(json.loads, capsys.readouterr().out.splitlines())
+    assert [line['entry']['owner'] for line in lines] == ['yard', 'port']
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'expected'),
+    [
+        (('list',), 'booking  1        booking  yard   10.1.0.1  tcp 8002'),
+        (('history', 'booking'), '1        '),
+        (('status',), '127.0.0.1:31031  leader'),
+        (('get', 'booking'), 'base_version: 1'),
+        (('list', '--json'), '"name":"booking"'),
+        (('status', '--json'), '"role":"leader"'),
+        (('get', 'booking', '--json'), '"base_version":1'),
+    ],
+)
+async def test_reads_print_a_table_or_json(world, capsys, arguments, expected):
+    await world.run('apply', world.entries({}))
+    capsys.readouterr()
+    await world.run(*arguments)
+    assert expected in capsys.readouterr().out
+
+
+async def test_what_get_prints_can_be_applied(world, capsys):
+    await world.run('apply', world.entries({'limits': {'wait': '300ms'}}))
+    capsys.readouterr()
+    await world.run('get', 'booking')
+    path = world.folder / 'edited.yaml'
+    text = capsys.readouterr().out
+    path.write_text(text.replace('owner: yard', 'owner: port'))
+    await world.run('diff', path)
+    assert 'booking  owner  yard  port' in capsys.readouterr().out
+    await world.run('apply', path)
+    assert world.logs[0].catalogue.entries['booking'].owner == 'port'
+    with pytest.raises(errors.EditRefusedError, match='read it again'):
+        await world.run('apply', path)
+
+
+@pytest.mark.parametrize('answers_lost', [1, 2])
+async def test_an_edit_whose_answer_is_lost_takes_effect_once(
+    world, capsys, answers_lost
+):
+    world.logs[1].answers_lost = answers_lost
+    await world.run('apply', world.entries({}))
+    expected = 'accepted as version 1 (answer to an earlier request)\n'
+    assert capsys.readouterr().out == expected
+    assert world.logs[1].submitted == answers_lost + 1
+    assert world.logs[1].catalogue.version == 1
+
+
+async def test_an_edit_is_answered_by_the_next_leader(world):
+    world.logs[1].answers_lost = 1_000
+    task = asyncio.create_task(world.run('apply', world.entries({})))
+    await control_fakes.until(lambda: world.logs[1].submitted)
+    world.logs[1].is_leader = False
+    world.logs[0].is_leader = True
+    for log in world.logs:
+        log.leader = f'127.0.0.1:{PORTS[0]}'
+    await task
+    assert world.logs[0].catalogue.version == 1
+
+
+async def test_an_unknown_outcome_names_the_key_to_send_again(world, capsys):
+    world.logs[1].answers_lost = 1_000
+    with pytest.raises(errors.OutcomeUnknownError) as caught:
+        await world.run('apply', world.entries({}))
+    world.logs[1].answers_lost = 0
+    key = caught.value.key
+    await world.run('apply', world.entries({}), '--key', key, '--json')
+    answer = json.loads(capsys.readouterr().out)
+    assert answer['repeated_answer'] and answer['version'] == 1
+
+
+async def test_a_conflict_shows_the_current_entry(world, capsys):
+    await world.run('apply', world.entries({}))
+    await world.run('apply', world.entries({'owner': 'faster'}))
+    with pytest.raises(errors.EditRefusedError, match='at 2'):
+        await world.run('apply', world.entries({'base_version': 1}))
+    assert 'owner: faster' in capsys.readouterr().err
+
+
+async def test_a_retired_entry_is_listed_only_on_request(world, capsys):
+    await world.run('apply', world.entries({}))
+    await world.run('retire', 'booking')
+    capsys.readouterr()
+    await world.run('list')
+    assert 'booking' not in capsys.readouterr().out
+    await world.run('list', '--retired')
+    assert 'booking (retired)' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('changes', 'place'),
+    [
+        ({'class': 'bulk'}, 'services.1.class'),
+        ({'address': 'here'}, 'services.1.address'),
+        ({'ports': [0]}, 'services.1.ports'),
+        ({'wieght': 2}, 'services.1.wieght'),
+        ({'limits': {'wait': '3 s'}}, 'services.1.limits.wait'),
+        ({'protocol': 'udp'}, 'services.1.idempotent'),
+        ({'name': 'booking'}, 'services.1.name'),
+    ],
+)
+async def test_of_a_bad_file_nothing_is_applied(world, changes, place):
+    path = world.entries({}, {'name': 'second', 'ports': [1]} | changes)
+    with pytest.raises(errors.CatalogueFileError) as caught:
+        await world.run('apply', path)
+    text = str(caught.value)
+    assert text.startswith(f'{path}: {place}') and '\n' not in text
+    assert world.logs[1].catalogue.version == 0
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('apply', 'none.yaml'),
+        ('apply', 'none.yaml', '--timeout', '20'),
+        ('list', '--control', 'nowhere'),
+    ],
+)
+async def test_bad_arguments_are_settings_errors(world, arguments):
+    with pytest.raises(errors.SettingsError):
+        await world.run(*arguments)
+
+
+@pytest.mark.parametrize('lagging', [False, True])
+async def test_wait_ends_when_all_run_the_version_or_names_who_lags(
+    world, capsys, lagging
+):
+    leader = world.controls[1]
+    await control_fakes.until(leader.lead.is_complete)
+    count = leader.hub.consumers
+    number = count.connect('entry-7', 0, 0)
+    if not lagging:
+        count.acknowledge(number, 1)
+    command = ('apply', world.entries({}), '--wait', '--timeout', '500ms')
+    if lagging:
+        with pytest.raises(errors.NotInForceError, match='entry-7'):
+            await world.run(*command)
+    else:
+        await world.run(*command)
+        assert 'in force on 1 consumers' in capsys.readouterr().out
+
+
+async def test_an_operator_without_the_key_is_refused(world):
+    keys = {'active': 1, 'keys': [{'id': 1, 'hex': 'ab' * 32}]}
+    world.keys.write_text(yaml.safe_dump(keys))
+    with pytest.raises(errors.ControlError, match='key files'):
+        await world.run('list')
--- a/tests/feed/control_fakes.py
+++ b/tests/control_fakes.py
@@ -78,7 +78,7 @@
             self.proc, log, self.hub, self.lead, self.relay
         )
         self.operators = catalogue_service.CatalogueService(
-            self.proc, log, self.hub
+            self.proc, log, self.hub, self.lead
         )
 
 
--- a/tests/feed/test_copies.py
+++ b/tests/feed/test_copies.py
@@ -4,6 +4,7 @@
 
 import builders
 import control_fakes
+import heartbeats
 import pytest
 
 from gentianspoke.codec import catalogue as catalogue_codec
@@ -16,7 +17,6 @@
 from gentianspoke.decisions import view_delta
 from gentianspoke.shells.control import feed_source
 from gentianspoke.shells.control import subscriber
-from membership import test_views
 
 SEED = 11
 ALL = scopes.Scope(scopes.Detail.FULL)
@@ -106,14 +106,14 @@
     for number, name in enumerate('abc', 1):
         edited(log, name, number)
     source = feed_source.FeedSource(log)
-    members = membership.Membership(1, test_views.LIMITS, 0)
+    members = membership.Membership(1, heartbeats.LIMITS, 0)
     copy = feed_copy.FeedCopy()
     item = subscriber.Subscriber(source, scope, 0, {})
     for step in range(200):
         now = 4_000 + step * 300
-        announcement = test_views.heartbeat(
+        announcement = heartbeats.heartbeat(
             rng.randrange(1, 6),
-            rng.choice((test_views.LIVE, test_views.DRAINING)),
+            rng.choice((views.State.LIVE, views.State.DRAINING)),
             services=(1, 2, 3),
             acked=rng.randrange(2**32, 2**32 + 400),
         )
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -4,6 +4,7 @@
 
 import builders
 import control_fakes
+import heartbeats
 import pytest
 
 from gentianspoke.core import views
@@ -12,7 +13,6 @@
 from gentianspoke.shells.control import relay
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
-from membership import test_views
 
 PORTS = (31_020, 31_021, 31_022)
 LEADER = f'127.0.0.1:{PORTS[0]}'
@@ -93,7 +93,7 @@
 
 
 def announce(control, number, **fields):
-    control.lead.announce(test_views.heartbeat(number, **fields))
+    control.lead.announce(heartbeats.heartbeat(number, **fields))
 
 
 @pytest.mark.parametrize('position', [0, 1, 2])
--- /dev/null
+++ b/tests/heartbeats.py
@@ -0,0 +1,27 @@
+"""Heartbeats of agents that tests of membership and feeds start from."""
+
+from gentianspoke.core import views
+from gentianspoke.decisions.control import membership
+
+LIMITS = membership.MembershipLimits(lease_ms=3_000, suspect_ms=1_800)
+
+
+def heartbeat(
+    number=1, state=views.State.LIVE, services=(1,), acked=0, **fields
+):
+    """Return a heartbeat of a member that acknowledges ``acked``."""
+    reports = tuple(
+        membership.ServiceReport(service, acked) for service in services
+    )
+    given = {'weight': 100, 'recovering': False, 'leaving': False} | fields
+    return membership.Announcement(
+        number=number,
+        instance=f'agent-{number}',
+        host='127.0.0.1',
+        port=9_000 + number,
+        zone='zone-a',
+        state=state,
+        services=services,
+        reports=reports,
+        **given,
+    )
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -7,15 +7,15 @@
 import dataclasses
 
 import builders
+import heartbeats
 import pytest
 
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.control import membership
-from membership import test_views
 
-LIMITS = test_views.LIMITS
+LIMITS = heartbeats.LIMITS
 GRACE_MS = LIMITS.removal_ms
 SERVICE = builders.service()
 BUCKETS = range(32)
@@ -42,7 +42,7 @@
         ranking = self.state.rankings.get(1)
         acked = ranking.view.number if ranking else 0
         grant = leader.announce(
-            test_views.heartbeat(self.number, acked=acked, weight=self.weight),
+            heartbeats.heartbeat(self.number, acked=acked, weight=self.weight),
             now,
             age,
         )
@@ -147,13 +147,13 @@
     leader, now = settled(agents)
     stale = leader.view(1)
     now += 1
-    leader.announce(test_views.heartbeat(2, views.State.DRAINING), now)
+    leader.announce(heartbeats.heartbeat(2, views.State.DRAINING), now)
     for _ in range(rounds):
         give(leader, now, *agents)
         now += 100
         first.announce_to(leader, now)
         leader.announce(
-            test_views.heartbeat(
+            heartbeats.heartbeat(
                 2, views.State.DRAINING, acked=leader.view(1).number
             ),
             now,
--- a/tests/membership/test_views.py
+++ b/tests/membership/test_views.py
@@ -1,35 +1,19 @@
 """Views that the leader of one term issues from heartbeats."""
 
+import heartbeats
 import pytest
 
 from gentianspoke.core import views
 from gentianspoke.decisions.control import membership
 
-LIMITS = membership.MembershipLimits(lease_ms=3_000, suspect_ms=1_800)
+LIMITS = heartbeats.LIMITS
+heartbeat = heartbeats.heartbeat
 LIVE = views.State.LIVE
 DRAINING = views.State.DRAINING
 SUSPECT = views.State.SUSPECT
 GRACE_MS = LIMITS.removal_ms
 
 
-def heartbeat(number=1, state=LIVE, services=(1,), acked=0, **fields):
-    reports = tuple(
-        membership.ServiceReport(service, acked) for service in services
-    )
-    given = {'weight': 100, 'recovering': False, 'leaving': False} | fields
-    return membership.Announcement(
-        number=number,
-        instance=f'agent-{number}',
-        host='127.0.0.1',
-        port=9_000 + number,
-        zone='zone-a',
-        state=state,
-        services=services,
-        reports=reports,
-        **given,
-    )
-
-
 def started(term=1, now=0):
     return membership.Membership(term, LIMITS, now)
 
