--- a/src/gentianspoke/shells/control/hub.py
+++ b/src/gentianspoke/shells/control/hub.py
@@ -18,6 +18,9 @@
         """Begin without views and consumers."""
         self.source = feed_source.FeedSource(log)
         self.consumers = consumers.Consumers()
+        # Whether this instance leads and issues views, so that all
+        # consumers have had the time to follow it or a relay.
+        self.complete = False
         self._clock = time
         self._subscribers: set[subscriber.Subscriber] = set()
 
