--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -104,7 +104,11 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
+<<<<<<< HEAD
             catalogue_codec.encode_history_item(item)
+=======
+            catalogue_codec.encode_history(item)
+>>>>>>> membership
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
@@ -132,6 +136,7 @@
             wanted = request.version or version
             reply.consumers = summary.consumers
             reply.in_force = summary.in_force(wanted)
+            reply.complete = self._hub.complete
             reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
         await stream.send_message(reply)
 
