Test limits, flow life and bad input, and mend what the tests found

Found and mended: a flow whose opening the upstream never answered kept its record for the idle limit; the schedule kept records that had been removed until then; datagrams of work that runs once were placed; the earlier homes of a datagram's flow were not asked for what they had diverted. The fuzzer's first check that running flows stay within the slots was wrong for adopted flows, which run already; it now leaves out just those.

--- a/src/gentianspoke/codec/ip.py
+++ b/src/gentianspoke/codec/ip.py
@@ -19,6 +19,7 @@
 LARGEST_PACKET_BYTES = 65_535
 # More-fragments flag and fragment offset of an IPv4 header.
 FRAGMENT_MASK = 0x3FFF
+IPV6_FRAGMENT = 44
 SEQ_MODULUS = 1 << 32
 RESET_TTL = 64
 ICMP_CODE_ADMIN_PROHIBITED = 13
@@ -108,6 +109,8 @@
 def _parse_ipv6(raw: bytes, reply: bool) -> packets.Packet:
     if len(raw) < IPV6_HEADER_BYTES:
         raise errors.PacketError('truncated')
+    if raw[6] == IPV6_FRAGMENT:
+        raise errors.PacketError('fragment')
     total = IPV6_HEADER_BYTES + _U16.unpack_from(raw, 4)[0]
     if total > len(raw):
         raise errors.PacketError('truncated')
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -3,6 +3,7 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import known
 from gentianspoke.decisions.agent import ownership
@@ -25,10 +26,9 @@
 
     It is a SYN, or a datagram of a flow that is not known here.
     """
-    if packet.payload_bytes and _must_open_empty(service, packet):
-        # Data in an opening (TCP fast open) would reach the upstream
-        # before its own random number has been acknowledged.
-        return actions.Drop('opening-with-payload')
+    unfit = _why_unfit(service, packet)
+    if unfit is not None:
+        return actions.Drop(unfit)
     answer = known.decide_known(state, forward, packet, now)
     if answer is not None:
         return answer
@@ -42,14 +42,22 @@
             return _decide_new(state, service, ranking, forward, packet, now)
 
 
-def _must_open_empty(
+def _why_unfit(
     service: services.Service, packet: packets.Packet
-) -> bool:
+) -> str | None:
+    """Return why work that runs at most once cannot be opened like this."""
+    if not services.needs_single_decider(service):
+        return None
     match packet:
+        case packets.Segment(payload_bytes=0):
+            return None
         case packets.Segment():
-            return services.needs_single_decider(service)
+            # Data in an opening (TCP fast open) would reach the upstream
+            # before its own random number has been acknowledged.
+            return 'opening-with-payload'
         case packets.Datagram():
-            return False
+            # A datagram carries its work with it: a copy may run again.
+            return 'datagram-runs-once'
 
 
 def _return_to_home(
@@ -78,14 +86,29 @@
         # The caller's TCP sends the opening again, by which time the
         # earlier home has acknowledged or lost its lease.
         return actions.Drop('awaiting-lease')
-    for member in ownership.members_to_ask(
-        state, service, ranking, forward.bucket
-    ):
+    asked = _members_to_ask(state, service, ranking, forward, packet)
+    for member in asked:
         if member.number not in forward.tried:
             return passing.pass_to(state, member, forward, frames.Purpose.ASK)
     return placing.place(state, service, ranking, forward, packet, now)
 
 
+def _members_to_ask(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    forward: frames.Forward,
+    packet: packets.Packet,
+) -> list[views.Member]:
+    bucket = forward.bucket
+    match packet:
+        case packets.Segment() if not services.needs_single_decider(service):
+            return ownership.earlier_homes(ranking.order(bucket), state.number)
+        case _:
+            # A datagram may belong to a flow that an earlier home diverted.
+            return ownership.members_to_ask(state, ranking, bucket)
+
+
 def _answer_without_home(
     service: services.Service, packet: packets.Packet
 ) -> actions.Action:
--- a/src/gentianspoke/decisions/agent/ownership.py
+++ b/src/gentianspoke/decisions/agent/ownership.py
@@ -111,19 +111,13 @@
 
 
 def members_to_ask(
-    state: agent_state.AgentState,
-    service: services.Service,
-    ranking: hashing.Ranking,
-    bucket: int,
+    state: agent_state.AgentState, ranking: hashing.Ranking, bucket: int
 ) -> list[views.Member]:
     """Return the members that may know an opening, to ask before placing.
 
-    For idempotent work these are the bucket's earlier homes. For other
-    work they are all members with a record from before this agent became
-    the home, since an earlier home may have offered it to any of them.
+    They are all members with a record from before this agent became the
+    home, since an earlier home may have offered the opening to any.
     """
-    if not services.needs_single_decider(service):
-        return earlier_homes(ranking.order(bucket), state.number)
     since = home_since(state, ranking, bucket)
     return [
         member
--- a/src/gentianspoke/decisions/agent/tables.py
+++ b/src/gentianspoke/decisions/agent/tables.py
@@ -12,6 +12,8 @@
 
 # How long the record of an ended flow answers late packets.
 LINGER_MS = 10_000
+# How long an opening may stay unanswered by the upstream.
+HALF_OPEN_MS = 30_000
 # Ended flows that are remembered at most before refusals go without.
 ENDED_AT_MOST = 50_000
 # How long a diversion serves after its caller has closed or reset.
@@ -150,7 +152,9 @@
     _count_placed(
         state, diversion.service, diversion.bucket, diversion.placed_view
     )
-    due_ms = diversion.used_ms + diversion_idle_ms(state, diversion)
+    due_ms = diversion.used_ms + min(
+        CLOSING_MS, diversion_idle_ms(state, diversion)
+    )
     state.diversion_schedule.add((key, diversion), due_ms)
 
 
@@ -228,7 +232,7 @@
     state.counts[service.number].open_flows += 1
     state.total_open += 1
     _count_placed(state, flow.service, bucket, flow.view)
-    state.flow_schedule.add(flow, now + service.limits.idle_ms)
+    state.flow_schedule.add(flow, now + HALF_OPEN_MS)
     return flow
 
 
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -12,8 +12,9 @@
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
-# How long an opening may stay unanswered by the upstream.
-HALF_OPEN_MS = 30_000
+# Longest time until a record is looked at again. Until then the schedule
+# keeps a record that has been removed meanwhile.
+CHECK_AT_MOST_MS = 300_000
 # How long a packet of an unknown flow is remembered.
 ORPHAN_MS = 30_000
 # How long a restarted agent adopts flows that it does not know.
@@ -95,8 +96,11 @@
     quiet_since_ms = max(flow.up_ms, flow.down_ms)
     due_ms = quiet_since_ms + _quiet_at_most_ms(state, flow)
     if now < due_ms:
-        state.flow_schedule.add(flow, due_ms)
-    elif flow.phase is not records.Phase.QUEUED:
+        state.flow_schedule.add(flow, min(due_ms, now + CHECK_AT_MOST_MS))
+    elif flow.phase is records.Phase.QUEUED:
+        # Its wait ends it, or its start does.
+        state.flow_schedule.add(flow, now + tables.HALF_OPEN_MS)
+    else:
         _forget(state, flow, now)
     return []
 
@@ -105,8 +109,10 @@
     match flow.phase:
         case records.Phase.CLOSED | records.Phase.REFUSED:
             return tables.LINGER_MS
+        case records.Phase.QUEUED:
+            return tables.HALF_OPEN_MS
         case records.Phase.OPEN if not flow.answered:
-            return HALF_OPEN_MS
+            return tables.HALF_OPEN_MS
         case _:
             return tables.idle_ms(state, flow.service)
 
@@ -134,7 +140,8 @@
     if now >= due_ms:
         tables.remove_diversion(state, key)
     else:
-        state.diversion_schedule.add((key, diverted), due_ms)
+        check_ms = min(due_ms, now + CHECK_AT_MOST_MS)
+        state.diversion_schedule.add((key, diverted), check_ms)
 
 
 def _expire_orphans(state: State, now: int) -> None:
--- /dev/null
+++ b/tests/agent/test_flow_life.py
@@ -0,0 +1,310 @@
+"""How flows live and end: silence, adoption, restarts, late answers."""
+
+import dataclasses
+
+import builders
+import fakes
+import pytest
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import verdicts
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import adoption
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import tables
+from gentianspoke.decisions.agent import timing
+
+ALONE = builders.view(builders.member(1))
+ACK = packets.ACK
+SYN_ACK = packets.SYN | packets.ACK
+RST = packets.RST | packets.ACK
+FIN = packets.FIN | packets.ACK
+
+
+def packet(flags, seq, ack, payload=0, sport=5_000):
+    key = builders.flow_key(sport)
+    return packets.Segment(key, flags, seq, ack, payload, b'raw')
+
+
+def agent(traffic=None, view=ALONE, **fields):
+    entry = builders.service(traffic or services.Board())
+    return fakes.agent(1, entry, view, **fields)
+
+
+def open_flow(state, now=0, sport=5_000):
+    """Open a flow with isn 100 of the caller and 500 of the upstream."""
+    wire = fakes.Wire(state)
+    wire.send(1, packet(packets.SYN, 100, 0, sport=sport), now)
+    core.on_reply(state, packet(SYN_ACK, 500, 101, sport=sport), now)
+    wire.send(1, packet(ACK, 101, 501, sport=sport), now)
+    return wire
+
+
+UPSTREAM, NETWORK, CALLER = (
+    verdicts.Fault.UPSTREAM,
+    verdicts.Fault.NETWORK,
+    verdicts.Fault.CALLER,
+)
+
+
+@pytest.mark.parametrize(
+    ('up', 'down', 'others', 'fault'),
+    [
+        pytest.param(True, None, True, UPSTREAM, id='not-answered'),
+        pytest.param(True, None, False, None, id='nobody-is-answered'),
+        pytest.param(True, (501, 111), True, NETWORK, id='answers-get-lost'),
+        pytest.param(True, (501, 101), True, UPSTREAM, id='not-acknowledged'),
+        pytest.param(None, True, True, CALLER, id='caller-is-gone'),
+        pytest.param(None, True, False, None, id='no-caller-is-heard'),
+        pytest.param((101, 501), True, True, NETWORK, id='data-gets-lost'),
+    ],
+)
+def test_a_silent_flow_is_named_and_reset(up, down, others, fault):
+    state = agent()
+    wire = open_flow(state)
+    other = open_flow(state, sport=7_000)
+    for now in range(1_000, 9_000, 1_000):
+        if up is True:
+            wire.send(1, packet(ACK, 101, 501, 10), now)
+        elif up:
+            wire.send(1, packet(ACK, *up), now)
+        if down is True:
+            answer = packet(ACK, 501, 101, 10)
+            wire.take(1, core.on_reply(state, answer, now))
+        elif down:
+            wire.take(1, core.on_reply(state, packet(ACK, *down), now))
+        if others:
+            other.send(1, packet(ACK, 101, 501, sport=7_000), now)
+            core.on_reply(state, packet(ACK, 501, 101, sport=7_000), now)
+    found = [report.verdict.fault for report in state.reports]
+    assert found == ([fault] if fault else [])
+    assert bool(wire.resets) is bool(fault)
+    assert (state.total_open == 1) is bool(fault)
+
+
+def test_a_verdict_carries_its_evidence():
+    state = agent()
+    wire = open_flow(state)
+    wire.send(1, packet(RST, 101, 501), 40)
+    (report,) = state.reports
+    names = {name for name, _ in report.verdict.evidence}
+    assert names >= {
+        'last_up_ms_ago',
+        'last_down_ms_ago',
+        'up_repeats',
+        'down_repeats',
+        'admission',
+        'incarnation',
+        'view',
+    }
+
+
+@pytest.mark.parametrize(
+    ('ack', 'passed'), [(101, True), (77, False)], ids=['own', 'earlier']
+)
+def test_a_syn_ack_of_an_earlier_flow_does_not_pass(ack, passed):
+    state = agent()
+    wire = fakes.Wire(state)
+    wire.send(1, packet(packets.SYN, 100, 0))
+    (action,) = core.on_reply(state, packet(SYN_ACK, 500, ack), 1)
+    assert isinstance(action, actions.Answer) is passed
+
+
+def test_a_caller_that_begins_anew_on_an_open_flow_gets_its_answer():
+    state = agent()
+    wire = open_flow(state)
+    wire.send(1, packet(packets.SYN, 900, 0), 50)
+    (action,) = core.on_reply(state, packet(SYN_ACK, 4_000, 901), 60)
+    assert isinstance(action, actions.Answer)
+    assert state.flows[builders.flow_key()].isn == 900
+
+
+@pytest.mark.parametrize(
+    ('seq', 'left'), [(101, 0), (101 - (1 << 30), 1)], ids=['own', 'late']
+)
+def test_a_late_reset_of_an_earlier_flow_closes_nothing(seq, left):
+    state = agent()
+    wire = open_flow(state)
+    wire.send(1, packet(RST, seq % (1 << 32), 0), 50)
+    assert state.total_open == left
+
+
+@pytest.mark.parametrize(
+    ('kind', 'after_ms', 'left'),
+    [
+        pytest.param('closed', tables.LINGER_MS - 1, 1, id='lingers'),
+        pytest.param('closed', tables.LINGER_MS + 300, 0, id='is-forgotten'),
+        pytest.param('half', tables.HALF_OPEN_MS - 1, 1, id='not-answered'),
+        pytest.param('half', tables.HALF_OPEN_MS + 300, 0, id='half-open'),
+        pytest.param('open', 7_199_000, 1, id='idle-within-limit'),
+        pytest.param('open', 7_200_300, 0, id='idle'),
+    ],
+)
+def test_a_record_is_kept_as_long_as_it_serves(kind, after_ms, left):
+    state = agent()
+    if kind == 'half':
+        fakes.Wire(state).send(1, packet(packets.SYN, 100, 0))
+    else:
+        wire = open_flow(state)
+    if kind == 'closed':
+        wire.send(1, packet(FIN, 101, 501))
+        core.on_reply(state, packet(FIN, 501, 102), 0)
+    for now in range(0, after_ms, 1 + after_ms // 50):
+        core.on_tick(state, now)
+    core.on_tick(state, after_ms)
+    assert len(state.flows) == left
+
+
+def recovering(*numbers):
+    members = [builders.member(n, recovering=n in numbers) for n in (1, 2, 3)]
+    view = builders.view(*members)
+    entry = builders.service(services.Board())
+    states = [
+        fakes.agent(n, entry, view, recovering=n in numbers) for n in (1, 2, 3)
+    ]
+    return fakes.Wire(*states)
+
+
+MID = packet(ACK, 101, 501, 10)
+
+
+@pytest.mark.parametrize('owner', [1, 2, 3])
+def test_the_upstream_that_knows_a_flow_gets_it_after_several_restarts(owner):
+    wire = recovering(1, 2, 3)
+    now = 0
+    wire.send(1, MID)
+    while wire.delivered[-1] != owner:
+        asked = wire.delivered[-1]
+        disowned = core.on_reply(wire.states[asked], packet(RST, 501, 0), now)
+        (onward,) = disowned
+        assert isinstance(onward, actions.Pass)
+        wire.send(
+            onward.member.number,
+            MID,
+            purpose=frames.Purpose.ADOPT,
+            tried=onward.forward.tried,
+        )
+        now += 1
+    (answer,) = core.on_reply(wire.states[owner], packet(ACK, 501, 111), now)
+    assert isinstance(answer, actions.Answer)
+    for target in (1, 2, 3):
+        wire.send(target, MID, now)
+        assert wire.delivered[-1] == owner
+
+
+def test_an_adoption_that_nobody_confirms_goes_to_the_next():
+    wire = recovering(1, 2)
+    wire.send(3, MID)
+    first = wire.states[wire.delivered[-1]]
+    decided = core.on_tick(first, adoption.CONFIRM_MS + 300)
+    assert isinstance(decided[0], actions.Pass)
+    assert builders.flow_key() not in first.flows
+
+
+def test_a_flow_that_nobody_knows_is_reset_only_when_it_stays_unknown():
+    wire = recovering()
+    wire.send(1, MID)
+    assert (wire.resets, wire.dropped) == ([], ['no-owner'])
+    wire.send(1, MID, adoption.ORPHAN_RESET_MS)
+    assert wire.resets == ['caller no-owner']
+    reports = [r for s in wire.states.values() for r in s.reports]
+    assert [r.verdict.fault for r in reports] == [verdicts.Fault.BALANCER]
+
+
+def test_unknown_flows_are_remembered_within_bounds():
+    state = agent()
+    wire = fakes.Wire(state)
+    for sport in range(1_000, 1_050):
+        wire.send(1, packet(ACK, 1, 1, sport=sport))
+    assert len(state.orphans) == 50
+    core.on_tick(state, timing.ORPHAN_MS)
+    assert state.orphans == {}
+
+
+def test_a_restarted_upstream_ends_its_flows_and_begins_a_new_member():
+    state = agent(recovering=True)
+    open_flow(state)
+    decided = core.on_incarnation(state, 77, 1_000)
+    assert [type(action) for action in decided] == [actions.ResetCaller]
+    assert [r.verdict.fault for r in state.reports] == [UPSTREAM]
+    assert (state.number, state.flows, state.lease_until_ms) == (77, {}, 0)
+    assert state.joining and not state.recovering
+    late = core.on_reply(state, packet(ACK, 501, 101), 1_001)
+    assert late == [actions.Drop('late-answer')]
+
+
+def test_the_oldest_flow_view_follows_the_flows():
+    home, second, _ = fakes.order()
+    members = [builders.member(n) for n in (1, 2, 3)]
+    entry = builders.service(services.Board())
+    state = fakes.agent(second, entry, builders.view(*members, number=4))
+    state.number = second
+    segment = builders.segment()
+    frame = fakes.forward(
+        second, segment, frames.Purpose.OFFER, sender=home, decider=home
+    )
+    core.on_forward(state, frame, segment, 0)
+    assert core.oldest_flow_view(state, 1) == 4
+    flow = state.flows[builders.flow_key()]
+    tables.forget_flow(state, flow, 1)
+    assert core.oldest_flow_view(state, 1) == 0
+
+
+def datagram(sport=5_000):
+    key = packets.FlowKey(bytes((packets.UDP,)) + builders.flow_key(sport)[1:])
+    return packets.Datagram(key, 4, b'raw')
+
+
+def udp_service(traffic):
+    entry = builders.service(traffic)
+    return dataclasses.replace(entry, protocol=packets.UDP)
+
+
+def test_a_datagram_goes_to_the_owner_that_an_earlier_home_had_chosen():
+    entry = udp_service(services.Board())
+    old = builders.view(*(builders.member(n) for n in (1, 2, 3)), number=4)
+    states = {n: fakes.agent(n, entry, old) for n in (1, 2, 3)}
+    wire = fakes.Wire(*states.values())
+    ranking = states[1].rankings[1]
+    bucket = fakes.forward(1, datagram()).bucket
+    home, second, owner = (m.number for m in ranking.order(bucket))
+    wire.send(
+        owner,
+        datagram(),
+        purpose=frames.Purpose.OFFER,
+        sender=home,
+        decider=home,
+    )
+    members = [
+        builders.member(
+            n,
+            views.State.SUSPECT if n == home else views.State.LIVE,
+            closed_view=5 if n == home else 0,
+            oldest_flow_view=4 if n == owner else 0,
+        )
+        for n in (1, 2, 3)
+    ]
+    states[second].set_view(builders.view(*members, number=5))
+    wire.send(second, datagram())
+    assert wire.delivered == [owner, owner]
+
+
+def test_a_datagram_of_work_that_runs_once_is_dropped():
+    entry = udp_service(services.Booking(False))
+    wire = fakes.Wire(fakes.agent(1, entry, ALONE))
+    wire.send(1, datagram())
+    assert wire.dropped == ['datagram-runs-once']
+
+
+def test_a_record_ends_once():
+    state = agent(services.Booking(True))
+    open_flow(state)
+    flow = state.flows[builders.flow_key()]
+    for phase in (records.Phase.CLOSED, records.Phase.REFUSED):
+        tables.end_flow(state, flow, 5, phase)
+    assert (flow.phase, state.total_open) == (records.Phase.CLOSED, 0)
+    assert state.total_running == 0
--- /dev/null
+++ b/tests/fuzz/test_decoders.py
@@ -0,0 +1,185 @@
+"""Any bytes give a packet, a frame or a reason; nothing else is raised."""
+
+import builders
+import dpkt
+import fakes
+import hypothesis
+from hypothesis import strategies
+
+from gentianspoke.codec import frame
+from gentianspoke.codec import ip
+from gentianspoke.codec import keys
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions import routing
+from gentianspoke import errors
+from gentianspoke.generated import envelope_pb2
+
+RING = keys.KeyRing(1, {1: bytes(32)})
+SYN = ip.wrap(
+    builders.CALLER,
+    builders.SERVICE,
+    packets.TCP,
+    dpkt.tcp.TCP(sport=5_000, dport=443, seq=7, flags=packets.SYN),
+)
+FRAME = frame.encode(fakes.forward(1, ip.parse(SYN)), RING)
+ACTIONS = (
+    actions.Deliver,
+    actions.Answer,
+    actions.Pass,
+    actions.Refuse,
+    actions.ResetCaller,
+    actions.ResetUpstream,
+    actions.Drop,
+)
+fixed = hypothesis.settings(
+    derandomize=True, max_examples=300, database=None, deadline=None
+)
+changed = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 200), strategies.integers(0, 255)
+    ),
+    max_size=8,
+)
+cut = strategies.integers(0, 200)
+
+
+def damage(data, changes, length):
+    damaged = bytearray(data)
+    for position, value in changes:
+        damaged[position % len(damaged)] = value
+    return bytes(damaged[: max(1, len(data) - length)])
+
+
+def parse(raw, reply=False):
+    try:
+        return ip.parse(raw, reply=reply)
+    except errors.PacketError as exc:
+        assert exc.reason
+        return None
+
+
+@fixed
+@hypothesis.given(strategies.binary(max_size=120))
+def test_any_bytes_are_a_packet_or_a_reason(raw):
+    parse(raw)
+
+
+@fixed
+@hypothesis.given(changed, cut, strategies.booleans())
+def test_a_damaged_packet_is_answered_or_has_a_reason(changes, length, reply):
+    packet = parse(damage(SYN, changes, length), reply)
+    if packet is not None and not reply:
+        assert ip.reset_for(packet)
+
+
+@fixed
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_a_frame_or_a_reason(data):
+    try:
+        frame.decode(data, RING)
+    except errors.PacketError as exc:
+        assert exc.reason
+
+
+@fixed
+@hypothesis.given(changed, cut)
+def test_a_damaged_frame_does_not_pass_for_another(changes, length):
+    data = damage(FRAME, changes, length)
+    try:
+        found = frame.decode(data, RING)
+    except errors.PacketError:
+        return
+    assert found == frame.decode(FRAME, RING)
+
+
+@fixed
+@hypothesis.given(strategies.binary(max_size=120))
+def test_a_signed_body_of_any_bytes_is_a_frame_or_a_reason(body):
+    envelope = envelope_pb2.Envelope(
+        version=1, key_id=1, tag=RING.tag(body), body=body
+    )
+    try:
+        frame.decode(envelope.SerializeToString(), RING)
+    except errors.PacketError as exc:
+        assert exc.reason
+
+
+@fixed
+@hypothesis.given(changed, cut)
+def test_an_entry_has_an_action_for_any_packet(changes, length):
+    table = routing.RouteTable()
+    table.set_catalogue(1, [builders.service()])
+    table.set_view(builders.view(builders.member(1)))
+    packet = parse(damage(SYN, changes, length))
+    if packet is not None:
+        assert isinstance(routing.route(table, packet), ACTIONS)
+
+
+segments = strategies.builds(
+    packets.Segment,
+    strategies.sampled_from([builders.flow_key(n) for n in (1, 2, 3)]),
+    strategies.integers(0, 255),
+    strategies.integers(0, (1 << 32) - 1),
+    strategies.integers(0, (1 << 32) - 1),
+    strategies.sampled_from([0, 0, 10]),
+    strategies.just(b'raw'),
+)
+steps = strategies.lists(
+    strategies.tuples(
+        segments,
+        strategies.sampled_from([*frames.Purpose]),
+        strategies.lists(strategies.integers(0, 5), max_size=4),
+        strategies.integers(0, 5),
+        strategies.integers(0, 4_000),
+        strategies.booleans(),
+    ),
+    max_size=20,
+)
+
+
+@fixed
+@hypothesis.given(steps, strategies.booleans(), strategies.booleans())
+def test_an_agent_keeps_its_counts_whatever_comes(steps, once, recovering):
+    entry = builders.service(services.Upload(not once), slots=2, queue=2)
+    view = builders.view(
+        *(builders.member(n, recovering=recovering) for n in (1, 2, 3))
+    )
+    state = fakes.agent(1, entry, view, recovering=recovering)
+    now = 0
+    for segment, purpose, tried, sender, pause_ms, reply in steps:
+        now += pause_ms
+        if reply:
+            decided = core.on_reply(state, segment, now)
+        else:
+            forward = fakes.forward(1, segment, purpose, 500, sender=sender)
+            forward.tried = tuple(tried)
+            forward.decider = sender
+            decided = core.on_forward(state, forward, segment, now)
+        decided.extend(core.on_tick(state, now))
+        assert all(isinstance(action, ACTIONS) for action in decided)
+        check_counts(state)
+
+
+def check_counts(state):
+    flows = state.flows.values()
+    phases = [flow.phase.value for flow in flows]
+    running = sum(flow.holds_slot for flow in flows)
+    queued = sum(len(queue) for queue in state.queues.values())
+    opened = phases.count('open') + phases.count('queued')
+    assert state.total_open == opened == state.counts[1].open_flows
+    # A flow that ran before the agent restarted holds its slot whatever
+    # the limit is; no other one exceeds it.
+    adopted = sum(
+        flow.holds_slot and flow.isn == records.NO_OPENING for flow in flows
+    )
+    assert running - adopted <= 2
+    assert state.total_running == running == state.counts[1].running
+    assert queued == phases.count('queued') == state.counts[1].queued <= 2
+    assert state.total_ended == len(state.flows) - opened
+    placed = sum(state.placed.get(1, {}).values())
+    assert placed == len(state.flows) + len(state.diversions)
