--- /dev/null
+++ b/tests/agent/test_shell.py
@@ -0,0 +1,177 @@
+"""The agent's tasks outlive bad input and stop as announced."""
+
+import asyncio
+import contextlib
+
+import builders
+import pytest
+
+from gentianspoke import clock
+from gentianspoke.codec import frame
+from gentianspoke.codec import ip
+from gentianspoke.codec import keys
+from gentianspoke.config import settings
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions import lifecycle
+from gentianspoke.net import datagrams
+from gentianspoke.shells.agent import agent as agent_shell
+from gentianspoke.shells.agent import status
+from gentianspoke.shells.agent import stopping
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+from gentianspoke.telemetry import logs
+from gentianspoke.telemetry import metrics
+
+HOST = '127.0.0.1'
+RING = keys.KeyRing(1, {1: bytes(32)})
+OTHER_RING = keys.KeyRing(1, {1: bytes(31) + b'x'})
+PATIENCE_S = 5.0
+ROLE = settings.AgentSettings(
+    listen=(HOST, 1),
+    upstream_side=(HOST, 1),
+    upstream=(HOST, 9),
+    status=None,
+    fabric=(HOST, 9),
+    services=('service-1',),
+    slots=4,
+    connections=10,
+    weight=100,
+    ramp_ms=0,
+)
+CFG = settings.Settings(
+    instance='agent-1',
+    zone='zone-1',
+    key_file='',
+    log_file=None,
+    log_level='INFO',
+    metrics=None,
+    grace_ms=400,
+    feeds=(),
+    role=ROLE,
+)
+
+
+def make_process(ring=RING):
+    time = clock.Clock()
+    return process.Process(
+        cfg=CFG,
+        clock=time,
+        ring=ring,
+        events=logs.EventLog('agent-1', 'agent', time),
+        metrics=metrics.Metrics('agent-1', 'agent'),
+        life=lifecycle.Lifecycle(lambda state: None),
+        stop=asyncio.Event(),
+    )
+
+
+@contextlib.contextmanager
+def running_agent():
+    with (
+        datagrams.open_datagrams((HOST, 0)) as peers,
+        datagrams.open_datagrams((HOST, 0)) as upstream,
+    ):
+        proc = make_process()
+        agent = agent_shell.Agent(proc, ROLE, peers, upstream, 'first', True)
+        entry = builders.service(services.Booking(False))
+        update = feed_client.CatalogueUpdate(True, 1, [entry])
+        agent.take(update)
+        yield agent, proc, peers
+
+
+def own_view(agent, state=views.State.LIVE, number=1):
+    own = builders.member(agent.state.number, state)
+    return builders.view(own, number=number)
+
+
+def load(ring=RING):
+    return frame.encode(frames.LoadReport(1, 5, 1, 1, 1), ring)
+
+
+@pytest.mark.parametrize(
+    ('data', 'reason'),
+    [
+        pytest.param(b'\xff' * 40, 'not-an-envelope', id='foreign'),
+        pytest.param(b'', 'other-version', id='empty'),
+        pytest.param(load(OTHER_RING), 'bad-tag', id='spoofed'),
+    ],
+)
+async def test_bad_input_is_counted_and_the_task_goes_on(data, reason):
+    with running_agent() as (agent, proc, peers):
+        await send_and_count(agent, proc, peers, data, reason)
+
+
+async def test_a_fault_in_the_code_is_counted_and_the_task_goes_on(
+    monkeypatch,
+):
+    def fail(*_):
+        raise KeyError('a bug')
+
+    monkeypatch.setattr(core, 'on_load', fail)
+    with running_agent() as (agent, proc, peers):
+        await send_and_count(agent, proc, peers, load(), 'internal-error')
+
+
+async def send_and_count(agent, proc, peers, data, reason):
+    async with process.run_tasks(agent.read_peers()):
+        for count in (1, 2):
+            peers.send(data, peers.address)
+            async with asyncio.timeout(PATIENCE_S):
+                while proc.metrics.counts.dropped[reason] < count:
+                    await asyncio.sleep(0)
+
+
+def test_an_agent_acts_only_once_it_was_shown_as_joining():
+    with running_agent() as (agent, _, _):
+        seen = []
+        for number, state in enumerate(
+            (views.State.LIVE, views.State.DRAINING, views.State.LIVE), 1
+        ):
+            agent.take(own_view(agent, state, number))
+            seen.append(agent.state.joining)
+    assert seen == [True, False, False]
+
+
+@pytest.mark.parametrize(
+    ('accepted', 'running', 'left'),
+    [
+        pytest.param(True, 0, 0, id='announced-and-finished'),
+        pytest.param(True, 1, 1, id='grace-runs-out'),
+        pytest.param(False, 0, 0, id='control-is-away'),
+    ],
+)
+async def test_a_planned_stop_says_what_is_left(accepted, running, left):
+    with running_agent() as (agent, proc, _):
+        state = views.State.DRAINING if accepted else views.State.LIVE
+        agent.take(own_view(agent, state))
+        if accepted:
+            agent.heartbeat.drain_accepted.set()
+        agent.state.total_running = running
+        found = await stopping.finish(proc, agent)
+    assert (found.running, agent.state.draining) == (left, True)
+
+
+def test_a_new_incarnation_on_the_status_page_begins_a_new_member():
+    with running_agent() as (agent, _, _):
+        agent.take(own_view(agent, views.State.DRAINING))
+        before = agent.state.number
+        agent._take_status(status.UpstreamStatus('first'))
+        assert agent.state.number == before
+        agent._take_status(status.UpstreamStatus('second', draining=True))
+        assert agent.state.number != before
+        assert agent.state.joining and agent.state.draining
+
+
+def test_metrics_tell_the_state_and_what_was_dropped():
+    with running_agent() as (agent, proc, _):
+        proc.metrics.counts.dropped['bad-tag'] += 2
+        segment = builders.segment(packets.ACK)
+        raw = ip.reset_to_caller(segment.key, 1, 1)
+        agent._effects.carry_out(core.on_reply(agent.state, ip.parse(raw), 1))
+        page, _ = proc.metrics.render()
+    text = page.decode()
+    assert 'reason="bad-tag",role="agent"} 2' in text
+    assert 'name="lease_left_ms"' in text
