--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -21,6 +21,19 @@
         super().__init__(f'{place}: {remedy}')
 
 
+class StartError(GentianspokeError):
+    """A process that the system did not let start."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the settings file and the system's reason."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot start ({reason}); check that its addresses are'
+            ' of this instance and unused, and that the folders of its files'
+            ' exist and are writable'
+        )
+
+
 class CatalogueFileError(SettingsError):
     """A catalogue file whose entries are not valid."""
 
@@ -79,5 +92,30 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class ChannelError(GentianspokeError):
+    """The other end of a channel did not show that it holds a key."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the reason, a few words for people to read."""
+        self.reason = reason
+        super().__init__(
+            f'the other end is not authenticated ({reason}); check that both'
+            ' have the key files of one deployment and that their clocks'
+            ' agree'
+        )
+
+
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
+
+
+class LogFileError(GentianspokeError):
+    """A log file that the time line cannot read."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and why it cannot be read."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot be read ({reason}); check path and rights, or'
+            ' copy the log to this instance'
+        )
