--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -12,9 +12,9 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
-from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables as flow_tables
 from gentianspoke.decisions import hashing
 from gentianspoke.decisions import routing
 
@@ -76,7 +76,7 @@
     state = agent()
     entry = service_of(1)
     for number in range(count):
-        admission.open_flow(state, entry, key_of(number), 1, number, 0)
+        flow_tables.open_flow(state, entry, key_of(number), 1, number, 0)
     return state
 
 
@@ -84,9 +84,10 @@
     """Return an agent that placed so many flows elsewhere."""
     state = agent()
     for number in range(count):
-        state.diversions[key_of(number)] = records.Diversion(
+        diversion = records.Diversion(
             target=2, isn=number, service=1, bucket=1, view=1, used_ms=0
         )
+        flow_tables.add_diversion(state, key_of(number), diversion)
     return state
 
 
