Count only answers that a home asked for itself, and void lost offers

Cause: a member that had passed a copy on before it acknowledged the home's view was not asked again, though it may have taken an earlier home's late offer since; and an opening whose offer was lost was never placed after its home had changed or joined anew, since the old diversion went round until the hop limit. Found by reading the argument in ownership.py against the code; the four new rows of test_at_most_once.py failed or were dropped by the hop limit before.

--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -4,6 +4,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
@@ -77,15 +78,53 @@
     packet: packets.Packet,
     now: int,
 ) -> actions.Action | None:
-    member = state.member(diverted.service, diverted.target)
-    if member is not None:
-        # The target gets the same offer even if it did not know the flow
-        # a moment ago, because the first offer may still be on its way.
-        diverted.used_ms = now
-        return passing.offer_to(
-            state, member, forward, diverted.decider, diverted.view
-        )
     service = state.served[diverted.service]
+    if _is_void(state, service, diverted, now):
+        tables.remove_diversion(state, packet.key)
+        return None
+    member = state.member(diverted.service, diverted.target)
+    if member is None:
+        return _on_lost_target(state, service, diverted, packet)
+    diverted.used_ms = now
+    if forward.purpose is frames.Purpose.ASK:
+        return passing.pass_to(state, member, forward, frames.Purpose.ASK)
+    # The target gets the same offer even if it did not know the flow a
+    # moment ago, because the first offer may still be on its way.
+    return passing.offer_to(
+        state, member, forward, diverted.decider, diverted.view
+    )
+
+
+def _is_void(
+    state: State,
+    service: services.Service,
+    diverted: records.Diversion,
+    now: int,
+) -> bool:
+    """Return whether no member takes the offer any more.
+
+    So it is where this agent has become the home anew since it made the
+    offer, and may decide: all members have acknowledged a view in which
+    the offer is stale, and those that took it before report that.
+    """
+    ranking = state.rankings[diverted.service]
+    home = ranking.home(diverted.bucket)
+    if home is None or home.number != state.number:
+        return False
+    if not services.needs_single_decider(service):
+        return False
+    since = ownership.home_since(state, ranking, diverted.bucket)
+    if diverted.view >= since:
+        return False
+    return ownership.may_place(state, service, ranking, diverted.bucket, now)
+
+
+def _on_lost_target(
+    state: State,
+    service: services.Service,
+    diverted: records.Diversion,
+    packet: packets.Packet,
+) -> actions.Action | None:
     same = diverted.isn == opening_number(packet)
     if same and services.needs_single_decider(service):
         # The target may have handed the opening to its upstream before it
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -1,5 +1,7 @@
 """What an agent does with an opening: know it, place it, or pass it on."""
 
+import dataclasses
+
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
@@ -36,7 +38,7 @@
     match forward.purpose:
         case frames.Purpose.OFFER:
             return _decide_offer(state, service, ranking, forward, packet, now)
-        case frames.Purpose.ASK:
+        case frames.Purpose.ASK if not _is_home(state, ranking, forward):
             return _return_to_home(state, ranking, forward)
         case _:
             return _decide_new(state, service, ranking, forward, packet, now)
@@ -64,11 +66,18 @@
     state: State, ranking: hashing.Ranking, forward: frames.Forward
 ) -> actions.Action:
     home = ranking.home(forward.bucket)
-    if home is None or home.number == state.number:
+    if home is None:
         return actions.Drop('no-home')
     return passing.pass_to(state, home, forward, frames.Purpose.ROUTE)
 
 
+def _is_home(
+    state: State, ranking: hashing.Ranking, forward: frames.Forward
+) -> bool:
+    home = ranking.home(forward.bucket)
+    return home is not None and home.number == state.number
+
+
 def _decide_new(
     state: State,
     service: services.Service,
@@ -86,13 +95,36 @@
         # The caller's TCP sends the opening again, by which time the
         # earlier home has acknowledged or lost its lease.
         return actions.Drop('awaiting-lease')
+    question = _begin_asking(state, service, ranking, forward)
     asked = _members_to_ask(state, service, ranking, forward, packet)
     for member in asked:
-        if member.number not in forward.tried:
-            return passing.pass_to(state, member, forward, frames.Purpose.ASK)
+        if member.number not in question.tried:
+            return passing.pass_to(state, member, question, frames.Purpose.ASK)
     return placing.place(state, service, ranking, forward, packet, now)
 
 
+def _begin_asking(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    forward: frames.Forward,
+) -> frames.Forward:
+    """Return the frame with which this home asks others for an opening.
+
+    A member that this home has not asked itself may have passed the frame
+    on before it acknowledged the home's view, and have taken an offer of
+    an earlier home since. Its "unknown" counts for nothing.
+    """
+    if not services.needs_single_decider(service):
+        return forward
+    since = ownership.home_since(state, ranking, forward.bucket)
+    if forward.decider == state.number and forward.view >= since:
+        return forward
+    return dataclasses.replace(
+        forward, tried=(), decider=state.number, view=ranking.view.number
+    )
+
+
 def _members_to_ask(
     state: State,
     service: services.Service,
--- a/tests/agent/test_at_most_once.py
+++ b/tests/agent/test_at_most_once.py
@@ -288,3 +288,61 @@
     wire = fakes.Wire(fakes.agent(1, builders.service(traffic), alone))
     wire.send(1, dataclasses.replace(SYN, payload_bytes=20))
     assert wire.dropped == dropped
+
+
+def three():
+    entry = builders.service()
+    states = {n: fakes.agent(n, entry, view()) for n in (1, 2, 3)}
+    return states, fakes.Wire(*states.values())
+
+
+def closed_home(number=2, **changes):
+    names = {'home': closed(number, acked_view=number)}
+    names.update(acked(number, 'second', 'third'))
+    for name, change in changes.items():
+        names[name] = {**names[name], **change}
+    return view(number, **names)
+
+
+def test_an_answer_from_before_the_acknowledgement_counts_for_nothing():
+    states, wire = three()
+    states[SECOND].set_view(closed_home(third={'oldest_flow_view': 1}))
+    # The third took a late offer after it had passed this copy on.
+    late = fakes.forward(
+        THIRD, SYN, frames.Purpose.OFFER, sender=HOME, decider=HOME
+    )
+    assert core.on_forward(states[THIRD], late, SYN, 0)
+    states[THIRD].set_view(closed_home())
+    wire.send(SECOND, SYN, tried=(THIRD, HOME))
+    assert wire.delivered == [THIRD]
+
+
+@pytest.mark.parametrize('target', [SECOND, THIRD])
+def test_an_opening_whose_offer_was_lost_is_placed_by_the_next_home(target):
+    states, wire = three()
+    states[HOME].total_running = 4
+    wire.lost_to = {SECOND, THIRD}
+    wire.send(HOME, SYN)
+    wire.lost_to = set()
+    asked = core.oldest_flow_view(states[HOME], 1)
+    newer = closed_home(home={'oldest_flow_view': asked or 1})
+    for state in states.values():
+        state.set_view(newer)
+    wire.send(target, SYN)
+    assert wire.delivered == [SECOND]
+
+
+def test_a_home_that_joined_anew_decides_on_its_lost_offer_again():
+    states, wire = three()
+    states[HOME].total_running = 4
+    wire.lost_to = {SECOND, THIRD}
+    wire.send(HOME, SYN)
+    states[HOME].total_running = 0
+    names = acked(9, 'home', 'second', 'third')
+    names['home']['joined_view'] = 9
+    newer = view(9, **names)
+    for state in states.values():
+        state.set_view(newer)
+    wire.lost_to = set()
+    wire.send(HOME, SYN)
+    assert wire.delivered == [HOME]
