--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,11 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
+<<<<<<< HEAD
 .PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
+=======
+.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+>>>>>>> datapath
 
 test: check unit
 
@@ -52,6 +56,9 @@
 bench-policy: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy
 
+bench-datapath: $(VENV)/.ready
+	$(RUN) -m benchmarks.datapath
+
 bench-memory: $(VENV)/.ready
 	$(RUN) -m benchmarks.state_memory
 
