Resolve what the merges of membership and datapath left in conflict

Cause: a loop of merges committed two merges with conflict markers in them; neither passes its tests. Kept: the codec's encode_history_item, one OutcomeUnknownError for server and operators, the lease rule that a renewal-only grant needs a held lease.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-<<<<<<< HEAD
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
-=======
-.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
->>>>>>> datapath
+.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
 
 test: check unit
 
--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -113,15 +113,10 @@
     )
 
 
-<<<<<<< HEAD
 def encode_history_item(
     item: catalogue.HistoryItem,
 ) -> catalogue_pb2.HistoryItem:
     """Return an accepted text of an entry as a message."""
-=======
-def encode_history(item: catalogue.HistoryItem) -> catalogue_pb2.HistoryItem:
-    """Return one accepted text of an entry as a message."""
->>>>>>> membership
     return catalogue_pb2.HistoryItem(
         version=item.version,
         operator=item.operator,
@@ -130,17 +125,10 @@
     )
 
 
-<<<<<<< HEAD
 def decode_history_item(
     message: catalogue_pb2.HistoryItem,
 ) -> catalogue.HistoryItem:
     """Return a message as an accepted text of an entry."""
-=======
-def decode_history(
-    message: catalogue_pb2.HistoryItem,
-) -> catalogue.HistoryItem:
-    """Return a message as one accepted text of an entry."""
->>>>>>> membership
     return catalogue.HistoryItem(
         version=message.version,
         operator=message.operator,
--- a/src/gentianspoke/commands/control_members.py
+++ b/src/gentianspoke/commands/control_members.py
@@ -14,6 +14,7 @@
 from gentianspoke import errors
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
+from gentianspoke.shells import catalogue_client
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells import feed_client
 
@@ -44,7 +45,7 @@
         asked.add(text)
         with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
             async with channel_auth.open_channel(
-                _address(text), lambda: ring, catalogue.OPERATOR
+                _address(text), lambda: ring, catalogue_client.OPERATOR
             ) as channel:
                 reply = await call(replica_grpc.ControlMembersStub(channel))
             if not reply.leader and _is_of_leader(reply):
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -93,15 +93,15 @@
 
 
 class OutcomeUnknownError(ControlError):
-<<<<<<< HEAD
-    """A request that may or may not be carried out."""
+    """An edit that may or may not have been accepted."""
 
-    def __init__(self) -> None:
-        """Name the remedy: the same idempotency key again."""
+    def __init__(self, key: str = '') -> None:
+        """Name the idempotency key of the edit, empty where unknown."""
+        self.key = key
+        again = f'--key {key}' if key else 'the same idempotency key'
         super().__init__(
-            'the leader changed or no majority answered, so the outcome is'
-            ' unknown; send the request again with the same idempotency'
-            ' key, which is carried out once'
+            'no majority answered in time, so the edit may have been accepted;'
+            f' send it again with {again}, which is carried out once'
         )
 
 
@@ -124,18 +124,6 @@
     """A control instance whose data folder is not that of its member."""
 
 
-=======
-    """An edit whose answer was lost."""
-
-    def __init__(self, key: str) -> None:
-        """Name the idempotency key of the edit."""
-        self.key = key
-        super().__init__(
-            'no control instance answered in time, so the edit may have been'
-            f' accepted; run the same command again with --key {key}'
-        )
-
-
 class EditRefusedError(ControlError):
     """An edit that was not accepted, with nothing of it applied."""
 
@@ -155,7 +143,6 @@
         )
 
 
->>>>>>> membership
 class ChannelError(GentianspokeError):
     """The other end of a channel did not show that it holds a key."""
 
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -92,7 +92,6 @@
         if sent.number != self._state.number:
             # The upstream has restarted since; the lease is not its own.
             return
-<<<<<<< HEAD
         margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
         until_ms = sent_ms + reply.lease_ms - margin_ms
         state = self._state
@@ -102,17 +101,6 @@
             state.lease_until_ms = max(state.lease_until_ms, until_ms)
         if sent.state is views.State.DRAINING and state.draining:
             self.drain_accepted.set()
-=======
-        if sent.state is views.State.DRAINING and self._state.draining:
-            self.drain_accepted.set()
-        held = self._state.lease_until_ms > self._proc.clock.now()
-        if reply.renewal_only and not held:
-            return
-        margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
-        until_ms = sent_ms + reply.lease_ms - margin_ms
-        state = self._state
-        state.lease_until_ms = max(state.lease_until_ms, until_ms)
->>>>>>> datapath
 
     async def _wait_for_change(self) -> None:
         await asyncio.sleep(LEAST_PAUSE_S)
--- a/src/gentianspoke/shells/catalogue_client.py
+++ b/src/gentianspoke/shells/catalogue_client.py
@@ -128,7 +128,9 @@
                 lambda stub: stub.History(request, timeout=REQUEST_TIMEOUT_S),
             )
             if reply is not None:
-                return [codec.decode_history(item) for item in reply.items]
+                return [
+                    codec.decode_history_item(item) for item in reply.items
+                ]
         raise self._unreachable()
 
     async def statuses(self, version: int = 0) -> list[Status]:
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -104,11 +104,7 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
-<<<<<<< HEAD
             catalogue_codec.encode_history_item(item)
-=======
-            catalogue_codec.encode_history(item)
->>>>>>> membership
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
