--- /dev/null
+++ b/benchmarks/control_daemons.py
@@ -0,0 +1,238 @@
+"""Daemons without a data path, and one control process, to measure.
+
+The daemons are the real shells of entries and agents in this process; of
+each only the tasks that talk to control run. The control instance is a
+process of its own.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import secrets
+import sys
+import typing
+
+import grpclib.protocol
+import loguru
+import yaml
+
+from gentianspoke import clock
+from gentianspoke.codec import keys
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.decisions import lifecycle
+from gentianspoke.shells.agent import agent as agent_shell
+from gentianspoke.shells import entry as entry_shell
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import process
+from gentianspoke.telemetry import logs
+from gentianspoke.telemetry import metrics
+
+HOST = '127.0.0.1'
+# Bytes of Ethernet, IPv4 and TCP headers with timestamps, a segment.
+HEADER_BYTES = 14 + 20 + 32
+STOP_TIMEOUT_S = 10.0
+UNUSED = (HOST, 9)
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """What all connections of this process carried, both ways."""
+
+    payload: int = 0
+    segments: int = 0
+
+    @property
+    def wire(self) -> int:
+        """Bytes with headers, and one acknowledgement a segment."""
+        return self.payload + 2 * self.segments * HEADER_BYTES
+
+
+class _CountedTransport:
+    """A transport that counts what is written to it."""
+
+    def __init__(self, transport: typing.Any, traffic: Traffic) -> None:
+        self._transport = transport
+        self._traffic = traffic
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        self._traffic.payload += len(data)
+        self._traffic.segments += 1
+        self._transport.write(data)
+
+
+@contextlib.contextmanager
+def count_traffic() -> collections.abc.Iterator[Traffic]:
+    """Count the bytes of all channels that are opened in the context."""
+    traffic = Traffic()
+    protocol = grpclib.protocol.H2Protocol
+    receive, connect = protocol.data_received, protocol.connection_made
+
+    def counted_receive(self: typing.Any, data: bytes) -> None:
+        traffic.payload += len(data)
+        traffic.segments += 1
+        receive(self, data)
+
+    def counted_connect(self: typing.Any, transport: typing.Any) -> None:
+        connect(self, _CountedTransport(transport, traffic))
+
+    protocol.data_received = counted_receive
+    protocol.connection_made = counted_connect
+    try:
+        yield traffic
+    finally:
+        protocol.data_received = receive
+        protocol.connection_made = connect
+
+
+class Daemon:
+    """One entry or agent, as far as control sees it."""
+
+    def __init__(
+        self,
+        name: str,
+        ring: keys.KeyRing,
+        control: tuple[units.Address, ...],
+        services: tuple[str, ...],
+    ) -> None:
+        """Begin an agent of ``services``, or an entry without any."""
+        role: settings.Role = settings.EntrySettings(UNUSED)
+        if services:
+            role = _agent_settings(services)
+        self.proc = _make_process(name, ring, control, role)
+        self.version = 0
+        self.agent: agent_shell.Agent | None = None
+        shell: typing.Any
+        match role:
+            case settings.AgentSettings():
+                shell = agent_shell.Agent(
+                    self.proc, role, None, None, 'incarnation', False
+                )
+                self.agent = shell
+            case _:
+                shell = entry_shell.Entry(self.proc, None)
+        self._shell = shell
+
+    async def run(self) -> None:
+        """Follow the feed and, as an agent, send heartbeats."""
+        role = 'agent' if self.agent else 'entry'
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                feed_client.follow_feeds(self.proc, role, self._take)
+            )
+            if self.agent is not None:
+                group.create_task(self.agent.heartbeat.run())
+
+    def _take(self, update: feed_client.Update) -> int:
+        self.version = self._shell.take(update)
+        return self.version
+
+
+def _agent_settings(services: tuple[str, ...]) -> settings.AgentSettings:
+    return settings.AgentSettings(
+        listen=UNUSED,
+        upstream_side=UNUSED,
+        upstream=UNUSED,
+        status=None,
+        fabric=UNUSED,
+        services=services,
+        slots=4,
+        connections=2_000,
+        weight=100,
+        ramp_ms=0,
+    )
+
+
+def _make_process(
+    name: str,
+    ring: keys.KeyRing,
+    control: tuple[units.Address, ...],
+    role: settings.Role,
+) -> process.Process:
+    time = clock.Clock()
+    life = lifecycle.Lifecycle(lambda state: None)
+    life.advance('sync')
+    return process.Process(
+        cfg=settings.Settings(
+            instance=name,
+            zone='zone-a',
+            key_file='',
+            log_file=None,
+            log_level='INFO',
+            metrics=None,
+            grace_ms=0,
+            feeds=control,
+            role=role,
+        ),
+        clock=time,
+        ring=ring,
+        events=logs.EventLog(name, 'benchmark', time),
+        metrics=metrics.Metrics(name, 'benchmark'),
+        life=life,
+        stop=asyncio.Event(),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlProcess:
+    """The control process that is measured."""
+
+    pid: int
+    address: units.Address
+    ring: keys.KeyRing
+
+
+@contextlib.asynccontextmanager
+async def run_control(
+    folder: pathlib.Path, port: int
+) -> collections.abc.AsyncIterator[ControlProcess]:
+    """Run one control instance as a process of its own."""
+    loguru.logger.remove()
+    secret = secrets.token_hex(32)
+    key_path = folder / 'keys.yaml'
+    key_path.touch(mode=0o600)
+    content = {'active': 1, 'keys': [{'id': 1, 'hex': secret}]}
+    key_path.write_text(yaml.safe_dump(content))
+    path = folder / 'control.yaml'
+    path.write_text(
+        yaml.safe_dump(
+            {
+                'instance': 'control-0',
+                'zone': 'zone-a',
+                'key_file': str(key_path),
+                'log_file': str(folder / 'control.jsonl'),
+                'control': {
+                    'listen': f'{HOST}:{port}',
+                    'data_folder': str(folder / 'control-0'),
+                },
+            }
+        )
+    )
+    command = [sys.executable, '-m', 'gentianspoke', 'control', str(path)]
+    running = await asyncio.create_subprocess_exec(*command)
+    try:
+        ring = keys.KeyRing(1, {1: bytes.fromhex(secret)})
+        yield ControlProcess(running.pid, (HOST, port), ring)
+    finally:
+        running.terminate()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            await running.wait()
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    pages = pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1]
+    return int(pages) * os.sysconf('SC_PAGE_SIZE')
