--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,11 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+<<<<<<< HEAD
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
+=======
+.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+>>>>>>> datapath
 
 test: check unit
 
@@ -42,8 +46,9 @@
 unit: $(VENV)/.ready
 	$(RUN) -m pytest
 
+# Every shell sets USER, so only one given on make's command line counts.
 demo: $(VENV)/.ready
-	$(RUN) -m demo
+	$(RUN) -m demo $(if $(filter command line,$(origin USER)),$(USER))
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
@@ -51,8 +56,17 @@
 bench-policy: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy
 
+bench-datapath: $(VENV)/.ready
+	$(RUN) -m benchmarks.datapath
+
 bench-memory: $(VENV)/.ready
 	$(RUN) -m benchmarks.state_memory
 
 bench-slots: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy.slots
+
+proof-control: $(VENV)/.ready
+	$(RUN) -m pytest tests/control/proof_control_group.py
+
+bench-log: $(VENV)/.ready
+	$(RUN) -m benchmarks.catalogue_log
