Write the operators' pages and build the one-file program

Cause: metrics, set-up, limits and words stood nowhere; no metric told how old a consumer's feed is; there was no binary.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean
 
 test: check unit
 
@@ -46,6 +46,20 @@
 demo: $(VENV)/.ready
 	$(RUN) -m demo $(if $(filter command line,$(origin USER)),$(USER))
 
+TOOLS = build/tools
+
+$(TOOLS)/.ready: requirements-build.lock
+	test -x $(TOOLS)/bin/python || $(PYTHON) -m venv $(TOOLS)
+	$(TOOLS)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements-build.lock
+	touch $(TOOLS)/.ready
+
+binary: $(TOOLS)/.ready
+	mkdir -p dist
+	$(TOOLS)/bin/shiv --quiet --compile-pyc --python '/usr/bin/env python3' -c gentianspoke -o dist/gentianspoke . --constraint requirements.lock
+
+binary-check: binary
+	SHIV_ROOT=build/unpacked $(PYTHON) tools/check_binary.py dist/gentianspoke
+
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
 
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -96,6 +96,8 @@
         self._make_acknowledge = acknowledge or self._acknowledge
         self._in_force = 0
         self._incomplete_ms: int | None = None
+        self._confirmed_at_ms: int | None = None
+        proc.metrics.on_render(self._set_gauges)
 
     async def follow(
         self,
@@ -123,6 +125,14 @@
                 reason=repr(exc),
             )
 
+    def _set_gauges(self) -> None:
+        # Before the first confirmation there is no age to show.
+        if self._confirmed_at_ms is not None:
+            age_ms = self._proc.clock.now() - self._confirmed_at_ms
+            self._proc.metrics.set_gauge('feed_age_ms', age_ms)
+        version = self._in_force
+        self._proc.metrics.set_gauge('feed_catalogue_version', version)
+
     async def _read(
         self,
         stream: FollowStream,
@@ -185,6 +195,7 @@
         if message.complete:
             self.confirmed = True
             self._incomplete_ms = None
+            self._confirmed_at_ms = self._proc.clock.now() - message.age_ms
             self._in_force = self._take(
                 Confirmed(message.age_ms, message.catalogue_version)
             )
--- /dev/null
+++ b/tests/telemetry/test_alerts_page.py
@@ -0,0 +1,50 @@
+"""The page on metrics names what the processes serve, and all of it."""
+
+import pathlib
+import re
+
+import pytest
+
+from gentianspoke.telemetry import metrics
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PAGE = (ROOT / 'docs/operators/alerts.md').read_text()
+SHELLS = sorted((ROOT / 'src/gentianspoke/shells').rglob('*.py'))
+# Series that a Prometheus histogram consists of.
+HISTOGRAM_SUFFIXES = r'_(count|bucket|sum)$'
+GAUGE = re.compile(r"(?:set_gauge|gauges)\(\s*'([a-z_]+)'")
+
+
+def served_metrics():
+    """Return the names of all collectors."""
+    registry = metrics.Metrics('agent-1', 'agent').registry
+    return {collector.name for collector in registry.get_all()}
+
+
+def served_gauges():
+    """Return the names of all current counts that the shells set."""
+    return {
+        name for path in SHELLS for name in GAUGE.findall(path.read_text())
+    }
+
+
+@pytest.mark.parametrize('name', sorted(served_metrics()))
+def test_every_metric_is_described(name):
+    assert f'| `{name}` |' in PAGE
+
+
+@pytest.mark.parametrize('name', sorted(served_gauges()))
+def test_every_current_count_is_described(name):
+    tables = PAGE.partition('## Alerts')[0]
+    assert f'`{name}`' in tables
+
+
+def test_alerts_name_only_what_is_served():
+    alerts = PAGE.partition('## Alerts')[2]
+    named = {
+        re.sub(HISTOGRAM_SUFFIXES, '', name)
+        for name in re.findall(r'gentianspoke_[a-z_]+', alerts)
+    }
+    assert named and named <= served_metrics()
+    counts = set(re.findall(r'name="([a-z_]+)"', alerts))
+    assert counts and counts <= served_gauges()
