Let the demonstration listen where no outgoing connection can hold a port

Cause: with DEMO_BASE_PORT in the system's range for outgoing connections, an agent that tried a control address not yet open could itself hold the port: control-0 ended with address in use (seen on port 34052). Conclusion: listen on 127.0.1.1; outgoing connections come from 127.0.0.1.

--- a/demo/plan.py
+++ b/demo/plan.py
@@ -8,7 +8,9 @@
 
 Address = tuple[str, int]
 ZONES = ('zone-a', 'zone-b', 'zone-c')
-HOST = '127.0.0.1'
+# Outgoing connections on loopback come from 127.0.0.1, so that none of
+# them can hold a port here that a process listens on.
+HOST = '127.0.1.1'
 PORTS = 200
 
 
