--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath
 
 test: check unit
 
@@ -66,6 +66,9 @@
 bench-policy: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy
 
+bench-datapath: $(VENV)/.ready
+	$(RUN) -m benchmarks.datapath
+
 bench-memory: $(VENV)/.ready
 	$(RUN) -m benchmarks.state_memory
 
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -93,14 +93,15 @@
 
 
 class OutcomeUnknownError(ControlError):
-    """A request that may or may not be carried out."""
+    """An edit that may or may not have been accepted."""
 
-    def __init__(self) -> None:
-        """Name the remedy: the same idempotency key again."""
+    def __init__(self, key: str = '') -> None:
+        """Name the idempotency key of the edit, empty where unknown."""
+        self.key = key
+        again = f'--key {key}' if key else 'the same idempotency key'
         super().__init__(
-            'the leader changed or no majority answered, so the outcome is'
-            ' unknown; send the request again with the same idempotency'
-            ' key, which is carried out once'
+            'no majority answered in time, so the edit may have been accepted;'
+            f' send it again with {again}, which is carried out once'
         )
 
 
@@ -123,6 +124,25 @@
     """A control instance whose data folder is not that of its member."""
 
 
+class EditRefusedError(ControlError):
+    """An edit that was not accepted, with nothing of it applied."""
+
+
+class NotInForceError(ControlError):
+    """A version that is not in force everywhere within the time limit."""
+
+    def __init__(
+        self, version: int, in_force: int, consumers: int, lagging: str
+    ) -> None:
+        """Count the consumers and name those that lag."""
+        self.version = version
+        super().__init__(
+            f'version {version} is accepted, but in force on {in_force} of'
+            f' {consumers} consumers only; look at those that lag:'
+            f' {lagging or "none is named"}'
+        )
+
+
 class ChannelError(GentianspokeError):
     """The other end of a channel did not show that it holds a key."""
 
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -47,14 +47,23 @@
         self._changed.set()
 
     async def run(self) -> None:
-        """Announce to one control instance after the other."""
+        """Announce to one control instance after the other.
+
+        One that does not lead names the leader, which is asked next.
+        """
         while True:
             for address in self._proc.cfg.feeds:
-                with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
-                    await self._announce_to(address)
+                leader = await self._announce_to(address)
                 await asyncio.sleep(LEAST_PAUSE_S)
+                if leader:
+                    await self._announce_to(units.host_port(leader))
+
+    async def _announce_to(self, address: units.Address) -> str:
+        with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+            return await self._send_heartbeats(address)
+        return ''
 
-    async def _announce_to(self, address: units.Address) -> None:
+    async def _send_heartbeats(self, address: units.Address) -> str:
         async with channel_auth.open_channel(
             address, self._proc.current_ring, self._proc.cfg.instance
         ) as channel:
@@ -63,12 +72,14 @@
                 self._changed.clear()
                 sent = self._announcement()
                 sent_ms = self._proc.clock.now()
+                message = feed.encode_announcement(sent, self._cfg.services)
+                message.logical = self._proc.events.logical
                 reply = await stub.Announce(
-                    feed.encode_announcement(sent, self._cfg.services),
-                    timeout=ANNOUNCE_TIMEOUT_S,
+                    message, timeout=ANNOUNCE_TIMEOUT_S
                 )
+                self._proc.events.observe(reply.logical)
                 if not reply.granted:
-                    return
+                    return reply.leader
                 self._take_grant(sent, sent_ms, reply)
                 await self._wait_for_change()
 
@@ -81,13 +92,13 @@
         if sent.number != self._state.number:
             # The upstream has restarted since; the lease is not its own.
             return
-        held = self._state.lease_until_ms > self._proc.clock.now()
-        if reply.renewal_only and not held:
-            return
         margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
         until_ms = sent_ms + reply.lease_ms - margin_ms
         state = self._state
-        state.lease_until_ms = max(state.lease_until_ms, until_ms)
+        holds = state.lease_until_ms > self._proc.clock.now()
+        # A new lease waits until the view that lists this agent is known.
+        if holds or not reply.renewal_only:
+            state.lease_until_ms = max(state.lease_until_ms, until_ms)
         if sent.state is views.State.DRAINING and state.draining:
             self.drain_accepted.set()
 
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -132,6 +132,7 @@
             wanted = request.version or version
             reply.consumers = summary.consumers
             reply.in_force = summary.in_force(wanted)
+            reply.complete = self._hub.complete
             reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
         await stream.send_message(reply)
 
