--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -24,7 +24,7 @@
 DEFAULT_USER = 'aromas-del-plata'
 BASE_PORT = int(os.environ.get('DEMO_BASE_PORT', '20000'))
 BOARDS_PER_ENDPOINT = int(os.environ.get('DEMO_CONNECTIONS', '100'))
-CONTROL_INSTANCES = int(os.environ.get('DEMO_CONTROL', '1'))
+CONTROL_INSTANCES = int(os.environ.get('DEMO_CONTROL', '3'))
 SEED = int(os.environ.get('DEMO_SEED', '7'))
 FOLDER = os.environ.get('DEMO_FOLDER')
 READY_AT_MOST_S = 20.0
--- a/src/gentianspoke/decisions/timeline/context.py
+++ b/src/gentianspoke/decisions/timeline/context.py
@@ -21,6 +21,7 @@
     draining_ms: int | None = None
     feed_lost_ms: int | None = None
     feed_source: str = ''
+    isolated: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +53,10 @@
         case events.FeedLost(source=source):
             around.feed_lost_ms = event.wall_ms
             around.feed_source = source
+        case events.ControlIsolated():
+            around.isolated = True
+        case events.ControlConfirmed():
+            around.isolated = False
         case _:
             pass
 
@@ -83,6 +88,8 @@
     for name, other in sorted(context.instances.items()):
         if _recent(other.crashed_ms, now):
             found.append(f'{name} ended without a planned stop')
+        elif other.isolated:
+            found.append(f'{name} was cut off from a majority of control')
         elif _recent(other.restarted_ms, now):
             found.append(f'{name} had restarted as planned')
     return tuple(found)
--- a/src/gentianspoke/decisions/timeline/events.py
+++ b/src/gentianspoke/decisions/timeline/events.py
@@ -47,6 +47,20 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlIsolated:
+    """No majority has lately confirmed a control instance."""
+
+    confirmed_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlConfirmed:
+    """A majority confirms a control instance again."""
+
+    confirmed_age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedLost:
     """A consumer left a control instance for the next one."""
@@ -104,6 +118,8 @@
     | ProcessStopped
     | CatalogueInForce
     | CatalogueAnswered
+    | ControlIsolated
+    | ControlConfirmed
     | FeedLost
     | UpstreamDraining
     | StopGraceOver
--- a/tests/timeline/test_explaining.py
+++ b/tests/timeline/test_explaining.py
@@ -167,6 +167,11 @@
             'entry-1 ended without a planned stop',
             id='crash-elsewhere',
         ),
+        pytest.param(
+            [('control-0', events.ControlIsolated(2_000)), SILENT],
+            'control-0 was cut off from a majority of control',
+            id='isolated-control',
+        ),
     ],
 )
 def test_a_failure_shows_its_evidence(bodies, evidence):
