Keep records findable when views and heartbeats arrive out of order

Cause: a target that was a view ahead of its decider counted the flow under its own view, where the decider, once it had to ask, did not look; and control took the oldest flow view of a late heartbeat together with the newer acknowledgement, so that a new home did not ask the member.

--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -85,7 +85,7 @@
         view=forward.view,
         used_ms=now,
         decider=forward.decider,
-        placed_view=tables.view_number(state, forward.service),
+        placed_view=tables.placed_view(state, forward.service, forward.view),
     )
     tables.add_diversion(state, packet.key, offered)
     diversion.count_placed(state, forward.service, member.number)
@@ -108,7 +108,10 @@
             return _accept(state, service, forward, packet, now)
         case admission.Admission.WAIT, packets.Segment():
             wait_ms = forward.wait_left_ms
-            tables.queue_flow(state, service, packet, bucket, wait_ms, now)
+            decided = _decided_view(forward)
+            tables.queue_flow(
+                state, service, packet, bucket, wait_ms, now, decided
+            )
             return actions.Drop('queued')
         case _:
             return _refuse(state, service, forward, packet, now)
@@ -122,8 +125,9 @@
     now: int,
 ) -> actions.Action:
     isn = known.opening_number(packet)
+    bucket, decided = forward.bucket, _decided_view(forward)
     flow = tables.open_flow(
-        state, service, packet.key, forward.bucket, isn, now
+        state, service, packet.key, bucket, isn, now, decided
     )
     match packet:
         case packets.Segment():
@@ -131,6 +135,14 @@
     return actions.Deliver(packet.raw)
 
 
+def _decided_view(forward: frames.Forward) -> int | None:
+    match forward.purpose:
+        case frames.Purpose.OFFER:
+            return forward.view
+        case _:
+            return None
+
+
 def _refuse(
     state: State,
     service: services.Service,
@@ -141,8 +153,9 @@
     reason = 'draining' if state.draining else 'no-capacity'
     isn = known.opening_number(packet)
     if services.needs_single_decider(service):
+        bucket, decided = forward.bucket, _decided_view(forward)
         tables.refuse_flow(
-            state, service, packet.key, forward.bucket, isn, now
+            state, service, packet.key, bucket, isn, now, decided
         )
     evidence.report_refusal(
         state,
--- a/src/gentianspoke/decisions/agent/tables.py
+++ b/src/gentianspoke/decisions/agent/tables.py
@@ -32,6 +32,17 @@
     return ranking.view.number if ranking else 0
 
 
+def placed_view(state: State, service: int, decided_view: int | None) -> int:
+    """Return the view that a record counts as placed in.
+
+    A target may have applied a newer view than the decider of an offer. It
+    counts the older of the two, because the decider must be able to find
+    the record by its own view once it has to ask for it.
+    """
+    own = view_number(state, service)
+    return own if decided_view is None else min(own, decided_view)
+
+
 def open_flow(
     state: State,
     service: services.Service,
@@ -39,9 +50,13 @@
     bucket: int,
     isn: int,
     now: int,
+    decided_view: int | None = None,
 ) -> records.Flow:
-    """Add an open flow, occupying a slot where its class takes one."""
-    flow = _add_flow(state, service, key, bucket, isn, now)
+    """Add an open flow, occupying a slot where its class takes one.
+
+    ``decided_view`` is the view in which a decider offered the opening.
+    """
+    flow = _add_flow(state, service, key, bucket, isn, now, decided_view)
     if services.takes_slot(service):
         _take_slot(state, flow, now)
     return flow
@@ -68,9 +83,12 @@
     bucket: int,
     wait_left_ms: int,
     now: int,
+    decided_view: int | None = None,
 ) -> records.Flow:
     """Add a flow whose opening waits for a slot."""
-    flow = _add_flow(state, service, opening.key, bucket, opening.seq, now)
+    flow = _add_flow(
+        state, service, opening.key, bucket, opening.seq, now, decided_view
+    )
     flow.phase = records.Phase.QUEUED
     flow.held = opening
     flow.queued_until_ms = now + wait_left_ms
@@ -129,6 +147,7 @@
     bucket: int,
     isn: int,
     now: int,
+    decided_view: int | None = None,
 ) -> None:
     """Remember a refused opening, so that a late copy is refused too.
 
@@ -137,7 +156,7 @@
     """
     if state.total_ended >= ENDED_AT_MOST:
         return
-    flow = _add_flow(state, service, key, bucket, isn, now)
+    flow = _add_flow(state, service, key, bucket, isn, now, decided_view)
     end_flow(state, flow, now, records.Phase.REFUSED)
 
 
@@ -215,13 +234,14 @@
     bucket: int,
     isn: int,
     now: int,
+    decided_view: int | None,
 ) -> records.Flow:
     flow = records.Flow(
         key=key,
         service=service.number,
         bucket=bucket,
         isn=isn,
-        view=view_number(state, service.number),
+        view=placed_view(state, service.number, decided_view),
         phase=records.Phase.OPEN,
         opened_ms=now,
         up_ms=now,
--- a/src/gentianspoke/decisions/control/service_members.py
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -167,6 +167,11 @@
     # An acknowledgement is never taken back: an agent that restarted and
     # acts by older views has no lease until it has caught up.
     acked = max(known.acked_view, report.acked_view)
+    oldest = report.oldest_flow_view
+    if report.acked_view < known.acked_view:
+        # A late heartbeat, or an agent that restarted: what it knew of when
+        # it acknowledged stays reported until it acknowledges again.
+        oldest = known.oldest_flow_view
     state = _announced_state(announcement)
     weight = announcement.weight
     if weight != known.weight and (known.is_live or acked < known.closed_view):
@@ -183,7 +188,7 @@
         weight=weight,
         state=state,
         acked_view=acked,
-        oldest_flow_view=report.oldest_flow_view,
+        oldest_flow_view=oldest,
         recovering=announcement.recovering,
     )
 
--- a/tests/agent/test_flow_life.py
+++ b/tests/agent/test_flow_life.py
@@ -237,7 +237,15 @@
     assert late == [actions.Drop('late-answer')]
 
 
-def test_the_oldest_flow_view_follows_the_flows():
+@pytest.mark.parametrize(
+    ('decided', 'reported'),
+    [
+        pytest.param(4, 4, id='decider-in-the-same-view'),
+        pytest.param(3, 3, id='decider-one-view-behind'),
+        pytest.param(5, 4, id='decider-one-view-ahead'),
+    ],
+)
+def test_the_oldest_flow_view_follows_the_flows(decided, reported):
     home, second, _ = fakes.order()
     members = [builders.member(n) for n in (1, 2, 3)]
     entry = builders.service(services.Board())
@@ -247,8 +255,9 @@
     frame = fakes.forward(
         second, segment, frames.Purpose.OFFER, sender=home, decider=home
     )
+    frame.view = decided
     core.on_forward(state, frame, segment, 0)
-    assert core.oldest_flow_view(state, 1) == 4
+    assert core.oldest_flow_view(state, 1) == reported
     flow = state.flows[builders.flow_key()]
     tables.forget_flow(state, flow, 1)
     assert core.oldest_flow_view(state, 1) == 0
