Hold openings that come too early; renew an offer rather than void it

Cause: an opening for which its home may not decide yet was dropped, so the caller waited for its TCP (1 s) where the acknowledgements take a fraction of that; and a diversion that was taken for void could still be accepted by its target, whose knowledge of since when the bucket has its home may be older. Ruled out: voiding it only when the home has joined anew (the target judged by joined_view alone, so an offer from before another home had the bucket passed once that home was gone); the target now judges by its own views.

--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -7,6 +7,8 @@
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import established
 from gentianspoke.decisions.agent import opening
+from gentianspoke.decisions.agent import parking
+from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
@@ -43,6 +45,8 @@
             decided = [
                 opening.decide_opening(state, service, forward, packet, now)
             ]
+            parked = records.Parked(forward, packet, now)
+            parking.park_if_waiting(state, decided, parked)
     if state.total_running < running:
         decided.extend(timing.start_queued(state, now))
     return decided
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -79,12 +79,11 @@
     now: int,
 ) -> actions.Action | None:
     service = state.served[diverted.service]
-    if _is_void(state, service, diverted, now):
-        tables.remove_diversion(state, packet.key)
+    if _must_ask_again(state, service, diverted):
         return None
     member = state.member(diverted.service, diverted.target)
     if member is None:
-        return _on_lost_target(state, service, diverted, packet)
+        return on_lost_target(state, service, diverted, packet)
     diverted.used_ms = now
     if forward.purpose is frames.Purpose.ASK:
         return passing.pass_to(state, member, forward, frames.Purpose.ASK)
@@ -95,36 +94,36 @@
     )
 
 
-def _is_void(
-    state: State,
-    service: services.Service,
-    diverted: records.Diversion,
-    now: int,
+def _must_ask_again(
+    state: State, service: services.Service, diverted: records.Diversion
 ) -> bool:
-    """Return whether no member takes the offer any more.
+    """Return whether another home may have decided since the offer.
 
-    So it is where this agent has become the home anew since it made the
-    offer, and may decide: all members have acknowledged a view in which
-    the offer is stale, and those that took it before report that.
+    So it is where this agent is the home now, but may not have been all
+    the time. It then goes on as with a new opening, and after it has asked
+    the others renews its offer to the same target (``placing.place``).
     """
+    if not services.needs_single_decider(service):
+        return False
     ranking = state.rankings[diverted.service]
     home = ranking.home(diverted.bucket)
     if home is None or home.number != state.number:
         return False
-    if not services.needs_single_decider(service):
-        return False
-    since = ownership.home_since(state, ranking, diverted.bucket)
-    if diverted.view >= since:
-        return False
-    return ownership.may_place(state, service, ranking, diverted.bucket, now)
+    bucket = diverted.bucket
+    since = ownership.home_since(state, ranking, bucket, state.number)
+    return diverted.view < since
 
 
-def _on_lost_target(
+def on_lost_target(
     state: State,
     service: services.Service,
     diverted: records.Diversion,
     packet: packets.Packet,
 ) -> actions.Action | None:
+    """Return what becomes of an opening whose target is lost.
+
+    ``None`` tells that it may be decided anew.
+    """
     same = diverted.isn == opening_number(packet)
     if same and services.needs_single_decider(service):
         # The target may have handed the opening to its upstream before it
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -117,7 +117,7 @@
     """
     if not services.needs_single_decider(service):
         return forward
-    since = ownership.home_since(state, ranking, forward.bucket)
+    since = ownership.home_since(state, ranking, forward.bucket, state.number)
     if forward.decider == state.number and forward.view >= since:
         return forward
     return dataclasses.replace(
--- a/src/gentianspoke/decisions/agent/ownership.py
+++ b/src/gentianspoke/decisions/agent/ownership.py
@@ -7,8 +7,8 @@
 
 1. An agent hands an opening to its upstream, or says that it was not run,
    only while it holds its own lease (:func:`holds_lease`).
-2. An agent takes an offer only if its own view still has the offering
-   decider as home, live since before the decision
+2. An agent takes an offer only if by its own views the offering decider is
+   the home, and has been since before the decision
    (:func:`accepts_offer`).
 3. A home decides only if every other listed member has acknowledged a
    view at least as new as the one since which the bucket has been its own
@@ -21,7 +21,9 @@
 no offer of D any more (rule 2), and what it took before is in the oldest
 flow view of the same heartbeat, so that H asks T first (rule 3). If T is
 no longer listed, control waited out T's lease, so T places nothing more
-(rule 1). The same holds for T = D. An agent that restarts has no records;
+(rule 1). The same holds for T = D. Where D itself is the home again, it
+asks as H does and then renews its offer to the same T, never to another,
+since the older offer may still arrive. An agent that restarts has no records;
 it joins anew, in a view newer than all its old decisions, so that it has
 to ask as any new home does. What an agent that died had placed before is
 known to nobody; the upstream's TCP is the second line there: an opening
@@ -65,7 +67,7 @@
         return True
     if state.joining or not holds_lease(state, service, now):
         return False
-    since = home_since(state, ranking, bucket)
+    since = home_since(state, ranking, bucket, state.number)
     return ranking.least_acked(state.number) >= since
 
 
@@ -84,13 +86,17 @@
     home = ranking.home(forward.bucket)
     if home is None or home.number != forward.decider:
         return False
-    return home.joined_view <= forward.view
+    bucket, number = forward.bucket, home.number
+    return home_since(state, ranking, bucket, number) <= forward.view
 
 
 def home_since(
-    state: agent_state.AgentState, ranking: hashing.Ranking, bucket: int
+    state: agent_state.AgentState,
+    ranking: hashing.Ranking,
+    bucket: int,
+    number: int,
 ) -> int:
-    """Return a view since which the bucket has had this agent as home.
+    """Return a view since which member ``number`` has been the home.
 
     The true view may be older, never newer. Members that are still listed
     tell when they joined or closed; the views seen before this one tell
@@ -99,12 +105,12 @@
     since = ranking.view.number
     for earlier in reversed(state.past.get(ranking.view.service, ())):
         home = earlier.home(bucket)
-        if home is None or home.number != state.number:
+        if home is None or home.number != number:
             break
         since = earlier.view.number
     for member in ranking.order(bucket):
         since = max(since, member.joined_view if member.is_live else 0)
-        if member.number == state.number:
+        if member.number == number:
             break
         since = max(since, member.closed_view)
     return since
@@ -118,7 +124,7 @@
     They are all members with a record from before this agent became the
     home, since an earlier home may have offered the opening to any.
     """
-    since = home_since(state, ranking, bucket)
+    since = home_since(state, ranking, bucket, state.number)
     return [
         member
         for member in ranking.order(bucket)
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -31,6 +31,13 @@
     now: int,
 ) -> actions.Action:
     """Return where the home of a bucket places a new opening."""
+    offered = state.diversions.get(packet.key)
+    if offered is not None:
+        renewed = _renew_offer(
+            state, service, ranking, offered, forward, packet, now
+        )
+        if renewed is not None:
+            return renewed
     budget.earn(state, service)
     own = state.counts[service.number].open_flows
     limit = diversion.load_limit(state, service, ranking, now)
@@ -70,6 +77,28 @@
     return _admit_here(state, service, forward, packet, now)
 
 
+def _renew_offer(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    offered: records.Diversion,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action | None:
+    # An older offer may still arrive and be taken, so the opening goes to
+    # the same target again and to no other.
+    member = ranking.by_number.get(offered.target)
+    if member is None:
+        return known.on_lost_target(state, service, offered, packet)
+    offered.used_ms = now
+    offered.decider = state.number
+    offered.view = ranking.view.number
+    return passing.offer_to(
+        state, member, forward, offered.decider, offered.view
+    )
+
+
 def _divert(
     state: State,
     member: views.Member,
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -95,6 +95,15 @@
     closing: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Parked:
+    """An opening that is held until its home may decide."""
+
+    forward: frames.Forward
+    packet: packets.Packet
+    since_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceCounts:
     """Counts of one service at the agent's upstream.
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -132,6 +132,11 @@
     diversion_schedule: schedule.Schedule[
         tuple[packets.FlowKey, records.Diversion]
     ] = dataclasses.field(default_factory=schedule.Schedule)
+    # Openings that are held until this agent may decide, by flow.
+    parked: dict[packets.FlowKey, records.Parked] = dataclasses.field(
+        default_factory=dict
+    )
+    retried_ms: int = 0
     # Thousandths of a further offer that each service has saved up.
     budgets: dict[int, int] = dataclasses.field(default_factory=dict)
     # When any flow's packet last came from the upstream, and from a caller.
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -8,6 +8,7 @@
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
@@ -27,6 +28,7 @@
     """Return what is due at ``now``."""
     result = expire_queued(state, now)
     result.extend(start_queued(state, now))
+    result.extend(parking.retry(state, now))
     for flow in state.flow_schedule.take_due(now):
         result.extend(_check_flow(state, flow, now))
     for key, diverted in state.diversion_schedule.take_due(now):
