--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
 
 test: check unit
 
@@ -42,8 +42,9 @@
 unit: $(VENV)/.ready
 	$(RUN) -m pytest
 
+# Every shell sets USER, so only one given on make's command line counts.
 demo: $(VENV)/.ready
-	$(RUN) -m demo
+	$(RUN) -m demo $(if $(filter command line,$(origin USER)),$(USER))
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
@@ -59,3 +60,9 @@
 
 bench-slots: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy.slots
+
+proof-control: $(VENV)/.ready
+	$(RUN) -m pytest tests/control/proof_control_group.py
+
+bench-log: $(VENV)/.ready
+	$(RUN) -m benchmarks.catalogue_log
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -92,6 +92,57 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class OutcomeUnknownError(ControlError):
+    """An edit that may or may not have been accepted."""
+
+    def __init__(self, key: str = '') -> None:
+        """Name the idempotency key of the edit, empty where unknown."""
+        self.key = key
+        again = f'--key {key}' if key else 'the same idempotency key'
+        super().__init__(
+            'no majority answered in time, so the edit may have been accepted;'
+            f' send it again with {again}, which is carried out once'
+        )
+
+
+class BusyError(ControlError):
+    """More requests wait for the log than it takes at a time."""
+
+    def __init__(self) -> None:
+        """Say that the request was not taken."""
+        super().__init__(
+            'too many requests wait for the catalogue log, so this one was'
+            ' not taken; send it again in a second'
+        )
+
+
+class MemberChangeError(ControlError):
+    """A change of control members that was refused."""
+
+
+class IdentityError(GentianspokeError):
+    """A control instance whose data folder is not that of its member."""
+
+
+class EditRefusedError(ControlError):
+    """An edit that was not accepted, with nothing of it applied."""
+
+
+class NotInForceError(ControlError):
+    """A version that is not in force everywhere within the time limit."""
+
+    def __init__(
+        self, version: int, in_force: int, consumers: int, lagging: str
+    ) -> None:
+        """Count the consumers and name those that lag."""
+        self.version = version
+        super().__init__(
+            f'version {version} is accepted, but in force on {in_force} of'
+            f' {consumers} consumers only; look at those that lag:'
+            f' {lagging or "none is named"}'
+        )
+
+
 class ChannelError(GentianspokeError):
     """The other end of a channel did not show that it holds a key."""
 
@@ -109,6 +160,43 @@
     """Durable state that cannot be read or written."""
 
 
+class FolderInUseError(StorageError):
+    """A data folder that another process uses."""
+
+    def __init__(self, path: str) -> None:
+        """Name the folder."""
+        super().__init__(
+            f'{path}: another process uses this data folder; stop it first,'
+            ' or give this instance a folder of its own'
+        )
+
+
+class DamageError(StorageError):
+    """A journal file that is damaged before its end."""
+
+    def __init__(self, file: str, offset: int) -> None:
+        """Name the file and the byte at which the damage begins."""
+        self.file = file
+        self.offset = offset
+        super().__init__(
+            f'{file}: damaged at byte {offset}, with valid data after it,'
+            ' so accepted changes may be missing; do not repair the file:'
+            ' replace this control instance with "gentianspoke control-group'
+            ' replace"'
+        )
+
+
+class WriteError(StorageError):
+    """A write or sync of durable state that failed."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and the system's reason."""
+        super().__init__(
+            f'{file}: cannot be made durable ({reason}); check space and'
+            ' health of the disk, then start this instance again'
+        )
+
+
 class LogFileError(GentianspokeError):
     """A log file that the time line cannot read."""
 
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -16,6 +16,8 @@
 from gentianspoke.shells import process
 
 LAGGARDS_NAMED = 16
+# One request has to reach a peer within one heartbeat's timeout.
+REQUEST_BYTES_AT_MOST = 1 << 20
 
 
 class CatalogueService(catalogue_grpc.CatalogueBase):
@@ -41,6 +43,12 @@
     ) -> None:
         """Accept or refuse edits."""
         message = await calls.receive(stream)
+        if message.ByteSize() > REQUEST_BYTES_AT_MOST:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT,
+                f'the request is larger than {REQUEST_BYTES_AT_MOST} bytes;'
+                ' split the file',
+            )
         request = _checked(catalogue_codec.decode_request, message)
         key = request.idempotency_key
         known = self._log.catalogue.known_answer(key) is not None
@@ -96,12 +104,7 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
-            catalogue_pb2.HistoryItem(
-                version=item.version,
-                operator=item.operator,
-                idempotency_key=item.idempotency_key,
-                entry=catalogue_codec.encode_entry(item.entry),
-            )
+            catalogue_codec.encode_history_item(item)
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
@@ -129,6 +132,7 @@
             wanted = request.version or version
             reply.consumers = summary.consumers
             reply.in_force = summary.in_force(wanted)
+            reply.complete = self._hub.complete
             reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
         await stream.send_message(reply)
 
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -59,6 +59,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             members = self._current()
+            self._hub.complete = self.is_complete()
             if members is None:
                 continue
             now = self._proc.clock.now()
