--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -31,6 +31,13 @@
     now: int,
 ) -> actions.Action:
     """Return where the home of a bucket places a new opening."""
+    offered = state.diversions.get(packet.key)
+    if offered is not None:
+        renewed = _renew_offer(
+            state, service, ranking, offered, forward, packet, now
+        )
+        if renewed is not None:
+            return renewed
     budget.earn(state, service)
     own = state.counts[service.number].open_flows
     limit = diversion.load_limit(state, service, ranking, now)
@@ -70,6 +77,28 @@
     return _admit_here(state, service, forward, packet, now)
 
 
+def _renew_offer(
+    state: State,
+    service: services.Service,
+    ranking: hashing.Ranking,
+    offered: records.Diversion,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action | None:
+    # An older offer may still arrive and be taken, so the opening goes to
+    # the same target again and to no other.
+    member = ranking.by_number.get(offered.target)
+    if member is None:
+        return known.on_lost_target(state, service, offered, packet)
+    offered.used_ms = now
+    offered.decider = state.number
+    offered.view = ranking.view.number
+    return passing.offer_to(
+        state, member, forward, offered.decider, offered.view
+    )
+
+
 def _divert(
     state: State,
     member: views.Member,
@@ -85,7 +114,7 @@
         view=forward.view,
         used_ms=now,
         decider=forward.decider,
-        placed_view=tables.view_number(state, forward.service),
+        placed_view=tables.placed_view(state, forward.service, forward.view),
     )
     tables.add_diversion(state, packet.key, offered)
     diversion.count_placed(state, forward.service, member.number)
@@ -108,7 +137,10 @@
             return _accept(state, service, forward, packet, now)
         case admission.Admission.WAIT, packets.Segment():
             wait_ms = forward.wait_left_ms
-            tables.queue_flow(state, service, packet, bucket, wait_ms, now)
+            decided = _decided_view(forward)
+            tables.queue_flow(
+                state, service, packet, bucket, wait_ms, now, decided
+            )
             return actions.Drop('queued')
         case _:
             return _refuse(state, service, forward, packet, now)
@@ -122,8 +154,9 @@
     now: int,
 ) -> actions.Action:
     isn = known.opening_number(packet)
+    bucket, decided = forward.bucket, _decided_view(forward)
     flow = tables.open_flow(
-        state, service, packet.key, forward.bucket, isn, now
+        state, service, packet.key, bucket, isn, now, decided
     )
     match packet:
         case packets.Segment():
@@ -131,6 +164,14 @@
     return actions.Deliver(packet.raw)
 
 
+def _decided_view(forward: frames.Forward) -> int | None:
+    match forward.purpose:
+        case frames.Purpose.OFFER:
+            return forward.view
+        case _:
+            return None
+
+
 def _refuse(
     state: State,
     service: services.Service,
@@ -141,8 +182,9 @@
     reason = 'draining' if state.draining else 'no-capacity'
     isn = known.opening_number(packet)
     if services.needs_single_decider(service):
+        bucket, decided = forward.bucket, _decided_view(forward)
         tables.refuse_flow(
-            state, service, packet.key, forward.bucket, isn, now
+            state, service, packet.key, bucket, isn, now, decided
         )
     evidence.report_refusal(
         state,
