Count other deciders' diversions with the own ones

Cause: all deciders see the same reports and divert to the member that was least loaded in them; at 700 flows opened 400 a report the fill ended at an imbalance of 1.29 (bound 1.02).

--- a/benchmarks/policy/chosen.py
+++ b/benchmarks/policy/chosen.py
@@ -175,6 +175,7 @@
                         return 0, hops
                     found = core.on_forward(state, forward, packet, self._now)
                     if any(isinstance(x, actions.Deliver) for x in found):
+                        core.on_reply(state, _answer_to(packet), self._now)
                         return state.number, hops
                     pending.extend(found)
                 case _:
@@ -182,6 +183,15 @@
         return 0, hops
 
 
+def _answer_to(packet: packets.Segment) -> packets.Segment:
+    """Return the upstream's answer, which agents wait to see."""
+    ack = packet.seq + packet.payload_bytes
+    if packets.is_opening(packet):
+        flags = packets.SYN | packets.ACK
+        return packets.Segment(packet.key, flags, 0, ack + 1, 0, b'a')
+    return packets.Segment(packet.key, packets.ACK, 1, ack, 0, b'a')
+
+
 def _announcement(
     number: int, state: agent_state.AgentState
 ) -> membership.Announcement:
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -3,10 +3,11 @@
 A load report is a hint. It may be late, wrong or a lie, so its weight is
 bounded: it is taken as no less than half and no more than twice what is
 typical, and it counts no longer than ``REPORT_AGE_MS``. Between reports a
-member is taken to grow as this upstream does, and by what this agent placed
-there; otherwise a home whose service grows would find itself above a mean
-of old counts, and divert flows for nothing. A member without a usable
-report is taken as typical; it neither attracts nor repels.
+member is taken to grow as this upstream does, and by what this agent and
+those that see the same old counts placed there; otherwise a home whose
+service grows would find itself above a mean of old counts, and divert flows
+for nothing. A member without a usable report is taken as typical; it
+neither attracts nor repels.
 """
 
 import math
@@ -24,6 +25,8 @@
 # A report counts as at least typical / LEAST and at most typical * MOST.
 LEAST_DIVISOR = 2
 MOST_FACTOR = 2
+# One in so many of the other members is taken to divert flows at a time.
+DECIDERS_DIVISOR = 2
 
 State = agent_state.AgentState
 
@@ -40,8 +43,9 @@
     least = typical // LEAST_DIVISOR
     most = typical * MOST_FACTOR + 1
     then = state.own_then[(service, number)]
-    grown = max(0, state.counts[service].open_flows - then) + sent
-    return max(0, min(max(report.open_flows, least), most) + grown)
+    grown = max(0, state.counts[service].open_flows - then)
+    placed = sent * _deciders_alike(state, service)
+    return min(max(report.open_flows, least), most) + grown + placed
 
 
 def load_limit(
@@ -124,6 +128,18 @@
     state.typical.clear()
 
 
+def _deciders_alike(state: State, service: int) -> int:
+    """Return how many deciders are taken to divert as this one does.
+
+    About half of a service's members are above their mean, and all of them
+    see the same reports. Without them in the count, they would all send
+    their flows to the one member that was least loaded in the last report.
+    """
+    ranking = state.rankings.get(service)
+    others = ranking.live_count - 1 if ranking else 0
+    return max(1, others // DECIDERS_DIVISOR)
+
+
 def _typical(state: State, service: int) -> int:
     """Return the median of the reported loads, the own load without any."""
     typical = state.typical.get(service)
--- a/tests/agent/test_diversion.py
+++ b/tests/agent/test_diversion.py
@@ -13,7 +13,7 @@
 OWN, OTHER, THIRD, FOURTH = 1, 2, 3, 4
 
 
-def agent_with(own_flows, reports):
+def agent_with(own_flows, reports, members=FOURTH):
     """Return an agent that heard these reports at its own load."""
     state = agent_state.AgentState(
         number=OWN,
@@ -22,8 +22,8 @@
         started_ms=0,
     )
     state.set_catalogue([builders.service(services.Board())])
-    members = (builders.member(number) for number in range(OWN, FOURTH + 1))
-    state.set_view(views.View(1, 1, tuple(members)))
+    listed = (builders.member(number) for number in range(OWN, members + 1))
+    state.set_view(views.View(1, 1, tuple(listed)))
     state.counts[1].open_flows = own_flows
     for sender, open_flows in reports.items():
         report = frames.LoadReport(1, sender, open_flows, 0, 0)
@@ -48,6 +48,14 @@
     assert diversion.load_of(state, 1, OTHER) == expected
 
 
+@pytest.mark.parametrize(('members', 'expected'), [(3, 140), (7, 220)])
+def test_other_deciders_are_taken_to_divert_alike(members, expected):
+    state = agent_with(100, {OTHER: 100, THIRD: 100}, members)
+    for _ in range(40):
+        diversion.count_placed(state, 1, OTHER)
+    assert diversion.load_of(state, 1, OTHER) == expected
+
+
 @pytest.mark.parametrize(
     ('reported', 'least', 'most'),
     [
