--- a/tests/replica/test_isolation.py
+++ b/tests/replica/test_isolation.py
@@ -3,6 +3,7 @@
 import pytest
 import replica_network
 
+from gentianspoke.decisions.control.replica import messages
 from gentianspoke.decisions.control.replica import state as states
 
 TIMING = states.Timing()
@@ -56,6 +57,41 @@
     assert net.await_leader() != first
 
 
+# The least time to an election, at which a claim is in most danger.
+EAGER = states.Timing(election_max_ms=TIMING.election_min_ms)
+SLOW, FAST = 1000 - TIMING.drift_permille, 1000 + TIMING.drift_permille
+
+
+@pytest.mark.parametrize('way', ['to', 'from', 'both'])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_leader_with_a_slow_clock_ceases_in_time(seed, way):
+    # Short steps, so that an election takes less than the drift does.
+    net = replica_network.Network(3, seed, step_ms=2)
+    leader = net.await_leader()
+    for number, own in net.replicas.items():
+        own.state.timing = EAGER
+        # One of the others is a little slower, against a tie.
+        net.speeds[number] = FAST - number
+    net.speeds[leader] = SLOW
+    net.run(1_000)
+    cut(net, leader, way)
+    net.run(2 * TIMING.election_min_ms)
+
+
+def test_a_peer_that_fell_silent_may_have_another_clock():
+    net = replica_network.Network()
+    first = net.await_leader()
+    net.run(1_000)
+    other = first % 3 + 1
+    own = net.replicas[first]
+    later = net.clock.now() + TIMING.heartbeat_ms
+    request = own.request_for(other, later)
+    assert request.echo_ms > 0
+    net.step(first, messages.Unanswered(request))
+    later += TIMING.heartbeat_ms
+    assert own.request_for(other, later).echo_ms == 0
+
+
 def test_an_echo_from_before_a_restart_confirms_nothing():
     net = replica_network.Network()
     first = net.await_leader()
--- a/tests/replica/test_members.py
+++ b/tests/replica/test_members.py
@@ -49,6 +49,19 @@
     assert net.replicas[9].state.catalogue.version == 30
 
 
+def test_a_learner_that_has_only_a_part_does_not_vote():
+    net = replica_network.Network()
+    first = net.await_leader()
+    edits = [replica_network.request(f'k{n}') for n in range(600)]
+    net.propose(first, *edits)
+    net.run(300)
+    net.create(9)
+    add(net, first)
+    while not is_voter(net, first):
+        net.run(10)
+    assert net.replicas[9].state.log.last_index > len(edits)
+
+
 def test_a_second_loss_right_after_a_replacement_loses_nothing():
     net = replica_network.Network()
     first = net.await_leader()
--- a/tests/replica_network.py
+++ b/tests/replica_network.py
@@ -1,5 +1,6 @@
 """Replicas under the project's clock, joined by a network that fails."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -21,8 +22,8 @@
 from gentianspoke.storage import replica_store
 
 STEP_MS = 10
-LATENCY_MS = 5
 REPLY_TIMEOUT_MS = 600
+LEADER_AT_MOST_MS = 20_000
 
 
 def request(key, name=None, base=0):
@@ -60,8 +61,20 @@
 class Network:
     """Members 1 to ``size``; ``lost`` holds directions that lose all."""
 
-    def __init__(self, size=3, seed=1, limits=states.Limits()):
-        """Form a group and start its members."""
+    def __init__(
+        self,
+        size=3,
+        seed=1,
+        limits=states.Limits(),
+        step_ms=STEP_MS,
+    ):
+        """Form a group and start its members.
+
+        ``speeds`` are those of the members' clocks, in thousandths.
+        """
+        self.step_ms = step_ms
+        self.speeds = {}
+        self._gained = collections.Counter()
         self.clock = clock.ManualClock(10_000)
         self.rng = random.Random(seed)
         self.limits = limits
@@ -70,6 +83,7 @@
         self.answers = {}
         self.leaders = {}
         self.stores = {}
+        self.folders = {}
         self.replicas = {}
         self._heap = []
         self._order = itertools.count()
@@ -80,13 +94,18 @@
 
     def create(self, number, group=groups.Group()):
         """Start a member with a new folder."""
-        store = replica_store.ReplicaStore(
-            journal.Journal(faulty_folder.FaultyFolder())
-        )
-        store.save_all(states.fresh(number, f'control-{number}', group))
-        self.stores[number] = store
+        self.use_folder(number, faulty_folder.FaultyFolder())
+        fresh = states.fresh(number, f'control-{number}', group)
+        self.stores[number].save_all(fresh)
         self.start(number)
 
+    def use_folder(self, number, folder):
+        """Let a member keep its files in a folder."""
+        self.folders[number] = folder
+        self.stores[number] = replica_store.ReplicaStore(
+            journal.Journal(folder)
+        )
+
     def start(self, number):
         """Start a member, anew or after a stop, from what it stored."""
         self.replicas[number] = replica.Replica(
@@ -94,9 +113,13 @@
             states.Timing(),
             self.limits,
             random.Random(self.rng.random()),
-            self.clock.now(),
+            self.now(number),
         )
 
+    def now(self, number):
+        """Return the time of a member's own clock."""
+        return self.clock.now() + self._gained[number] // 1000
+
     def stop(self, number):
         """Stop a member at once."""
         del self.replicas[number]
@@ -110,7 +133,9 @@
         """Let time pass."""
         end = self.clock.now() + duration_ms
         while self.clock.now() < end:
-            self.clock.advance(STEP_MS)
+            self.clock.advance(self.step_ms)
+            for number, speed in self.speeds.items():
+                self._gained[number] += self.step_ms * (speed - 1000)
             self._deliver()
             for number in tuple(self.replicas):
                 self.step(number, messages.Tick())
@@ -121,12 +146,12 @@
         """Let a member take an event; return the effects."""
         own = self.replicas[number]
         done = []
-        found = own.handle(event, self.clock.now())
+        found = own.handle(event, self.now(number))
         while found:
             apply_effects(self.stores[number], found)
             done += found
             synced = messages.Synced(own.state.log.last_index)
-            found = own.handle(synced, self.clock.now())
+            found = own.handle(synced, self.now(number))
         for effect in done:
             match effect:
                 case effects.RoleChanged(role='leader', term=term):
@@ -137,19 +162,18 @@
 
     def leader(self):
         """Return the member that leads now, ``None`` for none."""
-        now = self.clock.now()
         for number, own in self.replicas.items():
-            if own.state.leads(now):
+            if own.state.leads(self.now(number)):
                 return number
         return None
 
     def await_leader(self, but=()):
         """Let time pass until a member leads; return it."""
-        for _ in range(1000):
+        for _ in range(0, LEADER_AT_MOST_MS, self.step_ms):
             number = self.leader()
             if number is not None and number not in but:
                 return number
-            self.run(STEP_MS)
+            self.run(self.step_ms)
         raise AssertionError('no leader')
 
     def propose(self, number, *requests):
@@ -159,11 +183,14 @@
     def age_ms(self, number):
         """Return how old a member says its knowledge is."""
         state = self.replicas[number].state
-        return state.confirmed_age_ms(self.clock.now())
+        return state.confirmed_age_ms(self.now(number))
 
     def _check_one_claim(self):
-        now = self.clock.now()
-        claims = [n for n, r in self.replicas.items() if r.state.leads(now)]
+        claims = [
+            number
+            for number, own in self.replicas.items()
+            if own.state.leads(self.now(number))
+        ]
         assert len(claims) <= 1
 
     def _send(self, number):
@@ -171,10 +198,10 @@
         for peer in own.state.group.others(number):
             if (number, peer.number) in self._busy:
                 continue
-            wanted = own.request_for(peer.number, self.clock.now())
+            wanted = own.request_for(peer.number, self.now(number))
             if wanted is not None:
                 self._busy[number, peer.number] = wanted
-                self._post(LATENCY_MS, 'ask', wanted, own)
+                self._post(self.step_ms // 2, 'ask', wanted, own)
                 self._post(REPLY_TIMEOUT_MS, 'expire', wanted, own)
 
     def _post(self, delay_ms, kind, content, sender):
@@ -203,7 +230,7 @@
                 case effects.Respond(reply=reply):
                     if not self._loses(wanted.to, wanted.sender):
                         content = (wanted, reply)
-                        self._post(LATENCY_MS, 'reply', content, sender)
+                        self._post(self.step_ms // 2, 'reply', content, sender)
 
     def _finish(self, wanted, sender, event):
         pair = (wanted.sender, wanted.to)
