--- a/src/gentianspoke/shells/control/members_service.py
+++ b/src/gentianspoke/shells/control/members_service.py
@@ -109,9 +109,10 @@
         state = self._log.replica.state
         progress = state.progress.get(member.number)
         is_own = member.number == state.number
+        leads = member.number == state.leader
         message = replica_pb2.MemberStatus(
             member=codec.encode_member(member),
-            leads=member.number == state.leader,
+            leads=self._log.is_leader if is_own else leads,
         )
         if is_own:
             message.match_index = state.synced_index
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -113,7 +113,11 @@
     @property
     def leader(self) -> str:
         """Address of the leader, empty where none is known."""
-        member = self.group.find(self.replica.state.leader)
+        state = self.replica.state
+        if state.leader == state.number and not self.is_leader:
+            # Nobody gains by asking here again before a majority answers.
+            return ''
+        member = self.group.find(state.leader)
         return member.address if member else ''
 
     def confirmed_age_ms(self) -> int:
