Move from a dead leader's feed at once, and prove leases on real processes

Cause: with a frozen leader the relays stayed on its feed until it was stale, consumers waited 3 s for a source that accepts connections and says nothing, and agents asked the dead leader again and again. A source that had just begun sent digests without views that its consumer held, so the copy was thrown away. Found by counting deciders with real control processes.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	$(RUN) -m benchmarks.policy.slots
 
 proof-control: $(VENV)/.ready
-	$(RUN) -m pytest tests/control/proof_control_group.py
+	$(RUN) -m pytest -s tests/control/proof_control_group.py tests/control/proof_membership.py
 
 bench-log: $(VENV)/.ready
 	$(RUN) -m benchmarks.catalogue_log
--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -117,7 +117,7 @@
                 self.agent = shell
             case _:
                 shell = entry_shell.Entry(self.proc, None)
-        self._shell = shell
+        self.shell = shell
 
     async def run(self) -> None:
         """Follow the feed and, as an agent, send heartbeats."""
@@ -130,7 +130,7 @@
                 group.create_task(self.agent.heartbeat.run())
 
     def _take(self, update: feed_client.Update) -> int:
-        self.version = self._shell.take(update)
+        self.version = self.shell.take(update)
         return self.version
 
 
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -20,6 +20,8 @@
 # Least time between two heartbeats, however often the views change.
 LEAST_PAUSE_S = 0.05
 ANNOUNCE_TIMEOUT_S = 1.0
+# How long an instance that did not answer is not asked again.
+AVOIDED_MS = 1_000
 # The lease is given up this much early, against a clock that runs slow.
 LEASE_MARGIN_PERMILLE = 50
 PERMILLE = 1_000
@@ -39,6 +41,7 @@
         self._cfg = cfg
         self._state = state
         self._changed = asyncio.Event()
+        self._avoided: dict[units.Address, int] = {}
         # Set once control has taken a heartbeat that says "draining".
         self.drain_accepted = asyncio.Event()
 
@@ -59,9 +62,15 @@
                     await self._announce_to(units.host_port(leader))
 
     async def _announce_to(self, address: units.Address) -> str:
-        with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+        if self._proc.clock.now() < self._avoided.get(address, 0):
+            return ''
+        try:
             return await self._send_heartbeats(address)
-        return ''
+        except feed_client.CHANNEL_ERRORS:
+            # The others name a leader that has just died until they have
+            # elected another, and the lease does not wait.
+            self._avoided[address] = self._proc.clock.now() + AVOIDED_MS
+            return ''
 
     async def _send_heartbeats(self, address: units.Address) -> str:
         async with channel_auth.open_channel(
--- a/src/gentianspoke/shells/control/relay.py
+++ b/src/gentianspoke/shells/control/relay.py
@@ -47,10 +47,18 @@
             await asyncio.sleep(PAUSE_S)
             leader = self._leader()
             if leader:
-                await self._feed.follow(
-                    units.host_port(leader),
-                    lambda: self._leader() == leader,
-                )
+                await self._follow(leader)
+
+    async def _follow(self, leader: str) -> None:
+        # A leader that has died says nothing; the log names the next one
+        # before this feed would count as stale.
+        async with asyncio.TaskGroup() as group:
+            following = group.create_task(
+                self._feed.follow(units.host_port(leader))
+            )
+            while not following.done() and self._leader() == leader:
+                await asyncio.wait([following], timeout=PAUSE_S)
+            following.cancel()
 
     def _leader(self) -> str:
         return '' if self._log.is_leader else self._log.leader
--- a/src/gentianspoke/shells/control/subscriber.py
+++ b/src/gentianspoke/shells/control/subscriber.py
@@ -66,6 +66,12 @@
         )
 
     def _start(self, held: dict[int, view_delta.Order]) -> None:
+        # An instance that has just begun lacks views that consumers hold.
+        self._ahead = {
+            service: order
+            for service, order in held.items()
+            if service not in self._source.views
+        }
         for service in self._source.views:
             if not self._source.wants(self.scope, service):
                 continue
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -27,6 +27,8 @@
 
 # A source is left when it is silent or unconfirmed for this long.
 STALE_MS = 3_000
+# A source answers at once, if it can.
+FIRST_ANSWER_MS = 1_000
 # A source is left when it has had no leader's views for this long.
 INCOMPLETE_MS = 6_000
 # Pause before the next source, doubled up to the longest one while none
@@ -130,10 +132,12 @@
     ) -> None:
         subscribe = feed_pb2.FollowRequest(subscribe=self._subscribe())
         await stream.send_message(subscribe)
+        patience_ms = FIRST_ANSWER_MS
         try:
             while is_wanted():
-                async with asyncio.timeout(STALE_MS / clock.MS_PER_S):
+                async with asyncio.timeout(patience_ms / clock.MS_PER_S):
                     reply = await stream.recv_message()
+                patience_ms = STALE_MS
                 if reply is None:
                     raise errors.ControlError('the source closed the feed')
                 await self._on_reply(stream, reply)
--- /dev/null
+++ b/tests/control/proof_membership.py
@@ -0,0 +1,152 @@
+"""Leases and views under real control processes that fail.
+
+The agents are the real shells in this process, without a data path. At each
+moment the agents that may decide for a bucket are counted: never two, and
+after a fault one again for every bucket.
+"""
+
+import asyncio
+import contextlib
+
+import control_group
+import pytest
+import replica_network
+
+from benchmarks import control_daemons
+from gentianspoke.config import key_file
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.shells import process
+
+BASE_PORT = 31_500
+AGENTS = 6
+SERVICE = 'booking'
+BUCKETS = range(48)
+LOOK_S = 0.02
+SETTLED_AT_MOST_S = 30.0
+
+
+class Fleet:
+    """Agents of one service, and what a look at all of them finds."""
+
+    def __init__(self, group):
+        ring = key_file.load(group.key_path)
+        addresses = tuple(group.addresses.values())
+        self.daemons = [
+            control_daemons.Daemon(
+                f'agent-{number}', ring, addresses, (SERVICE,)
+            )
+            for number in range(AGENTS)
+        ]
+        self.entry = control_daemons.Daemon('entry', ring, addresses, ())
+        self.most = 0
+        self.without = len(BUCKETS)
+        self.gap_s = 0.0
+
+    async def run(self):
+        async with process.run_tasks(
+            *(daemon.run() for daemon in self.daemons), self.entry.run()
+        ):
+            while True:
+                await asyncio.sleep(LOOK_S)
+                self.look()
+
+    def look(self):
+        counts = [
+            sum(decides(daemon, bucket) for daemon in self.daemons)
+            for bucket in BUCKETS
+        ]
+        self.most = max(self.most, *counts)
+        self.without = counts.count(0)
+        if self.without:
+            self.gap_s += LOOK_S
+
+    async def settled(self):
+        """Wait until every bucket has its decider."""
+        async with asyncio.timeout(SETTLED_AT_MOST_S):
+            while self.without:
+                await asyncio.sleep(LOOK_S)
+
+
+def decides(daemon, bucket):
+    state = daemon.agent.state
+    for number, service in state.served.items():
+        ranking = state.rankings.get(number)
+        home = ranking.home(bucket) if ranking else None
+        if home is not None and home.number == state.number:
+            now = daemon.proc.clock.now()
+            return ownership.may_place(state, service, ranking, bucket, now)
+    return False
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(tmp_path, offset, size=3):
+    port = BASE_PORT + offset
+    async with control_group.run_group(tmp_path, port, size) as group:
+        await group.apply(replica_network.request('a', name=SERVICE))
+        fleet = Fleet(group)
+        async with process.run_tasks(fleet.run()):
+            await fleet.settled()
+            fleet.gap_s = 0.0
+            yield group, fleet
+            await fleet.settled()
+        assert fleet.most == 1
+        assert fleet.entry.version > 0
+
+
+def term_of(fleet):
+    """Return the oldest term among the agents' views."""
+    return min(
+        ranking.view.number >> 32
+        for daemon in fleet.daemons
+        for ranking in daemon.agent.state.rankings.values()
+    )
+
+
+async def newer_term(fleet, known):
+    async with asyncio.timeout(SETTLED_AT_MOST_S):
+        while term_of(fleet) <= known:
+            await asyncio.sleep(LOOK_S)
+
+
+@pytest.mark.parametrize('fault', ['killed', 'frozen'])
+async def test_a_leader_that_is_lost_never_leaves_two_deciders(
+    tmp_path, fault
+):
+    async with run_fleet(tmp_path, 0) as (group, fleet):
+        known = term_of(fleet)
+        leader = await group.leader()
+        if fault == 'killed':
+            await group.kill(leader)
+        else:
+            group.freeze(leader)
+        await newer_term(fleet, known)
+        await fleet.settled()
+        print(f'{fault}: buckets without a decider for {fleet.gap_s:.2f} s')
+        if fault == 'frozen':
+            group.thaw(leader)
+            await asyncio.sleep(2)
+
+
+async def test_all_control_instances_may_be_away_for_a_while(tmp_path):
+    async with run_fleet(tmp_path, 10) as (group, fleet):
+        known = term_of(fleet)
+        views = len(fleet.entry.shell.table.rankings)
+        for name in tuple(group.running):
+            await group.kill(name)
+        await asyncio.sleep(5)
+        assert len(fleet.entry.shell.table.rankings) == views
+        await group.start()
+        await newer_term(fleet, known)
+
+
+async def test_a_relay_that_is_cut_off_loses_its_consumers(tmp_path):
+    async with run_fleet(tmp_path, 20) as (group, fleet):
+        leader = await group.leader()
+        relay = next(name for name in group.running if name != leader)
+        group.freeze(relay)
+        await asyncio.sleep(6)
+        answer = await group.apply(replica_network.request('b', name='b'))
+        async with asyncio.timeout(SETTLED_AT_MOST_S):
+            while fleet.entry.version < answer.version:
+                await asyncio.sleep(LOOK_S)
+        group.thaw(relay)
--- a/tests/feed/test_copies.py
+++ b/tests/feed/test_copies.py
@@ -158,6 +158,7 @@
     ('held', 'version', 'messages', 'comparable'),
     [
         pytest.param({}, 0, 2, True, id='nothing'),
+        pytest.param({1: (5, 5), 2: (1, 1)}, 1, 0, False, id='more-views'),
         pytest.param({1: (5, 5)}, 1, 0, True, id='all'),
         pytest.param({1: (4, 9)}, 1, 1, True, id='older-view'),
         pytest.param({1: (6, 0)}, 1, 0, False, id='newer-view'),
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -1,5 +1,6 @@
 """Consumers follow any control instance, and leave one that is stale."""
 
+import asyncio
 import contextlib
 
 import builders
@@ -211,3 +212,28 @@
             controls[0].address, lambda: consumer.views.get(1) is None
         )
     assert [m.number for m in feed.copy.held[1].members] == [1]
+
+
+async def test_a_relay_leaves_a_silent_leader_once_another_is_named(
+    monkeypatch,
+):
+    monkeypatch.setattr(feed_service, 'SILENT_S', 60)
+    async with run_cluster() as controls:
+        old, relaying, new = controls
+        announce(old, 1)
+        await control_fakes.until(lambda: relaying.hub.source.views)
+        monkeypatch.setattr(feed_client, 'STALE_MS', 60_000)
+        monkeypatch.setattr(feed_service, 'CONFIRMATION_MS', 60_000)
+        old.hub.source.take_view = lambda view: False
+        # The message that the relay waits for has the old limit.
+        await asyncio.sleep(0.1)
+        for control in controls:
+            control.log.is_leader = control is new
+            control.log.leader = f'127.0.0.1:{PORTS[2]}'
+            control.log.term = 2
+        announce(new, 1)
+        await control_fakes.until(
+            lambda: relaying.hub.source.views[1].number
+            >> views.TERM_SHIFT_BITS
+            == 2
+        )
