--- a/tests/commands/test_catalogue_commands.py
+++ b/tests/commands/test_catalogue_commands.py
@@ -16,7 +16,7 @@
 from gentianspoke.shells.control import relay
 
 PORTS = (31_030, 31_031)
-CONTROL = ','.join(f'127.0.0.1:{port}' for port in PORTS)
+CONTROL = ','.join(f'{control_fakes.HOST}:{port}' for port in PORTS)
 ENTRY = {
     'name': 'booking',
     'owner': 'yard',
@@ -92,7 +92,7 @@
         for position, port in enumerate(PORTS):
             log = LossyLog(shared)
             log.is_leader = position == 1
-            log.leader = f'127.0.0.1:{PORTS[1]}'
+            log.leader = f'{control_fakes.HOST}:{PORTS[1]}'
             running = control_fakes.run_control(f'c-{position}', port, log)
             controls.append(await stack.enter_async_context(running))
         yield World(tmp_path, controls)
@@ -118,7 +118,7 @@
     [
         (('list',), 'booking  1        booking  yard   10.1.0.1  tcp 8002'),
         (('history', 'booking'), '1        '),
-        (('status',), '127.0.0.1:31031  leader'),
+        (('status',), f'{control_fakes.HOST}:31031  leader'),
         (('get', 'booking'), 'base_version: 1'),
         (('list', '--json'), '"name":"booking"'),
         (('status', '--json'), '"role":"leader"'),
@@ -166,7 +166,7 @@
     world.logs[1].is_leader = False
     world.logs[0].is_leader = True
     for log in world.logs:
-        log.leader = f'127.0.0.1:{PORTS[0]}'
+        log.leader = f'{control_fakes.HOST}:{PORTS[0]}'
     await task
     assert world.logs[0].catalogue.version == 1
 
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import grpclib.server
+import loopback
 
 from gentianspoke import clock
 from gentianspoke.codec import keys
@@ -21,7 +22,7 @@
 from gentianspoke.telemetry import metrics
 
 RING = keys.KeyRing(1, {1: b'k' * 32})
-HOST = '127.0.0.1'
+HOST = loopback.HOST
 LEASE_MS = 200
 
 
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 
+import loopback
 import yaml
 
 from gentianspoke.codec import catalogue as codec
@@ -22,7 +23,7 @@
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells import feed_client
 
-HOST = '127.0.0.1'
+HOST = loopback.HOST
 CALL_TIMEOUT_S = 5.0
 WAIT_AT_MOST_S = 30.0
 FRESH_MS = 1000
--- a/tests/feed/test_channel_auth.py
+++ b/tests/feed/test_channel_auth.py
@@ -4,6 +4,7 @@
 
 import grpclib
 import grpclib.server
+import loopback
 import pytest
 
 from gentianspoke import clock
@@ -14,7 +15,7 @@
 from gentianspoke.generated import feed_pb2
 from gentianspoke.shells import channel_auth
 
-ADDRESS = ('127.0.0.1', 31_010)
+ADDRESS = (loopback.HOST, 31_010)
 OLD, NEW, OTHER = b'o' * 32, b'n' * 32, b'x' * 32
 METHOD = '/gentianspoke.v1.Feed/Announce'
 ONLY_OLD = keys.KeyRing(1, {1: OLD})
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -16,7 +16,7 @@
 from gentianspoke.shells import process
 
 PORTS = (31_020, 31_021, 31_022)
-LEADER = f'127.0.0.1:{PORTS[0]}'
+LEADER = f'{control_fakes.HOST}:{PORTS[0]}'
 
 
 @pytest.fixture(autouse=True)
@@ -34,7 +34,7 @@
     """Takes updates as an entry does and remembers their sources."""
 
     def __init__(self, name, ports=PORTS, role=None):
-        feeds = [('127.0.0.1', port) for port in ports]
+        feeds = [(control_fakes.HOST, port) for port in ports]
         self.proc = control_fakes.make_process(name, feeds, role)
         self.version = 0
         self.views = {}
@@ -173,7 +173,9 @@
             await control_fakes.until(lambda: 1 in consumer.views)
             before = consumer.views[1].order
             old.log.is_leader = False
-            old.log.leader = new.log.leader = f'127.0.0.1:{PORTS[1]}'
+            old.log.leader = new.log.leader = (
+                f'{control_fakes.HOST}:{PORTS[1]}'
+            )
             old.log.term = new.log.term = 2
             new.log.is_leader = True
             announce(new, 1)
@@ -192,7 +194,7 @@
             control = controls[PORTS.index(port)]
             await control_fakes.until(lambda: control.hub.source.views)
             await feed.follow(
-                ('127.0.0.1', port), lambda: not consumer.confirmed
+                (control_fakes.HOST, port), lambda: not consumer.confirmed
             )
             assert len(consumer.orders) == expected
 
@@ -229,7 +231,7 @@
         await asyncio.sleep(0.1)
         for control in controls:
             control.log.is_leader = control is new
-            control.log.leader = f'127.0.0.1:{PORTS[2]}'
+            control.log.leader = f'{control_fakes.HOST}:{PORTS[2]}'
             control.log.term = 2
         announce(new, 1)
         await control_fakes.until(
