--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -25,6 +25,7 @@
 HOST = '127.0.0.1'
 CALL_TIMEOUT_S = 5.0
 WAIT_AT_MOST_S = 30.0
+FRESH_MS = 1000
 SOURCES = pathlib.Path(__file__).parent.parent / 'src'
 
 
@@ -47,7 +48,7 @@
         keys = pathlib.Path(self.key_path)
         keys.touch(mode=0o600)
         keys.write_text(yaml.safe_dump({'active': 1, 'keys': [key]}))
-        self._ring = key_file.load(self.key_path)
+        self.ring = key_file.load(self.key_path)
         names = [f'control-{position}' for position in range(size)]
         for position, name in enumerate(names):
             self.addresses[name] = (HOST, base_port + position)
@@ -92,6 +93,19 @@
                 env=environment(),
                 stderr=asyncio.subprocess.PIPE,
             )
+        for name in names or tuple(self.addresses):
+            await self._await_listening(name)
+
+    async def _await_listening(self, name):
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while self.running[name].returncode is None:
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection(
+                        *self.addresses[name]
+                    )
+                    writer.close()
+                    return
+                await asyncio.sleep(0.05)
 
     async def kill(self, name):
         """Kill an instance at once."""
@@ -118,7 +132,7 @@
     async def call(self, name, stub, method, message):
         """Call an instance; raises like a channel that fails."""
         async with channel_auth.open_channel(
-            self.addresses[name], lambda: self._ring, 'test'
+            self.addresses[name], lambda: self.ring, 'test'
         ) as channel:
             ask = getattr(stub(channel), method)
             return await ask(message, timeout=CALL_TIMEOUT_S)
@@ -172,6 +186,16 @@
             name, 'Members', replica_pb2.MembersRequest()
         )
 
+    async def confirmed(self, name):
+        """Wait until a majority has just confirmed an instance."""
+        async with asyncio.timeout(WAIT_AT_MOST_S):
+            while True:
+                with contextlib.suppress(*feed_client.CHANNEL_ERRORS):
+                    reply = await self.status(name)
+                    if reply.confirmed_age_ms < FRESH_MS:
+                        return
+                await asyncio.sleep(0.05)
+
     async def voters(self, count, name):
         """Wait until an instance knows of so many voters."""
         async with asyncio.timeout(WAIT_AT_MOST_S):
@@ -229,6 +253,7 @@
         """Listen on ``address`` once it is run."""
         self.address = address
         self.lost = ''
+        self.passed = 0
 
     @contextlib.asynccontextmanager
     async def run(self, target):
@@ -255,5 +280,6 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(65_536):
                 if self.lost != way:
+                    self.passed += len(data)
                     writer.write(data)
         writer.close()
