--- a/src/gentianspoke/decisions/timeline/context.py
+++ b/src/gentianspoke/decisions/timeline/context.py
@@ -4,9 +4,10 @@
 
 from gentianspoke.decisions.timeline import events
 
-# How long before a failure an event may still explain it. Wall clocks of
-# several instances differ by far less.
+# How long before a failure an event may still explain it, and how far the
+# wall clocks of two instances are expected to differ at most.
 RECENT_MS = 30_000
+SKEW_MS = 1_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,4 +107,6 @@
 
 
 def _recent(then_ms: int | None, now_ms: int) -> bool:
-    return then_ms is not None and abs(now_ms - then_ms) <= RECENT_MS
+    # In causal order a later event of an instance that no message connects
+    # may come first; it explains nothing.
+    return then_ms is not None and (-SKEW_MS <= now_ms - then_ms <= RECENT_MS)
--- a/tests/timeline/test_explaining.py
+++ b/tests/timeline/test_explaining.py
@@ -179,6 +179,17 @@
     assert evidence in failure.finding.evidence
 
 
+def test_what_came_later_by_far_is_no_evidence():
+    explainer = explaining.Explainer()
+    later = {'instance': 'agent-2', 'wall_ms': 9_000}
+    for _ in range(2):
+        syncing = events.ProcessSyncing()
+        explainer.take(event_builders.event(syncing, **later))
+    explainer.take(event_builders.event(SILENT, flow=FLOW, wall_ms=5_000))
+    (failure,) = explainer.finish()
+    assert 'agent-2' not in ' '.join(failure.finding.evidence)
+
+
 def test_missing_evidence_is_said_to_be_unknown():
     (failure,) = explain(SILENT).finish()
     assert 'the agent gave no down_repeats' in failure.finding.unknown
