--- a/tests/telemetry/test_alerts_page.py
+++ b/tests/telemetry/test_alerts_page.py
@@ -1,5 +1,6 @@
 """The page on metrics names what the processes serve, and all of it."""
 
+import ast
 import pathlib
 import re
 
@@ -12,7 +13,7 @@
 SHELLS = sorted((ROOT / 'src/gentianspoke/shells').rglob('*.py'))
 # Series that a Prometheus histogram consists of.
 HISTOGRAM_SUFFIXES = r'_(count|bucket|sum)$'
-GAUGE = re.compile(r"(?:set_gauge|gauges)\(\s*'([a-z_]+)'")
+GAUGE = re.compile('[a-z_]+')
 
 
 def served_metrics():
@@ -23,8 +24,23 @@
 
 def served_gauges():
     """Return the names of all current counts that the shells set."""
+    names = set()
+    for path in SHELLS:
+        for node in ast.walk(ast.parse(path.read_text())):
+            match node:
+                case ast.FunctionDef(name='_set_gauges'):
+                    names |= texts_in(node)
+    return names - {'name'}
+
+
+def texts_in(function):
+    """Return the names among the texts that a function holds."""
     return {
-        name for path in SHELLS for name in GAUGE.findall(path.read_text())
+        item.value
+        for item in ast.walk(function)
+        if isinstance(item, ast.Constant)
+        and isinstance(item.value, str)
+        and GAUGE.fullmatch(item.value)
     }
 
 
