Bound the events of a second and what foreign lines can do

Cause: every refusal wrote an event, so that a flood of openings made a flood of log lines; a control character in a log moved the reader's cursor, and a surrogate in one ended timeline with a traceback.

Conclusion: at most 500 events of a kind in a second are written, the rest is told as events-omitted, which explain names as a doubt; texts of logs are escaped on the terminal.

--- a/src/gentianspoke/commands/explain.py
+++ b/src/gentianspoke/commands/explain.py
@@ -6,6 +6,7 @@
 
 import cappa
 
+from gentianspoke.commands import printing
 from gentianspoke.commands import timeline
 from gentianspoke.decisions.timeline import explaining
 from gentianspoke.telemetry import event_files
@@ -83,34 +84,38 @@
     if len(failures) > limit:
         print(f'{len(failures) - limit} more flows; raise --limit to see them')
     for doubt in doubts:
-        print(f'unknown: {doubt}')
+        _print_line(f'unknown: {doubt}')
+
+
+def _print_line(text: str) -> None:
+    print(printing.printable(text))
 
 
 def _print_summary(summary: explaining.ServiceSummary) -> None:
     share = summary.share_permille / PERMILLE_PER_PERCENT
-    print(
+    _print_line(
         f'service {summary.service}: {summary.failures} flows failed,'
         f' {summary.not_run} of them refused as not run;'
         f' at fault: {summary.verdict} ({share:.1f}%)'
     )
     for (fault, reason), count in summary.reasons.most_common(REASONS_SHOWN):
-        print(f'  {count:>8}  {fault:<9} {reason}')
+        _print_line(f'  {count:>8}  {fault:<9} {reason}')
 
 
 def _print_failure(failure: explaining.Failure) -> None:
     finding = failure.finding
-    print(
+    _print_line(
         f'flow {failure.flow} ({failure.service})'
         f' at {timeline.format_time(failure.first_wall_ms)}:'
         f' {finding.outcome.value}; at fault: {failure.fault}'
         f' ({finding.reason})'
     )
     told_by = ', '.join(sorted(failure.instances))
-    print(f'    told by {told_by} in {failure.events} events')
+    _print_line(f'    told by {told_by} in {failure.events} events')
     for text in finding.evidence:
-        print(f'    evidence: {text}')
+        _print_line(f'    evidence: {text}')
     for text in finding.unknown:
-        print(f'    unknown: {text}')
+        _print_line(f'    unknown: {text}')
 
 
 def _print_json(
--- a/src/gentianspoke/commands/timeline.py
+++ b/src/gentianspoke/commands/timeline.py
@@ -9,6 +9,7 @@
 
 import cappa
 
+from gentianspoke.commands import printing
 from gentianspoke.decisions.timeline import events
 from gentianspoke.decisions.timeline import filtering
 from gentianspoke.decisions.timeline import merging
@@ -67,7 +68,7 @@
             parse_time('--until', self.until),
         )
         counts = event_files.ReadCounts()
-        show = _json_line if self.as_json else _table_line
+        show = _json_line if self.as_json else table_line
         for event in merged_events(self.files, counts):
             if filtering.keeps(chosen, event):
                 print(show(event))
@@ -125,7 +126,8 @@
     return moment.strftime('%Y-%m-%dT%H:%M:%S.') + f'{wall_ms % MS_PER_S:03}Z'
 
 
-def _table_line(event: events.Event) -> str:
+def table_line(event: events.Event) -> str:
+    """Return an event as a line of the table."""
     columns = [
         format_time(event.wall_ms),
         f'{event.logical:>8}',
@@ -134,7 +136,7 @@
     ]
     columns += [item for item in (event.service, event.flow) if item]
     columns += [f'{name}={value}' for name, value in event.fields]
-    return ' '.join(columns).rstrip()
+    return printing.printable(' '.join(columns).rstrip())
 
 
 def _json_line(event: events.Event) -> str:
--- a/src/gentianspoke/decisions/timeline/events.py
+++ b/src/gentianspoke/decisions/timeline/events.py
@@ -69,6 +69,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventsOmitted:
+    """More events of a kind came in a second than a process writes."""
+
+    kind: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamDraining:
     """The upstream said that it drains."""
@@ -121,6 +129,7 @@
     | ControlIsolated
     | ControlConfirmed
     | FeedLost
+    | EventsOmitted
     | UpstreamDraining
     | StopGraceOver
     | FlowRefused
--- a/src/gentianspoke/decisions/timeline/explaining.py
+++ b/src/gentianspoke/decisions/timeline/explaining.py
@@ -75,12 +75,16 @@
         """Begin without a failure."""
         self.context = context.Context()
         self.failures: list[Failure] = []
+        self._omitted: collections.Counter[str] = collections.Counter()
         self._latest: dict[str, Failure] = {}
         self._services: dict[str, str] = {}
 
     def take(self, event: events.Event) -> None:
         """Take the next event."""
         context.take(self.context, event)
+        match event.body:
+            case events.EventsOmitted(count=count):
+                self._omitted[event.instance] += count
         if event.flow and event.service:
             self._services[_endpoint(event.flow)] = event.service
         finding = blame.find(event, self.context)
@@ -107,12 +111,16 @@
 
     def unknown(self) -> list[str]:
         """Return what the events leave open for all flows."""
-        return [
+        ended = [
             f'{name} ended without a planned stop; its last events before'
             ' that may be missing'
             for name, around in sorted(self.context.instances.items())
             if around.crashed_ms is not None
         ]
+        return ended + [
+            f'{name} had too much to tell: {count} events were not written'
+            for name, count in sorted(self._omitted.items())
+        ]
 
     def _add(self, event: events.Event, finding: blame.Finding) -> None:
         failure = Failure(
--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -1,5 +1,6 @@
 """JSON-lines logs through loguru; events are log lines with a clock."""
 
+import collections
 import json
 import pathlib
 import sys
@@ -10,6 +11,10 @@
 
 from gentianspoke import clock
 
+# Events of one kind that a process writes in a second; an overload must
+# not be made worse by its own log.
+EVENTS_AT_MOST = 500
+WINDOW_MS = 1_000
 # Read from the end of the log to find the last logical clock in it.
 TAIL_BYTES = 65_536
 
@@ -85,6 +90,8 @@
         """Begin the logical clock of a process after ``logical``."""
         self.logical = logical
         self._clock = time
+        self._window_ms = time.now()
+        self._written: collections.Counter[str] = collections.Counter()
         self._logger = loguru.logger.bind(instance=instance, role=role)
 
     def observe(self, logical: int) -> None:
@@ -101,7 +108,31 @@
         """Write one event; ``fields`` is the evidence for it.
 
         Kinds and their fields are defined in ``schema/models/event.json``.
+        More than ``EVENTS_AT_MOST`` of a kind in a second are not
+        written, but counted in an event of the next second.
         """
+        if self._clock.now() - self._window_ms >= WINDOW_MS:
+            self._begin_window()
+        self._written[event] += 1
+        if self._written[event] <= EVENTS_AT_MOST:
+            self._write(event, service, flow, fields)
+
+    def _begin_window(self) -> None:
+        written, self._written = self._written, collections.Counter()
+        self._window_ms = self._clock.now()
+        for kind, count in written.items():
+            if count > EVENTS_AT_MOST:
+                self.write(
+                    'events-omitted', kind=kind, count=count - EVENTS_AT_MOST
+                )
+
+    def _write(
+        self,
+        event: str,
+        service: str,
+        flow: str,
+        fields: dict[str, str | int | float | bool],
+    ) -> None:
         self.logical += 1
         self._logger.bind(
             event=event,
--- a/tests/telemetry/test_events.py
+++ b/tests/telemetry/test_events.py
@@ -71,6 +71,23 @@
     assert event.body.verdict.evidence == (('unanswered_ms', 9), ('view', 4))
 
 
+def test_a_flood_of_events_is_bounded_and_counted(tmp_path):
+    path = tmp_path / 'agent-1.jsonl'
+    logs.configure(str(path), 'INFO')
+    time = clock.ManualClock(5)
+    log = logs.EventLog('agent-1', 'agent', time)
+    for _ in range(logs.EVENTS_AT_MOST + 7):
+        log.write('flow-refused', reason='no-capacity')
+    log.write('process-serving')
+    time.advance(logs.WINDOW_MS)
+    log.write('flow-refused', reason='no-capacity')
+    (stream,) = event_files.open_streams([str(path)], event_files.ReadCounts())
+    *_, serving, omitted, refused = stream
+    assert serving.logical == logs.EVENTS_AT_MOST + 1
+    assert omitted.body == events.EventsOmitted('flow-refused', 7)
+    assert refused.kind == 'flow-refused'
+
+
 @pytest.mark.parametrize(
     ('kind', 'fields'),
     [
--- /dev/null
+++ b/tests/telemetry/test_foreign_lines.py
@@ -0,0 +1,61 @@
+"""Whatever stands in a log file, reading it raises nothing unforeseen."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from gentianspoke.commands import printing
+from gentianspoke.commands import timeline
+from gentianspoke.telemetry import event_lines
+
+TEXTS = st.text(max_size=20)
+VALUES = st.one_of(
+    TEXTS,
+    st.integers(),
+    st.floats(),
+    st.booleans(),
+    st.none(),
+    st.lists(TEXTS),
+)
+LINES = st.fixed_dictionaries(
+    {
+        'event': st.sampled_from([*event_lines.MODELS, 'other']) | VALUES,
+        'instance': TEXTS | VALUES,
+        'role': TEXTS,
+        'logical': st.integers(min_value=0) | VALUES,
+        'wall_ms': st.integers() | VALUES,
+    },
+    optional={
+        'flow': TEXTS | VALUES,
+        'fields': st.dictionaries(
+            st.sampled_from(['outcome', 'fault', 'reason', 'version']), VALUES
+        ),
+    },
+)
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(st.text() | st.builds(json.dumps, LINES))
+def test_a_line_is_an_event_or_refused(line):
+    try:
+        event = event_lines.decode(line)
+    except ValueError:
+        return
+    if event is not None:
+        assert timeline.table_line(event).isprintable()
+
+
+@pytest.mark.parametrize(
+    ('text', 'shown'),
+    [
+        ('no answer', 'no answer'),
+        ('two\nlines', 'two\\nlines'),
+        ('\x1b[2J', '\\x1b[2J'),
+        ('\ud800', '\\ud800'),
+        ('Montevideo é', 'Montevideo é'),
+    ],
+)
+def test_texts_of_logs_are_shown_as_one_line(text, shown):
+    assert printing.printable(text) == shown
--- a/tests/timeline/test_explaining.py
+++ b/tests/timeline/test_explaining.py
@@ -200,6 +200,11 @@
     assert 'agent-1 ended without a planned stop' in explainer.unknown()[0]
 
 
+def test_omitted_events_leave_a_doubt():
+    explainer = explain(events.EventsOmitted('flow-refused', 7))
+    assert '7 events were not written' in explainer.unknown()[0]
+
+
 def test_failures_are_summed_for_each_service():
     explainer = explaining.Explainer()
     for port, service in ((1, 'booking'), (2, 'booking'), (3, '')):
