--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -8,6 +8,7 @@
 from gentianspoke.codec import ip
 from gentianspoke.config import settings
 from gentianspoke.config import units
+from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
@@ -85,6 +86,10 @@
             case actions.Refuse(packet=refused, reason=reason):
                 self._sock.send(ip.reset_for(refused), sender)
                 counts.refused[reason] += 1
+                flow = packets.describe_key(refused.key)
+                self._proc.events.write(
+                    'flow-refused', flow=flow, reason=reason
+                )
             case actions.Drop(reason=reason):
                 counts.dropped[reason] += 1
 
