--- a/src/gentianspoke/commands/explain.py
+++ b/src/gentianspoke/commands/explain.py
@@ -9,6 +9,7 @@
 from gentianspoke.commands import printing
 from gentianspoke.commands import timeline
 from gentianspoke.decisions.timeline import explaining
+from gentianspoke.decisions.timeline import filtering
 from gentianspoke.telemetry import event_files
 
 FLOWS_SHOWN = 20
@@ -29,6 +30,8 @@
         str,
         cappa.Arg(long='--flow', help='Only flows whose text contains this.'),
     ] = ''
+    since: timeline.Since = ''
+    until: timeline.Until = ''
     limit: typing.Annotated[
         int, cappa.Arg(long='--limit', help='Most flows to show.')
     ] = FLOWS_SHOWN
@@ -36,6 +39,8 @@
 
     def __call__(self) -> None:
         """Print the sum for each service, then the flows, then doubts."""
+        since_ms = timeline.parse_time('--since', self.since)
+        until_ms = timeline.parse_time('--until', self.until)
         counts = event_files.ReadCounts()
         explainer = explaining.Explainer()
         for event in timeline.merged_events(self.files, counts):
@@ -44,6 +49,7 @@
             failure
             for failure in explainer.finish()
             if self._is_chosen(failure)
+            and filtering.is_within(failure.first_wall_ms, since_ms, until_ms)
         ]
         doubts = explainer.unknown() + _doubts(counts, bool(chosen))
         show = _print_json if self.as_json else _print_text
--- a/src/gentianspoke/commands/timeline.py
+++ b/src/gentianspoke/commands/timeline.py
@@ -25,6 +25,18 @@
 AsJson = typing.Annotated[
     bool, cappa.Arg(long='--json', help='Print JSON lines.')
 ]
+Since = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--since', help='From this time on, such as 2026-12-04T11:05Z'
+    ),
+]
+Until = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--until', help='Before this time, such as 2026-12-04T11:06Z'
+    ),
+]
 
 
 def _option(name: str, text: str) -> typing.Any:
@@ -49,12 +61,8 @@
     event: typing.Annotated[
         str, _option('--event', 'Only events of this kind.')
     ] = ''
-    since: typing.Annotated[
-        str, _option('--since', 'From this time on, such as 2026-12-04T11:05Z')
-    ] = ''
-    until: typing.Annotated[
-        str, _option('--until', 'Before this time, such as 2026-12-04T11:06Z')
-    ] = ''
+    since: Since = ''
+    until: Until = ''
     as_json: AsJson = False
 
     def __call__(self) -> None:
--- a/src/gentianspoke/decisions/timeline/filtering.py
+++ b/src/gentianspoke/decisions/timeline/filtering.py
@@ -32,6 +32,13 @@
         return False
     if chosen.kind and chosen.kind != event.kind:
         return False
-    if chosen.since_ms is not None and event.wall_ms < chosen.since_ms:
+    return is_within(event.wall_ms, chosen.since_ms, chosen.until_ms)
+
+
+def is_within(
+    wall_ms: int, since_ms: int | None, until_ms: int | None
+) -> bool:
+    """Return whether a time is in a span; ``None`` leaves an end open."""
+    if since_ms is not None and wall_ms < since_ms:
         return False
-    return chosen.until_ms is None or event.wall_ms < chosen.until_ms
+    return until_ms is None or wall_ms < until_ms
