Specify and check the catalogue log

Cause: the log's safety rested on reading and on tests of single steps. A swap in one change does lose records. A follower that took a commit index beyond a short batch showed up in the specification itself; the code already takes the smaller of the two.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=src:. $(BIN)/python
-SOURCES = src tests tools benchmarks demo
+SOURCES = src tests tools benchmarks demo specs
 
 .PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath
 
--- /dev/null
+++ b/specs/catalogue_cases.py
@@ -0,0 +1,69 @@
+"""Bounds and mistakes with which the catalogue log is checked."""
+
+from specs import catalogue_log
+
+Bounds = catalogue_log.Bounds
+Mistake = catalogue_log.Mistake
+
+# Exhaustive within seconds; CI runs these.
+SMALL = {
+    'one edit': Bounds(records=2, sends_a=1, sends_b=0, crashes=0),
+    'elections and a crash': Bounds(
+        records=2, sends_a=0, sends_b=0, crashes=1
+    ),
+}
+# Exhaustive within a minute or two each; "make model" runs these too.
+LARGE = {
+    'one edit and a crash': Bounds(records=2, sends_a=1, sends_b=0),
+    'two edits and a crash': Bounds(records=2, sends_a=1),
+    'one edit over two terms': Bounds(
+        records=3, sends_a=1, sends_b=0, crashes=0
+    ),
+    'a lost disk and a new member': Bounds(
+        spares=1, losses=1, crashes=0, sends_a=0, sends_b=0, terms=1
+    ),
+}
+# A search that meets a mistake, and the property that it violates.
+MISTAKES = {
+    Mistake.ANSWER_BEFORE_MAJORITY: (
+        Bounds(),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.NO_SYNC_BEFORE_REPLY: (
+        Bounds(sends_a=1),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.VOTE_NOT_SYNCED: (
+        Bounds(terms=1),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.VOTE_IGNORES_LOG: (Bounds(), 'leader-has-what-was-committed'),
+    Mistake.COMMIT_OLD_TERM: (
+        Bounds(terms=4, sends_a=0, sends_b=0, short_batches=True, crashes=0),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.WIPED_KEEPS_IDENTITY: (
+        Bounds(losses=1, crashes=0),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.SWAP_IN_ONE_CHANGE: (
+        Bounds(spares=1, crashes=0, sends_a=1, sends_b=0),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.TWO_CHANGES_AT_ONCE: (
+        Bounds(spares=1, crashes=0, sends_a=1, sends_b=0),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.ANSWERS_NOT_IN_SNAPSHOT: (
+        Bounds(records=4, terms=1, crashes=0),
+        'one-answer-per-key',
+    ),
+    Mistake.NO_ANSWERS_KEPT: (
+        Bounds(records=4, terms=1),
+        'one-answer-per-key',
+    ),
+    Mistake.RACE_BOTH_WIN: (
+        Bounds(records=4, terms=1),
+        'one-winner-per-version',
+    ),
+}
--- /dev/null
+++ b/specs/catalogue_log.py
@@ -0,0 +1,426 @@
+"""The catalogue log: votes, appends, commits, answers, replacement.
+
+A few control instances keep one log. Two operators send edits A and B on
+the same version of one entry; A is sent again after its answer was lost.
+An exchange between two instances is one step, with its reply kept or
+lost; one append may be kept back and come late, or twice. An instance
+crashes and returns with what it had synced; one that loses its disk stays
+away, and a spare joins under a new identity.
+
+The verdicts are the code's own: ``groups.Group`` for majorities and the
+commit index, ``catalogue.Catalogue`` for the answers to edits.
+
+Properties: what an operator was told stays so. Committed logs agree and
+every leader of the newest term has what was committed; a version has one
+winner; a key has one answer.
+"""
+
+import itertools
+
+from specs import catalogue_state as states
+from specs import checking
+
+Bounds = states.Bounds
+Kind = states.Kind
+Mistake = states.Mistake
+Node = states.Node
+Record = states.Record
+State = states.State
+Steps = list[checking.Step]
+
+
+class CatalogueLog:
+    """The specification, with one rule left out where ``mistake`` is set."""
+
+    name = 'catalogue-log'
+    fields = State._fields
+
+    def __init__(
+        self, bounds: Bounds = Bounds(), mistake: Mistake | None = None
+    ) -> None:
+        """Begin with empty logs and no leader."""
+        self.bounds = bounds
+        self.mistake = mistake
+        count = bounds.voters + bounds.spares
+        self.numbers = range(count)
+        self.first = tuple(range(bounds.voters))
+        nodes = (Node(matches=(0,) * count),) * count
+        self.initial = State(
+            nodes,
+            (),
+            (),
+            frozenset(),
+            bounds.crashes,
+            bounds.losses,
+            bounds.delays,
+        )
+        self.invariants = {
+            'committed-logs-agree': self._committed_logs_agree,
+            'leader-has-what-was-committed': self._leader_is_complete,
+            'one-winner-per-version': _one_winner,
+            'one-answer-per-key': _one_answer,
+        }
+
+    def successors(self, state: tuple) -> Steps:
+        """Return every step that may follow."""
+        now = State(*state)
+        found: Steps = []
+        for number in self.numbers:
+            if now.nodes[number].up:
+                found.extend(self._steps_of(now, number))
+            elif not now.nodes[number].lost:
+                found.append(self._restart(now, number))
+        found.extend(self._late_append(now))
+        return found
+
+    def _steps_of(self, state: State, number: int) -> Steps:
+        found = self._elections(state, number)
+        if state.nodes[number].leads:
+            found.extend(self._proposals(state, number))
+            found.extend(self._appends(state, number))
+        if state.crashes:
+            found.append(self._crash(state, number))
+        if state.losses and self._may_lose(state, number):
+            found.append(self._lose(state, number))
+        if self.mistake is Mistake.ANSWERS_NOT_IN_SNAPSHOT:
+            found.extend(self._compact(state, number))
+        return found
+
+    def _voters(self, node: Node) -> tuple[int, ...]:
+        return states.voters_of(node.log, self.first)
+
+    def _elections(self, state: State, number: int) -> Steps:
+        node = state.nodes[number]
+        if node.term >= self.bounds.terms or node.leads:
+            return []
+        voters = self._voters(node)
+        if number not in voters:
+            return []
+        term = node.term + 1
+        willing = [
+            other
+            for other in voters
+            if other != number and self._grants(state, other, number, term)
+        ]
+        found: Steps = []
+        for size in range(len(willing) + 1):
+            for granting in itertools.combinations(willing, size):
+                found.append(self._elect(state, number, term, granting))
+        return found
+
+    def _grants(
+        self, state: State, number: int, candidate: int, term: int
+    ) -> bool:
+        node = state.nodes[number]
+        if not node.up or node.term > term:
+            return False
+        if node.term == term and node.voted not in (states.NOBODY, candidate):
+            return False
+        if self.mistake is Mistake.VOTE_IGNORES_LOG:
+            return True
+        return _place(state.nodes[candidate].log) >= _place(node.log)
+
+    def _elect(
+        self,
+        state: State,
+        number: int,
+        term: int,
+        granting: tuple[int, ...],
+    ) -> checking.Step:
+        nodes = list(state.nodes)
+        for voter in (number, *granting):
+            nodes[voter] = _vote(nodes[voter], term, number, self.mistake)
+        voters = states.group_of(self._voters(nodes[number]))
+        wins = voters.is_majority({number, *granting})
+        if wins:
+            nodes[number] = nodes[number]._replace(
+                leads=True, matches=(0,) * len(nodes)
+            )
+            nodes[number] = self._append_own(
+                nodes[number], number, Record(term, Kind.NO_OP)
+            )
+        label = f'{number} stands in term {term}, votes {granting}'
+        return label, state._replace(nodes=tuple(nodes))
+
+    def _append_own(self, node: Node, number: int, record: Record) -> Node:
+        log = (*node.log, record)
+        matches = _set(node.matches, number, len(log))
+        return node._replace(log=log, synced=len(log), matches=matches)
+
+    def _proposals(self, state: State, number: int) -> Steps:
+        node = state.nodes[number]
+        if len(node.log) >= self.bounds.records:
+            return []
+        found: Steps = []
+        most = {
+            Kind.EDIT_A: self.bounds.sends_a,
+            Kind.EDIT_B: self.bounds.sends_b,
+        }
+        for kind, sends in most.items():
+            if sum(item.kind == kind for item in node.log) < sends:
+                record = Record(node.term, kind)
+                label = f'{number} takes {kind.name}'
+                found.append(self._propose(state, number, record, label))
+        found.extend(self._changes(state, number))
+        return found
+
+    def _changes(self, state: State, number: int) -> Steps:
+        node = state.nodes[number]
+        pending = any(
+            item.kind == Kind.VOTERS for item in node.log[node.commit :]
+        )
+        if pending and self.mistake is not Mistake.TWO_CHANGES_AT_ONCE:
+            return []
+        own_term = node.commit and node.log[node.commit - 1].term == node.term
+        if not own_term and self.mistake is not Mistake.TWO_CHANGES_AT_ONCE:
+            return []
+        voters = self._voters(node)
+        found: Steps = []
+        for other in self.numbers:
+            if other in voters and other != number and len(voters) > 1:
+                changed = tuple(item for item in voters if item != other)
+            elif self._may_join(state, number, other, voters):
+                changed = tuple(sorted((*voters, other)))
+                if self.mistake is Mistake.SWAP_IN_ONE_CHANGE:
+                    out = next(item for item in voters if item != number)
+                    changed = tuple(item for item in changed if item != out)
+            else:
+                continue
+            record = Record(node.term, Kind.VOTERS, changed)
+            label = f'{number} sets the voters {changed}'
+            found.append(self._propose(state, number, record, label))
+        return found
+
+    def _may_join(
+        self, state: State, number: int, other: int, voters: tuple[int, ...]
+    ) -> bool:
+        if other in voters or other < self.bounds.voters:
+            return False
+        node = state.nodes[number]
+        return node.matches[other] >= node.commit
+
+    def _propose(
+        self, state: State, number: int, record: Record, label: str
+    ) -> checking.Step:
+        node = self._append_own(state.nodes[number], number, record)
+        after = _with_node(state, number, node)
+        if self.mistake is Mistake.ANSWER_BEFORE_MAJORITY:
+            after = self._tell(after, node._replace(commit=len(node.log)))
+        return label, self._commit(after, number)
+
+    def _appends(self, state: State, number: int) -> Steps:
+        found: Steps = []
+        for other in self.numbers:
+            if other == number or not state.nodes[other].up:
+                continue
+            for message in self._batches(state.nodes[number], number):
+                taken = self._take(state, other, message)
+                label = f'{number} sends {len(message[2])} records to {other}'
+                found.append((f'{label}, reply lost', taken))
+                replied = self._reply(taken, number, other, len(message[2]))
+                found.append((label, replied))
+        if state.delays and not state.delayed:
+            message = _message(state.nodes[number], number)
+            kept = state._replace(delayed=message, delays=state.delays - 1)
+            found.append((f'an append of {number} is delayed', kept))
+        return found
+
+    def _batches(self, node: Node, number: int) -> list[tuple]:
+        found = [_message(node, number)]
+        if self.bounds.short_batches and len(node.log) > 1:
+            short = node._replace(log=node.log[:-1])
+            found.append(_message(short, number))
+        return found
+
+    def _late_append(self, state: State) -> Steps:
+        if not state.delayed:
+            return []
+        found: Steps = [
+            ('the late append is lost', state._replace(delayed=()))
+        ]
+        for other in self.numbers:
+            if state.nodes[other].up and other != state.delayed[0]:
+                taken = self._take(state, other, state.delayed)
+                label = f'the late append of {state.delayed[0]} comes to'
+                found.append((f'{label} {other}', taken))
+        return found
+
+    def _take(self, state: State, number: int, message: tuple) -> State:
+        sender, term, log, commit = message
+        node = state.nodes[number]
+        if node.term > term or (node.leads and node.term == term):
+            return state
+        if node.term < term:
+            node = node._replace(
+                term=term, voted=states.NOBODY, synced_voted=states.NOBODY
+            )
+        merged = _merge(node.log, log)
+        synced = len(merged)
+        if self.mistake is Mistake.NO_SYNC_BEFORE_REPLY:
+            synced = min(node.synced, len(merged))
+        node = node._replace(
+            leads=False,
+            log=merged,
+            synced=synced,
+            commit=max(node.commit, min(commit, len(log))),
+        )
+        return _with_durable(_with_node(state, number, node), node)
+
+    def _reply(
+        self, state: State, leader: int, number: int, count: int
+    ) -> State:
+        node = state.nodes[leader]
+        follower = state.nodes[number]
+        if follower.term > node.term:
+            stepped = node._replace(
+                term=follower.term,
+                voted=states.NOBODY,
+                synced_voted=states.NOBODY,
+                leads=False,
+            )
+            return _with_node(state, leader, stepped)
+        known = max(count, node.matches[number])
+        node = node._replace(matches=_set(node.matches, number, known))
+        return self._commit(_with_node(state, leader, node), leader)
+
+    def _commit(self, state: State, number: int) -> State:
+        node = state.nodes[number]
+        group = states.group_of(self._voters(node))
+        agreed = group.majority_value(dict(enumerate(node.matches)), 0)
+        if agreed <= node.commit:
+            return state
+        old = node.log[agreed - 1].term != node.term
+        if old and self.mistake is not Mistake.COMMIT_OLD_TERM:
+            return state
+        node = node._replace(commit=agreed)
+        return self._tell(_with_node(state, number, node), node)
+
+    def _tell(self, state: State, node: Node) -> State:
+        log = node.log[: node.commit]
+        given = states.answers_after(log, node.dropped, self.mistake)
+        told = {
+            (int(kind), answer.accepted, answer.version)
+            for kind, answer in given.items()
+        }
+        state = state._replace(answers=state.answers | told)
+        return _with_durable(state, node)
+
+    def _crash(self, state: State, number: int) -> checking.Step:
+        node = state.nodes[number]
+        node = node._replace(
+            up=False,
+            leads=False,
+            log=node.log[: node.synced],
+            commit=0,
+            voted=node.synced_voted,
+            matches=(0,) * len(state.nodes),
+        )
+        after = _with_node(state, number, node)
+        return f'{number} crashes', after._replace(crashes=state.crashes - 1)
+
+    def _restart(self, state: State, number: int) -> checking.Step:
+        node = state.nodes[number]._replace(up=True)
+        return f'{number} returns', _with_node(state, number, node)
+
+    def _may_lose(self, state: State, number: int) -> bool:
+        """Return whether the voters can do without one more disk.
+
+        The voters are those of the newest committed change: a repair
+        counts from the moment at which it is committed.
+        """
+        voters = states.voters_of(state.durable, self.first)
+        if number not in voters:
+            return False
+        gone = sum(state.nodes[item].lost for item in voters) + 1
+        return gone <= (len(voters) - 1) // 2
+
+    def _lose(self, state: State, number: int) -> checking.Step:
+        blank = Node(up=False, lost=True, matches=(0,) * len(state.nodes))
+        if self.mistake is Mistake.WIPED_KEEPS_IDENTITY:
+            blank = blank._replace(lost=False)
+        after = _with_node(state, number, blank)
+        label = f'{number} loses its disk'
+        return label, after._replace(losses=state.losses - 1)
+
+    def _compact(self, state: State, number: int) -> Steps:
+        node = state.nodes[number]
+        if not node.commit or node.dropped:
+            return []
+        compacted = node._replace(dropped=node.commit)
+        label = f'{number} makes a snapshot'
+        return [(label, _with_node(state, number, compacted))]
+
+    def _committed_logs_agree(self, state: dict) -> bool:
+        durable = state['durable']
+        return all(
+            _agree(node.log[: node.commit], durable) for node in state['nodes']
+        )
+
+    def _leader_is_complete(self, state: dict) -> bool:
+        newest = max(node.term for node in state['nodes'])
+        durable = state['durable']
+        return all(
+            node.log[: len(durable)] == durable
+            for node in state['nodes']
+            if node.leads and node.term == newest
+        )
+
+
+def _one_winner(state: dict) -> bool:
+    winners = [
+        kind
+        for kind, accepted, version in state['answers']
+        if accepted and version
+    ]
+    return len(set(winners)) <= 1
+
+
+def _one_answer(state: dict) -> bool:
+    kinds = [kind for kind, _, _ in state['answers']]
+    return len(kinds) == len(set(kinds))
+
+
+def _vote(
+    node: Node, term: int, candidate: int, mistake: Mistake | None
+) -> Node:
+    synced = candidate
+    if mistake is Mistake.VOTE_NOT_SYNCED:
+        synced = states.NOBODY
+    return node._replace(
+        term=term, voted=candidate, synced_voted=synced, leads=False
+    )
+
+
+def _place(log: states.Log) -> tuple[int, int]:
+    return (log[-1].term if log else 0, len(log))
+
+
+def _message(node: Node, number: int) -> tuple:
+    return (number, node.term, node.log, node.commit)
+
+
+def _merge(known: states.Log, sent: states.Log) -> states.Log:
+    """Return a log after an append: only a conflict cuts off records."""
+    if known[: len(sent)] == sent:
+        return known
+    return sent
+
+
+def _agree(first: states.Log, second: states.Log) -> bool:
+    shared = min(len(first), len(second))
+    return first[:shared] == second[:shared]
+
+
+def _with_node(state: State, number: int, node: Node) -> State:
+    return state._replace(nodes=_set(state.nodes, number, node))
+
+
+def _with_durable(state: State, node: Node) -> State:
+    committed = node.log[: node.commit]
+    if len(committed) <= len(state.durable):
+        return state
+    return state._replace(durable=committed)
+
+
+def _set(items: tuple, position: int, item: object) -> tuple:
+    return (*items[:position], item, *items[position + 1 :])
--- /dev/null
+++ b/specs/catalogue_state.py
@@ -0,0 +1,163 @@
+"""States of the catalogue log's specification, and what records lead to."""
+
+import dataclasses
+import enum
+import functools
+import typing
+
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control.replica import group as groups
+
+NOBODY = -1
+
+
+class Kind(enum.IntEnum):
+    """What a record holds; a change of voters is its set of voters."""
+
+    NO_OP = 0
+    EDIT_A = 1
+    EDIT_B = 2
+    VOTERS = 3
+
+
+class Mistake(enum.Enum):
+    """A rule that the specification leaves out, to see it missed."""
+
+    ANSWER_BEFORE_MAJORITY = 'answer before a majority has the record'
+    NO_SYNC_BEFORE_REPLY = 'reply before the record is synced'
+    VOTE_NOT_SYNCED = 'a vote that a crash forgets'
+    VOTE_IGNORES_LOG = 'a vote for a log that is behind'
+    COMMIT_OLD_TERM = 'commit a record of an older term by counting'
+    WIPED_KEEPS_IDENTITY = 'a wiped member votes under its old identity'
+    SWAP_IN_ONE_CHANGE = 'one change takes a voter out and another one in'
+    TWO_CHANGES_AT_ONCE = 'a change of voters before the last is committed'
+    ANSWERS_NOT_IN_SNAPSHOT = 'a snapshot without the answers'
+    NO_ANSWERS_KEPT = 'an edit that is sent again is applied again'
+    RACE_BOTH_WIN = 'an edit is accepted on any version'
+
+
+class Record(typing.NamedTuple):
+    """One place of the log."""
+
+    term: int
+    kind: int
+    voters: tuple[int, ...] = ()
+
+
+Log = tuple[Record, ...]
+
+
+class Node(typing.NamedTuple):
+    """One control instance; ``synced`` counts its durable records.
+
+    ``dropped`` counts the records whose answers a snapshot has lost.
+    """
+
+    up: bool = True
+    lost: bool = False
+    term: int = 0
+    voted: int = NOBODY
+    synced_voted: int = NOBODY
+    log: Log = ()
+    synced: int = 0
+    commit: int = 0
+    dropped: int = 0
+    leads: bool = False
+    matches: tuple[int, ...] = ()
+
+
+class State(typing.NamedTuple):
+    """All instances, one message under way, and what operators heard.
+
+    ``delayed`` is an append that comes late, or empty. ``durable`` is the
+    longest log that any instance has committed. The budgets bound faults.
+    """
+
+    nodes: tuple[Node, ...]
+    delayed: tuple
+    durable: Log
+    answers: frozenset
+    crashes: int
+    losses: int
+    delays: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """How far the search goes."""
+
+    voters: int = 3
+    spares: int = 0
+    terms: int = 2
+    records: int = 3
+    sends_a: int = 2
+    sends_b: int = 1
+    crashes: int = 1
+    losses: int = 0
+    delays: int = 0
+    # Whether a batch may end before the newest record.
+    short_batches: bool = False
+
+
+@functools.lru_cache(maxsize=None)
+def group_of(voters: tuple[int, ...]) -> groups.Group:
+    """Return the code's group for a set of voters."""
+    members = (
+        groups.Member(number, f'control-{number}', '127.0.0.1:1', True)
+        for number in voters
+    )
+    return groups.Group(tuple(members))
+
+
+def voters_of(log: Log, first: tuple[int, ...]) -> tuple[int, ...]:
+    """Return the voters in force: those of the newest record about them."""
+    for record in reversed(log):
+        if record.kind == Kind.VOTERS:
+            return record.voters
+    return first
+
+
+@functools.lru_cache(maxsize=None)
+def answers_after(
+    log: Log, dropped: int, mistake: Mistake | None
+) -> dict[int, catalogue.Answer]:
+    """Return the answers that the code's catalogue gives to the edits."""
+    state = catalogue.Catalogue()
+    given: dict[int, catalogue.Answer] = {}
+    for position, record in enumerate(log):
+        if position == dropped:
+            state = _without_answers(state)
+            given = {}
+        if record.kind in (Kind.EDIT_A, Kind.EDIT_B):
+            if mistake is Mistake.NO_ANSWERS_KEPT:
+                state = _without_answers(state)
+            given[record.kind] = state.apply(_request(record.kind, mistake))
+    return given if dropped < len(log) or not dropped else {}
+
+
+def _without_answers(state: catalogue.Catalogue) -> catalogue.Catalogue:
+    kept = catalogue.Catalogue()
+    kept.restore(dataclasses.replace(state.export(), answers=()))
+    return kept
+
+
+def _request(kind: int, mistake: Mistake | None) -> catalogue.Request:
+    entry = services.Service(
+        number=0,
+        name='board',
+        owner=f'owner-{kind}',
+        address=bytes((10, 1, 0, 1)),
+        ports=(443,),
+        protocol=packets.TCP,
+        traffic=services.Board(),
+        limits=services.Limits(),
+        version=0,
+    )
+    name = 'board'
+    if mistake is Mistake.RACE_BOTH_WIN:
+        name = f'board-{kind}'
+        entry = dataclasses.replace(entry, name=name, ports=(kind,))
+    edit = catalogue.Edit(name, 0, catalogue.Put(entry))
+    return catalogue.Request(f'key-{kind}', 'operator', (edit,))
--- /dev/null
+++ b/tests/model/test_catalogue_log.py
@@ -0,0 +1,40 @@
+"""The catalogue log's specification holds, and each mistake is found."""
+
+import pytest
+
+from specs import catalogue_cases
+from specs import catalogue_log
+from specs import checking
+
+MOST_STATES = 300_000
+
+
+@pytest.mark.parametrize(
+    'bounds',
+    catalogue_cases.SMALL.values(),
+    ids=catalogue_cases.SMALL.keys(),
+)
+def test_what_an_operator_was_told_stays_so(bounds):
+    specification = catalogue_log.CatalogueLog(bounds)
+    result = checking.check(specification, MOST_STATES)
+    print(result.describe())
+    assert result.exhaustive
+    assert result.violated == ''
+
+
+@pytest.mark.parametrize(
+    ('mistake', 'bounds', 'violated'),
+    [
+        pytest.param(mistake, *found, id=mistake.name)
+        for mistake, found in catalogue_cases.MISTAKES.items()
+    ],
+)
+def test_a_rule_that_is_left_out_is_missed(mistake, bounds, violated):
+    specification = catalogue_log.CatalogueLog(bounds, mistake)
+    result = checking.find_violation(specification, MOST_STATES)
+    print(result.describe(), *result.trace, sep='\n  ')
+    assert result.violated == violated
+
+
+def test_each_mistake_has_its_case():
+    assert set(catalogue_cases.MISTAKES) == set(catalogue_log.Mistake)
