--- /dev/null
+++ b/src/gentianspoke/commands/catalogue_edits.py
@@ -0,0 +1,157 @@
+"""Subcommands by which operators edit the catalogue."""
+
+import asyncio
+import dataclasses
+import getpass
+import os
+import typing
+import uuid
+
+import cappa
+
+from gentianspoke.commands import catalogue_options as options
+from gentianspoke.commands import catalogue_output
+from gentianspoke.config import catalogue_file
+from gentianspoke.decisions.control import catalogue
+from gentianspoke import errors
+from gentianspoke.shells import catalogue_client
+
+MS_PER_S = 1000
+UNKNOWN_OPERATOR = 'unknown'
+
+Edits = tuple[catalogue.Edit, ...]
+
+
+@cappa.command(name='apply')
+@dataclasses.dataclass
+class Apply:
+    """Add or change the entries of a file, all of them or none."""
+
+    file: str
+    control: options.Control
+    key_file: options.KeyFile
+    key: options.Key = ''
+    wait: options.Wait = False
+    timeout: options.Timeout = '20s'
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print the accepted version; an edit may be sent again by key."""
+        wanted = catalogue_file.load(self.file)
+        wait_ms = options.timeout_ms(self.timeout)
+        client = options.client(self.control, self.key_file)
+        listing = asyncio.run(client.list_entries())
+        edits = tuple(
+            _put(item, listing)
+            for item in wanted
+            if self.key or _is_change(item, listing)
+        )
+        if not edits:
+            print(f'nothing to change at version {listing.version}')
+            return
+        output = catalogue_output.Output(self.as_json)
+        version = _submit(client, edits, self.key, output)
+        if self.wait:
+            _wait(client, version, wait_ms, output)
+
+
+@cappa.command(name='retire')
+@dataclasses.dataclass
+class Retire:
+    """Retire an entry: no new flow, open flows stay."""
+
+    name: str
+    control: options.Control
+    key_file: options.KeyFile
+    base_version: typing.Annotated[
+        int | None,
+        cappa.Arg(long='--base-version', help='Version it is based on.'),
+    ] = None
+    key: options.Key = ''
+    wait: options.Wait = False
+    timeout: options.Timeout = '20s'
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print the accepted version."""
+        wait_ms = options.timeout_ms(self.timeout)
+        client = options.client(self.control, self.key_file)
+        base = self.base_version
+        if base is None:
+            entry = options.entry(
+                asyncio.run(client.list_entries()), self.name
+            )
+            base = entry.version
+        edit = catalogue.Edit(self.name, base, catalogue.Retire())
+        output = catalogue_output.Output(self.as_json)
+        version = _submit(client, (edit,), self.key, output)
+        if self.wait:
+            _wait(client, version, wait_ms, output)
+
+
+def _is_change(
+    item: catalogue_file.FileEntry, listing: catalogue_client.Listing
+) -> bool:
+    current = listing.entries.get(item.service.name)
+    return item.base_version is not None or bool(
+        catalogue_output.changes(current, item.service)
+    )
+
+
+def _put(
+    item: catalogue_file.FileEntry, listing: catalogue_client.Listing
+) -> catalogue.Edit:
+    base = item.base_version
+    if base is None:
+        current = listing.entries.get(item.service.name)
+        base = current.version if current else 0
+    return catalogue.Edit(item.service.name, base, catalogue.Put(item.service))
+
+
+def _submit(
+    client: catalogue_client.CatalogueClient,
+    edits: Edits,
+    key: str,
+    output: catalogue_output.Output,
+) -> int:
+    request = catalogue.Request(
+        idempotency_key=key or uuid.uuid4().hex,
+        operator=_operator(),
+        edits=edits,
+    )
+    applied = asyncio.run(client.apply(request))
+    output.applied(applied, request.idempotency_key)
+    if not applied.answer.accepted:
+        raise errors.EditRefusedError(
+            '; '.join(
+                f'{item.name}: {item.reason}'
+                for item in applied.answer.conflicts
+            )
+        )
+    return applied.answer.version
+
+
+def _operator() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return os.environ.get('LOGNAME', UNKNOWN_OPERATOR)
+
+
+def _wait(
+    client: catalogue_client.CatalogueClient,
+    version: int,
+    timeout_ms: int,
+    output: catalogue_output.Output,
+) -> None:
+    status = asyncio.run(client.wait_in_force(version, timeout_ms / MS_PER_S))
+    if status is None:
+        raise errors.NotInForceError(version, 0, 0, 'no instance leads')
+    output.in_force(version, status)
+    if not status.is_everywhere:
+        raise errors.NotInForceError(
+            version,
+            status.in_force,
+            status.consumers,
+            ' '.join(status.laggards),
+        )
--- /dev/null
+++ b/src/gentianspoke/commands/catalogue_options.py
@@ -0,0 +1,85 @@
+"""What the catalogue's subcommands share: options, client, look-ups."""
+
+import typing
+
+import cappa
+
+from gentianspoke.config import key_file
+from gentianspoke.config import units
+from gentianspoke.core import services
+from gentianspoke import errors
+from gentianspoke.shells import catalogue_client
+
+Control = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--control',
+        default=cappa.Env('GENTIANSPOKE_CONTROL'),
+        help='Addresses of control instances, with commas.',
+    ),
+]
+KeyFile = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--key-file',
+        default=cappa.Env('GENTIANSPOKE_KEY_FILE'),
+        help='File of the shared keys of the deployment.',
+    ),
+]
+Key = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--key',
+        help='Idempotency key of an edit that is sent again.',
+    ),
+]
+Wait = typing.Annotated[
+    bool, cappa.Arg(long='--wait', help='Wait until in force everywhere.')
+]
+Timeout = typing.Annotated[
+    str, cappa.Arg(long='--timeout', help='Longest wait, such as 20s.')
+]
+AsJson = typing.Annotated[bool, cappa.Arg(long='--json', help='Print JSON.')]
+
+
+def client(control: str, key_path: str) -> catalogue_client.CatalogueClient:
+    """Return a client of the control instances, with the keys in a file.
+
+    Raises :class:`gentianspoke.errors.SettingsError`.
+    """
+    try:
+        addresses = tuple(map(units.host_port, control.split(',')))
+    except ValueError as exc:
+        raise errors.SettingsError(
+            'command line', '--control', str(exc)
+        ) from exc
+    ring = key_file.load(key_path)
+    return catalogue_client.CatalogueClient(addresses, ring)
+
+
+def timeout_ms(text: str) -> int:
+    """Return a limit of waiting in milliseconds.
+
+    Raises :class:`gentianspoke.errors.SettingsError`.
+    """
+    try:
+        return units.duration_ms(text)
+    except ValueError as exc:
+        raise errors.SettingsError(
+            'command line', '--timeout', str(exc)
+        ) from exc
+
+
+def entry(listing: catalogue_client.Listing, name: str) -> services.Service:
+    """Return the entry of a name; raises ``ControlError`` for none."""
+    found = listing.entries.get(name)
+    if found is None:
+        raise no_entry(name)
+    return found
+
+
+def no_entry(name: str) -> errors.ControlError:
+    """Return the error for a name that no entry has."""
+    return errors.ControlError(
+        f'{name}: no such entry; check the name with "catalogue list"'
+    )
--- /dev/null
+++ b/src/gentianspoke/commands/catalogue_reads.py
@@ -0,0 +1,129 @@
+"""Subcommands by which operators read the catalogue."""
+
+import asyncio
+import dataclasses
+import sys
+import typing
+
+import cappa
+
+from gentianspoke.commands import catalogue_options as options
+from gentianspoke.commands import catalogue_output
+from gentianspoke.config import catalogue_file
+from gentianspoke import errors
+from gentianspoke.shells import catalogue_client
+
+
+@cappa.command(name='get')
+@dataclasses.dataclass
+class Get:
+    """Print an entry as a file that can be edited and applied."""
+
+    name: str
+    control: options.Control
+    key_file: options.KeyFile
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print YAML, or JSON."""
+        listing = _list(self.control, self.key_file)
+        entry = options.entry(listing, self.name)
+        catalogue_output.Output(self.as_json).entry(entry)
+
+
+@cappa.command(name='list')
+@dataclasses.dataclass
+class ListEntries:
+    """List the entries."""
+
+    control: options.Control
+    key_file: options.KeyFile
+    retired: typing.Annotated[
+        bool, cappa.Arg(long='--retired', help='Retired ones too.')
+    ] = False
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print a table, or JSON."""
+        listing = _list(self.control, self.key_file)
+        entries = [
+            listing.entries[name]
+            for name in sorted(listing.entries)
+            if self.retired or not listing.entries[name].retired
+        ]
+        catalogue_output.Output(self.as_json).entries(entries)
+
+
+@cappa.command(name='diff')
+@dataclasses.dataclass
+class Diff:
+    """Show what applying a file would change."""
+
+    file: str
+    control: options.Control
+    key_file: options.KeyFile
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print one line for each changed field."""
+        wanted = catalogue_file.load(self.file)
+        listing = _list(self.control, self.key_file)
+        changes = [
+            change
+            for item in wanted
+            for change in catalogue_output.changes(
+                listing.entries.get(item.service.name), item.service
+            )
+        ]
+        catalogue_output.Output(self.as_json).changes(changes)
+
+
+@cappa.command(name='history')
+@dataclasses.dataclass
+class History:
+    """Show the accepted texts of an entry, oldest first."""
+
+    name: str
+    control: options.Control
+    key_file: options.KeyFile
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print what each version changed, and who changed it."""
+        client = options.client(self.control, self.key_file)
+        items = asyncio.run(client.history(self.name))
+        if not items:
+            raise options.no_entry(self.name)
+        catalogue_output.Output(self.as_json).history(items)
+
+
+@cappa.command(name='status')
+@dataclasses.dataclass
+class Status:
+    """Show the control instances, and how far the newest version is."""
+
+    control: options.Control
+    key_file: options.KeyFile
+    as_json: options.AsJson = False
+
+    def __call__(self) -> None:
+        """Print a table, or JSON; fail where no instance leads."""
+        client = options.client(self.control, self.key_file)
+        found = asyncio.run(client.statuses())
+        if not found:
+            raise errors.ControlUnreachableError(self.control)
+        catalogue_output.Output(self.as_json).statuses(found)
+        if not any(item.role == 'leader' for item in found):
+            raise errors.NotLeaderError(found[0].leader)
+
+
+def _list(control: str, key_path: str) -> catalogue_client.Listing:
+    listing = asyncio.run(options.client(control, key_path).list_entries())
+    if listing.confirmed_age_ms >= catalogue_client.FRESH_MS:
+        print(
+            'gentianspoke: no majority has confirmed these entries for'
+            f' {listing.confirmed_age_ms} ms, so newer ones may be missing;'
+            ' see "catalogue status"',
+            file=sys.stderr,
+        )
+    return listing
--- a/src/gentianspoke/commands/control_members.py
+++ b/src/gentianspoke/commands/control_members.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from gentianspoke.commands import catalogue
+from gentianspoke.commands import catalogue_options as options
 from gentianspoke.config import key_file
 from gentianspoke.config import units
 from gentianspoke import errors
@@ -148,8 +148,8 @@
 class Members:
     """List the control members and how far each has come."""
 
-    control: catalogue.Control
-    key_file: catalogue.KeyFile
+    control: options.Control
+    key_file: options.KeyFile
 
     def __call__(self) -> None:
         """Print one line for each member."""
@@ -165,8 +165,8 @@
     """Add an instance that was started with control.join: true."""
 
     address: str
-    control: catalogue.Control
-    key_file: catalogue.KeyFile
+    control: options.Control
+    key_file: options.KeyFile
 
     def __call__(self) -> None:
         """Return once the instance has caught up and votes."""
@@ -180,8 +180,8 @@
     """Remove a member; its name and data folder are not used again."""
 
     instance: str
-    control: catalogue.Control
-    key_file: catalogue.KeyFile
+    control: options.Control
+    key_file: options.KeyFile
 
     def __call__(self) -> None:
         """Return once the group goes on without the member."""
@@ -196,8 +196,8 @@
 
     instance: str
     address: str
-    control: catalogue.Control
-    key_file: catalogue.KeyFile
+    control: options.Control
+    key_file: options.KeyFile
 
     def __call__(self) -> None:
         """Return once the old instance is removed."""
--- a/tests/feed/test_copies.py
+++ b/tests/feed/test_copies.py
@@ -1,5 +1,6 @@
 """Deltas, digests and scopes: a consumer's copy equals its source."""
 
+import dataclasses
 import random
 
 import builders
@@ -62,15 +63,8 @@
 
 
 def edited(log, name, number, base=0):
-    entry = builders.service(number=number)
-    entry = type(entry)(
-        **{
-            field: getattr(entry, field)
-            for field in entry.__dataclass_fields__
-            if field not in ('name', 'ports')
-        },
-        name=name,
-        ports=(number,),
+    entry = dataclasses.replace(
+        builders.service(number=number), name=name, ports=(number,)
     )
     edit = catalogue.Edit(name, base, catalogue.Put(entry))
     key = f'{name}/{log.catalogue.version}'
--- /dev/null
+++ b/tests/feed/test_key_rotation.py
@@ -0,0 +1,58 @@
+"""Keys are rotated without a restart; a bad file changes nothing."""
+
+import dataclasses
+import os
+import signal
+
+import control_fakes
+import pytest
+import yaml
+
+from gentianspoke.config import key_file
+from gentianspoke import errors
+from gentianspoke.shells import process
+
+OLD = {'id': 1, 'hex': '11' * 32}
+NEW = {'id': 2, 'hex': '22' * 32}
+
+
+def write_keys(path, active, *keys):
+    path.write_text(yaml.safe_dump({'active': active, 'keys': list(keys)}))
+    path.chmod(0o600)
+
+
+@pytest.mark.parametrize(
+    ('active', 'given', 'in_force'),
+    [
+        pytest.param(1, (OLD, NEW), (1, {1, 2}), id='accept-the-new'),
+        pytest.param(2, (OLD, NEW), (2, {1, 2}), id='sign-with-the-new'),
+        pytest.param(2, (NEW,), (2, {2}), id='drop-the-old'),
+        pytest.param(3, (OLD, NEW), (1, {1}), id='active-key-missing'),
+        pytest.param(1, (), (1, {1}), id='no-key'),
+        pytest.param(
+            2, (OLD, {'id': 2, 'hex': '22'}), (1, {1}), id='short-key'
+        ),
+    ],
+)
+async def test_a_signal_puts_a_valid_key_file_in_force(
+    tmp_path, active, given, in_force
+):
+    path = tmp_path / 'keys.yaml'
+    write_keys(path, 1, OLD)
+    made = control_fakes.make_process('entry-1')
+    cfg = dataclasses.replace(made.cfg, key_file=str(path))
+    async with process.run_process(cfg, 'entry') as proc:
+        proc.life.advance('serve')
+        write_keys(path, active, *given)
+        events = proc.events.logical
+        os.kill(os.getpid(), signal.SIGHUP)
+        await control_fakes.until(lambda: proc.events.logical > events)
+        assert (proc.ring.active, set(proc.ring.keys)) == in_force
+
+
+def test_a_key_file_that_others_can_read_is_refused(tmp_path):
+    path = tmp_path / 'keys.yaml'
+    write_keys(path, 1, OLD)
+    path.chmod(0o644)
+    with pytest.raises(errors.KeyFileError, match='chmod 600'):
+        key_file.load(str(path))
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -7,6 +7,7 @@
 import control_fakes
 import heartbeats
 import pytest
+import replica_network
 
 from gentianspoke.core import views
 from gentianspoke.decisions.control import catalogue
@@ -56,30 +57,11 @@
         return feed_client.follow_feeds(self.proc, 'entry', self.take)
 
 
-def put(name, number, base=0):
-    entry = builders.service(number=number)
-    port_entry = catalogue.Put(
-        type(entry)(
-            number=number,
-            name=name,
-            owner='owner',
-            address=entry.address,
-            ports=(number,),
-            protocol=entry.protocol,
-            traffic=entry.traffic,
-            limits=entry.limits,
-            version=0,
-        )
-    )
-    edit = catalogue.Edit(name, base, port_entry)
-    return catalogue.Request(f'{name}-{base}', 'operator', (edit,))
-
-
 @contextlib.asynccontextmanager
 async def run_cluster(count=3):
     """Run a leader and its followers, which share one catalogue."""
     shared = catalogue.Catalogue()
-    shared.apply(put('a', 1))
+    shared.apply(replica_network.request('first', name='a'))
     async with contextlib.AsyncExitStack() as stack:
         found = []
         for position in range(count):
