--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -5,6 +5,7 @@
 
 import builders
 import control_fakes
+import control_group
 import heartbeats
 import pytest
 import replica_network
@@ -17,6 +18,7 @@
 from gentianspoke.shells import process
 
 PORTS = (31_020, 31_021, 31_022)
+PROXY_PORT = 31_023
 LEADER = f'{control_fakes.HOST}:{PORTS[0]}'
 
 
@@ -134,6 +136,24 @@
         assert consumer.orders == sorted(consumer.orders)
 
 
+@pytest.mark.parametrize('way', ['to', 'from'])
+async def test_a_consumer_leaves_a_source_that_is_cut_off_one_way(
+    way, monkeypatch
+):
+    monkeypatch.setattr(feed_service, 'SILENT_S', 0.5)
+    proxy = control_group.Proxy((control_fakes.HOST, PROXY_PORT))
+    async with run_cluster() as controls, proxy.run(controls[1].address):
+        consumer = Consumer('entry-1')
+        feed = feed_client.Feed(consumer.proc, 'entry', consumer.take)
+        following = asyncio.create_task(feed.follow(proxy.address))
+        await control_fakes.until(lambda: consumer.confirmed)
+        proxy.lost = way
+        await control_fakes.until(following.done)
+        consumer.confirmed.clear()
+        await feed.follow(controls[2].address, lambda: not consumer.confirmed)
+        assert consumer.confirmed
+
+
 def has_member(consumer, number):
     return any(m.number == number for m in consumer.views[1].members)
 
