Blame a silent flow in the demonstration; log libraries as JSON lines

Cause: nothing showed end to end that a connection which goes silent for good is blamed on the network. The run also showed that grpclib's log of a broken stream went to standard error as plain text.

Ruled out: losing a board whose agent is killed a moment later: the agent's knowledge of the silence goes with it, and the row failed (seen).

--- a/demo/changes.py
+++ b/demo/changes.py
@@ -4,10 +4,14 @@
 import dataclasses
 
 from demo import stage as stages
+from demo import upstreams
+from gentianspoke.core import packets
 from gentianspoke.decisions.timeline import events
 from gentianspoke.telemetry import event_files
 
 RESTART_PAUSE_S = 1.0
+# An upstream whose agent stays as it is.
+UNTOUCHED = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +56,8 @@
 
 
 async def _make_unplanned(stage: stages.Stage, diary: Diary) -> None:
+    diary.note('unplanned: the fabric loses track of one board')
+    stage.fabric.forgotten.add(_board_at(stage.ups[UNTOUCHED]))
     for victim in ('entry-2', 'agent-3'):
         diary.note(f'unplanned: {victim} is killed')
         await stage.processes.kill(victim)
@@ -61,6 +67,11 @@
         await asyncio.sleep(5)
 
 
+def _board_at(up: upstreams.Upstream) -> packets.FlowKey:
+    # Boards are opened first, so the oldest connection is one.
+    return next(iter(up.connections))
+
+
 async def _restart(stage: stages.Stage, diary: Diary, name: str) -> None:
     diary.note(f'planned: {name} restarts')
     diary.statuses[name] = await stage.processes.stop(name)
--- a/demo/fabric.py
+++ b/demo/fabric.py
@@ -39,6 +39,8 @@
         self._rng = rng
         self._faults = unreliable
         self._ready: list[Address] = []
+        # Flows whose answers something on the way has lost track of.
+        self.forgotten: set[packets.FlowKey] = set()
 
     async def probe(self) -> None:
         """Keep the list of ready entries current until cancelled."""
@@ -70,6 +72,8 @@
             return
         loop = asyncio.get_running_loop()
         to_service = packets.service_address(packet.key) in self._services
+        if not to_service and self._is_forgotten(raw):
+            return
         is_opening = (
             to_service
             and isinstance(packet, packets.Segment)
@@ -81,6 +85,11 @@
             else:
                 self._hand_on(raw, to_service)
 
+    def _is_forgotten(self, raw: bytes) -> bool:
+        if not self.forgotten:
+            return False
+        return ip.parse(raw, reply=True).key in self.forgotten
+
     def _hand_on(self, raw: bytes, to_service: bool) -> None:
         if not to_service:
             self._sock.send(raw, self._callers)
--- a/demo/report.py
+++ b/demo/report.py
@@ -6,6 +6,8 @@
 from demo import changes
 from demo import stage as stages
 from demo import work
+from gentianspoke.core import packets
+from gentianspoke.core import verdicts
 from gentianspoke.decisions.timeline import explaining
 from gentianspoke.decisions.timeline import merging
 from gentianspoke.telemetry import event_files
@@ -17,15 +19,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """A line of the table; ``most`` is what the promise allows, if any."""
+    """A line of the table, with what the promise allows, if anything."""
 
     name: str
     value: int
     most: int | None = None
+    least: int | None = None
 
     @property
     def is_kept(self) -> bool:
         """Whether the promise was kept."""
+        if self.least is not None and self.value < self.least:
+            return False
         return self.most is None or self.value <= self.most
 
 
@@ -100,12 +105,24 @@
     for event in merging.merge(event_files.open_streams(paths, counts)):
         unknown += event.kind not in event_lines.MODELS
         explainer.take(event)
-    for summary in explaining.summarise(explainer.finish()):
+    failures = explainer.finish()
+    for summary in explaining.summarise(failures):
         print(
             f'explained: {summary.service}: {summary.failures} flows, most'
             f' by the {summary.verdict}; {dict(summary.reasons)}'
         )
+    lost = {packets.describe_key(key) for key in stage.fabric.forgotten}
+    named = {
+        failure.flow
+        for failure in failures
+        if failure.finding.fault is verdicts.Fault.NETWORK
+    }
     return [
+        Row(
+            'silent flow blamed on the network',
+            len(lost & named),
+            least=len(lost),
+        ),
         Row('events of the time line', counts.events),
         Row('events that the schema does not know', unknown, 0),
         Row('log lines that are no events', counts.foreign, 0),
--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import logging
 import pathlib
 import sys
 import traceback
@@ -11,6 +12,7 @@
 
 from gentianspoke import clock
 
+LIBRARY_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
 # Events of one kind that a process writes in a second; an overload must
 # not be made worse by its own log.
 EVENTS_AT_MOST = 500
@@ -40,6 +42,18 @@
     if log_file is not None:
         _end_last_line(log_file)
     loguru.logger.add(log_file or sys.stderr, level=level, format=_format_line)
+    logging.basicConfig(handlers=[_ToLoguru()], level=level, force=True)
+
+
+class _ToLoguru(logging.Handler):
+    """Hands what libraries log to loguru, so that it is a JSON line too."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record of the standard library."""
+        logger = loguru.logger.opt(exception=record.exc_info)
+        name = logging.getLevelName(record.levelno)
+        level = name if name in LIBRARY_LEVELS else 'INFO'
+        logger.log(level, record.getMessage())
 
 
 def last_logical(log_file: str | None) -> int:
--- a/tests/demo/test_report.py
+++ b/tests/demo/test_report.py
@@ -6,6 +6,7 @@
 import random
 import types
 
+import builders
 import pytest
 
 from demo import changes
@@ -19,12 +20,17 @@
 
 
 def run_report(
-    tmp_path: pathlib.Path, results=None, tally=None, statuses=None
+    tmp_path: pathlib.Path,
+    results=None,
+    tally=None,
+    statuses=None,
+    forgotten=(),
 ):
     """Return whether the report says that all promises were kept."""
     stage = types.SimpleNamespace(
         plan=types.SimpleNamespace(folder=tmp_path),
         processes=types.SimpleNamespace(roles={}),
+        fabric=types.SimpleNamespace(forgotten=forgotten),
         tally=tally or upstreams.Tally(),
         faults=faults.Faults(faults.NO_FAULTS, random.Random(1)),
     )
@@ -52,6 +58,7 @@
         ({'tally': upstreams.Tally(opened_late_in_drain=1)}, False),
         ({'tally': upstreams.Tally(collections.Counter(a=2))}, False),
         ({'statuses': {'entry-1': 1}}, False),
+        ({'forgotten': [builders.flow_key()]}, False),
         (
             {
                 'tally': upstreams.Tally(collections.Counter(a=1)),
--- a/tests/telemetry/test_event_files.py
+++ b/tests/telemetry/test_event_files.py
@@ -1,6 +1,7 @@
 """Log files are read whatever a crash, a rotation or a stranger left."""
 
 import json
+import logging
 
 import loguru
 import pytest
@@ -98,3 +99,16 @@
     streams, counts = read([path])
     assert streams == [[41, 42]]
     assert counts.foreign == 1
+
+
+def test_what_libraries_log_is_a_json_line_with_its_traceback(tmp_path):
+    path = tmp_path / 'a.jsonl'
+    logs.configure(str(path), 'INFO')
+    try:
+        raise ValueError('lost {stream}')
+    except ValueError:
+        logging.getLogger('library').exception('not sent: %s', '{1}')
+    loguru.logger.remove()
+    (content,) = map(json.loads, path.read_text().splitlines())
+    assert content['message'] == 'not sent: {1}'
+    assert 'ValueError: lost {stream}' in content['exception']
