--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from gentianspoke.core import services
+from gentianspoke.decisions.control import endpoints
 
 ANSWERS_KEPT = 10_000
 HISTORY_KEPT = 50_000
@@ -73,15 +74,6 @@
     entry: services.Service
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Endpoint:
-    """One port of a service address."""
-
-    protocol: int
-    address: bytes
-    port: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """The first answer to an idempotency key."""
@@ -113,9 +105,7 @@
             collections.OrderedDict()
         )
         self._last_number = 0
-        # Which entry has an endpoint: asking all entries at each edit
-        # would make an edit as slow as the catalogue is long.
-        self._owners: dict[Endpoint, str] = {}
+        self._owners = endpoints.Owners()
 
     def export(self) -> CatalogueState:
         """Return everything that later answers depend on."""
@@ -138,9 +128,7 @@
         for kept in state.answers:
             self.answers[kept.idempotency_key] = kept.answer
         self._last_number = state.last_number
-        self._owners.clear()
-        for entry in state.entries:
-            self._own_endpoints(entry)
+        self._owners.replace_all(state.entries)
 
     def known_answer(self, idempotency_key: str) -> Answer | None:
         """Return the first answer to a request that was seen before."""
@@ -189,44 +177,22 @@
     def _endpoint_conflicts(
         self, request: Request, edited: set[str]
     ) -> list[Conflict]:
-        claimed: dict[Endpoint, str] = {}
         put: dict[str, services.Service] = {}
-        found: list[Conflict] = []
-        for edit in sorted(request.edits, key=lambda item: item.name):
+        for edit in request.edits:
             match edit.change:
                 case Put(entry=entry):
                     put[edit.name] = entry
-                case Retire():
-                    continue
-            for endpoint in endpoints(entry):
-                owner = self._owners.get(endpoint)
-                if owner is None or owner in edited:
-                    owner = edit.name
-                holder = claimed.setdefault(endpoint, owner)
-                if holder != edit.name:
-                    reason = (
-                        f'port {endpoint.port} of this address belongs to'
-                        f' {holder}; choose another port or retire that'
-                        ' entry first'
-                    )
-                    current = put.get(holder) or self.entries[holder]
-                    found.append(Conflict(edit.name, reason, current))
+        found: list[Conflict] = []
+        for clash in self._owners.clashes(put, edited):
+            reason = (
+                f'port {clash.port} of this address belongs to'
+                f' {clash.holder}; choose another port or retire that entry'
+                ' first'
+            )
+            current = put.get(clash.holder) or self.entries[clash.holder]
+            found.append(Conflict(clash.name, reason, current))
         return found
 
-    def _own_endpoints(self, entry: services.Service) -> None:
-        if not entry.retired:
-            for endpoint in endpoints(entry):
-                self._owners[endpoint] = entry.name
-
-    def _disown_endpoints(self, name: str) -> None:
-        entry = self.entries.get(name)
-        if entry is None:
-            return
-        for endpoint in endpoints(entry):
-            # Another edit of the same request may own it by now.
-            if self._owners.get(endpoint) == name:
-                del self._owners[endpoint]
-
     def _apply_edit(self, request: Request, edit: Edit) -> None:
         current = self.entries.get(edit.name)
         match edit.change:
@@ -244,9 +210,10 @@
                 changed = dataclasses.replace(
                     current, version=self.version, retired=True
                 )
-        self._disown_endpoints(edit.name)
+        if current is not None:
+            self._owners.free(current)
         self.entries[edit.name] = changed
-        self._own_endpoints(changed)
+        self._owners.take(changed)
         self.history.append(
             HistoryItem(
                 self.version,
@@ -299,10 +266,3 @@
             ' a new entry, then retire this one'
         )
     return ''
-
-
-def endpoints(entry: services.Service) -> list[Endpoint]:
-    """Return what no other entry in force may have."""
-    return [
-        Endpoint(entry.protocol, entry.address, port) for port in entry.ports
-    ]
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import concurrent.futures
 import dataclasses
 import typing
@@ -20,13 +19,12 @@
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import roles
 from gentianspoke import errors
+from gentianspoke.shells.control import pending
 from gentianspoke.storage import replica_store
 from gentianspoke.telemetry import logs
 
 TICK_S = 0.05
 SUBMIT_TIMEOUT_S = 4.0
-BATCH_REQUESTS = 64
-WAITING_AT_MOST = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,15 +50,6 @@
     done: asyncio.Future[typing.Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
-    """A request of an operator whose answer is awaited."""
-
-    request: edits.Request
-    done: asyncio.Future[edits.Answer]
-    term: int = 0
-
-
 class ReplicatedLog:
     """Implements :class:`gentianspoke.shells.control.log.CatalogueLog`."""
 
@@ -80,9 +69,7 @@
         self._clock = time
         self._events = events
         self._jobs: asyncio.Queue[Job] = asyncio.Queue()
-        self._queued: collections.deque[Waiting] = collections.deque()
-        self._queue_filled = asyncio.Event()
-        self._proposed: dict[int, Waiting] = {}
+        self._pending = pending.PendingRequests()
         self._applied = asyncio.Condition()
         self.group_changed = asyncio.Event()
         self.group_known = asyncio.Event()
@@ -136,14 +123,10 @@
             return known
         if not self.is_leader:
             raise errors.NotLeaderError(self.leader)
-        if len(self._queued) + len(self._proposed) >= WAITING_AT_MOST:
-            raise errors.BusyError()
-        waiting = Waiting(request, _future())
-        self._queued.append(waiting)
-        self._queue_filled.set()
+        done = self._pending.add(request)
         try:
             async with asyncio.timeout(SUBMIT_TIMEOUT_S):
-                return await waiting.done
+                return await done
         except TimeoutError as exc:
             raise errors.OutcomeUnknownError() from exc
 
@@ -192,7 +175,7 @@
     async def propose(self) -> None:
         """Propose the operators' requests in batches, without end."""
         while True:
-            await self._queue_filled.wait()
+            await self._pending.filled.wait()
             await self._do(ProposeQueued())
 
     async def _do(self, work: Work) -> typing.Any:
@@ -245,15 +228,14 @@
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
-            case effects.Proposed(index=index, term=term):
-                waiting = self._queued.popleft()
-                self._proposed[index] = dataclasses.replace(waiting, term=term)
+            case effects.Proposed():
+                self._pending.propose_first(effect)
             case effects.Committed():
-                self._answer(effect)
+                self._pending.answer(effect)
             case effects.RoleChanged(role=role, term=term):
                 self._events.write(f'replica-{role}', term=term)
                 if role != roles.LEADER:
-                    self._give_up()
+                    self._pending.give_up(self.leader)
             case effects.GroupChanged():
                 self._events.write(
                     'group-changed',
@@ -263,39 +245,14 @@
                 self.group_changed.set()
                 self.group_known.set()
 
-    def _answer(self, committed: effects.Committed) -> None:
-        waiting = self._proposed.pop(committed.index, None)
-        if waiting is None or waiting.done.done():
-            return
-        if waiting.term == committed.term and committed.answer is not None:
-            waiting.done.set_result(committed.answer)
-        else:
-            waiting.done.set_exception(errors.OutcomeUnknownError())
-
-    def _give_up(self) -> None:
-        for waiting in self._proposed.values():
-            if not waiting.done.done():
-                waiting.done.set_exception(errors.OutcomeUnknownError())
-        self._proposed.clear()
-        self._refuse(len(self._queued))
-
-    def _refuse(self, count: int) -> None:
-        for _ in range(count):
-            waiting = self._queued.popleft()
-            if not waiting.done.done():
-                error = errors.NotLeaderError(self.leader)
-                waiting.done.set_exception(error)
-
     async def _propose_batch(self) -> None:
-        first = list(self._queued)[:BATCH_REQUESTS]
-        if first:
-            batch = tuple(item.request for item in first)
-            for effect in await self._take(messages.Propose(batch)):
-                match effect:
-                    case effects.Refused():
-                        self._refuse(len(batch))
-        if not self._queued:
-            self._queue_filled.clear()
+        batch = self._pending.next_batch()
+        if not batch:
+            return
+        for effect in await self._take(messages.Propose(batch)):
+            match effect:
+                case effects.Refused():
+                    self._pending.refuse(len(batch), self.leader)
 
     async def _notify(self) -> None:
         for wake in self.wakes.values():
