Sync the name of a new data folder too

Without it a power failure soon after the first start could lose the whole folder: the instance would come back with a new number and be refused.

--- a/src/gentianspoke/storage/folder.py
+++ b/src/gentianspoke/storage/folder.py
@@ -86,11 +86,7 @@
 
     def sync_names(self) -> None:
         """Make the names of files last."""
-        fd = os.open(self._root, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+        _sync_folder(self._root)
 
     def close(self) -> None:
         """Close the file that is kept open."""
@@ -118,6 +114,8 @@
     """
     try:
         os.makedirs(path, exist_ok=True)
+        # A new folder lasts only once its name in its parent does.
+        _sync_folder(pathlib.Path(path).absolute().parent)
         lock_path = os.path.join(path, LOCK_FILE)
         lock = os.open(lock_path, os.O_RDWR | os.O_CREAT, 0o600)
     except OSError as exc:
@@ -137,3 +135,11 @@
     finally:
         folder.close()
         os.close(lock)
+
+
+def _sync_folder(path: pathlib.Path) -> None:
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
