--- a/Makefile
+++ b/Makefile
@@ -79,4 +79,4 @@
 	$(RUN) -m pytest -s tests/control/proof_control_group.py tests/control/proof_membership.py
 
 bench-log: $(VENV)/.ready
-	$(RUN) -m benchmarks.catalogue_log
+	PYTHONPATH=src:.:tests $(BIN)/python -m benchmarks.catalogue_log
--- a/benchmarks/catalogue_log.py
+++ b/benchmarks/catalogue_log.py
@@ -20,6 +20,8 @@
 import tempfile
 import time
 
+import control_group
+
 from benchmarks import tables
 from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.codec import replica as codec
@@ -31,7 +33,6 @@
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
 from gentianspoke.shells import channel_auth
-from tests import control_group
 
 BASE_PORT = int(os.environ.get('BENCH_BASE_PORT', '30600'))
 SIZES = (1, 3, 5)
