Split the agent's tables and shell, and bound the load reports it sends

Load reports went to all members of all services twice a second, which in a service of 1,000 members is far beyond 4 KB/s; now at most 8 in each interval, members taking turns.

--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -12,6 +12,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables as flow_tables
@@ -87,7 +88,7 @@
         diversion = records.Diversion(
             target=2, isn=number, service=1, bucket=1, view=1, used_ms=0
         )
-        flow_tables.add_diversion(state, key_of(number), diversion)
+        diversion_table.add(state, key_of(number), diversion)
     return state
 
 
--- a/src/gentianspoke/decisions/agent/adoption.py
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -15,6 +15,7 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
@@ -150,7 +151,7 @@
 ) -> None:
     known: tuple[tuple[str, str | int], ...] = (
         ('unknown_ms', unknown_ms),
-        ('view', tables.view_number(state, service.number)),
+        ('view', placed.view_number(state, service.number)),
         ('bucket', forward.bucket),
         ('disowned_by', len(forward.tried)),
     )
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -8,10 +8,10 @@
 from gentianspoke.decisions.agent import established
 from gentianspoke.decisions.agent import opening
 from gentianspoke.decisions.agent import parking
+from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions.agent import tables
 from gentianspoke.decisions.agent import timing
 from gentianspoke.decisions import hashing
 
@@ -98,7 +98,7 @@
     0 where there is none; see :class:`gentianspoke.core.views.Member`.
     """
     ranking = state.rankings.get(service)
-    return tables.oldest_view(state, ranking) if ranking else 0
+    return placed.oldest_view(state, ranking) if ranking else 0
 
 
 def _why_unfit(
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -4,6 +4,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import records
@@ -129,5 +130,5 @@
         # The target may have handed the opening to its upstream before it
         # was lost, so it is neither placed again nor refused.
         return actions.Drop('outcome-unknown')
-    tables.remove_diversion(state, packet.key)
+    diversion_table.remove(state, packet.key)
     return None
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -11,9 +11,11 @@
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import budget
 from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import known
 from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
@@ -114,9 +116,9 @@
         view=forward.view,
         used_ms=now,
         decider=forward.decider,
-        placed_view=tables.placed_view(state, forward.service, forward.view),
+        placed_view=placed.placed_view(state, forward.service, forward.view),
     )
-    tables.add_diversion(state, packet.key, offered)
+    diversion_table.add(state, packet.key, offered)
     diversion.count_placed(state, forward.service, member.number)
     return passing.offer_to(
         state, member, forward, forward.decider, forward.view
--- a/src/gentianspoke/decisions/agent/tables.py
+++ b/src/gentianspoke/decisions/agent/tables.py
@@ -1,14 +1,10 @@
-"""Adding and removing the records of an agent, with all their counts.
-
-Each record is counted under the bucket and the view it was placed in, so
-that the oldest flow view of a heartbeat needs no scan over the flows.
-"""
+"""The flows of an agent's upstream, with all their counts."""
 
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
 
 # How long the record of an ended flow answers late packets.
 LINGER_MS = 10_000
@@ -16,33 +12,12 @@
 HALF_OPEN_MS = 30_000
 # Ended flows that are remembered at most before refusals go without.
 ENDED_AT_MOST = 50_000
-# How long a diversion serves after its caller has closed or reset.
-CLOSING_MS = 60_000
-# How long a diversion of short work serves without a packet.
-SHORT_WORK_MS = 300_000
 # Weight of one more slot time in the mean, as a divisor.
 HOLD_MEAN_DIVISOR = 8
 
 State = agent_state.AgentState
 
 
-def view_number(state: State, service: int) -> int:
-    """Return the number of the view that this agent applied last."""
-    ranking = state.rankings.get(service)
-    return ranking.view.number if ranking else 0
-
-
-def placed_view(state: State, service: int, decided_view: int | None) -> int:
-    """Return the view that a record counts as placed in.
-
-    A target may have applied a newer view than the decider of an offer. It
-    counts the older of the two, because the decider must be able to find
-    the record by its own view once it has to ask for it.
-    """
-    own = view_number(state, service)
-    return own if decided_view is None else min(own, decided_view)
-
-
 def open_flow(
     state: State,
     service: services.Service,
@@ -137,7 +112,7 @@
     if state.flows.get(flow.key) is flow:
         del state.flows[flow.key]
         state.total_ended -= 1
-        _uncount_placed(state, flow.service, flow.bucket, flow.view)
+        placed.uncount(state, flow.service, flow.bucket, flow.view)
 
 
 def refuse_flow(
@@ -160,67 +135,6 @@
     end_flow(state, flow, now, records.Phase.REFUSED)
 
 
-def add_diversion(
-    state: State, key: packets.FlowKey, diversion: records.Diversion
-) -> None:
-    """Remember that an opening was offered to another member."""
-    remove_diversion(state, key)
-    state.diversions[key] = diversion
-    count = (diversion.service, diversion.target)
-    state.diverted_to[count] += 1
-    _count_placed(
-        state, diversion.service, diversion.bucket, diversion.placed_view
-    )
-    due_ms = diversion.used_ms + min(
-        CLOSING_MS, diversion_idle_ms(state, diversion)
-    )
-    state.diversion_schedule.add((key, diversion), due_ms)
-
-
-def remove_diversion(state: State, key: packets.FlowKey) -> None:
-    """Forget a diversion, if there is one for the flow."""
-    diversion = state.diversions.pop(key, None)
-    if diversion is None:
-        return
-    state.diverted_to[(diversion.service, diversion.target)] -= 1
-    _uncount_placed(
-        state, diversion.service, diversion.bucket, diversion.placed_view
-    )
-
-
-def diversion_idle_ms(state: State, diversion: records.Diversion) -> int:
-    """Return after how long without a packet a diversion is forgotten.
-
-    A diversion spares a packet the search along the trail, and keeps the
-    copies of an opening together. Short work needs neither for long, and
-    a diversion kept too long costs memory at its decider.
-    """
-    service = state.served.get(diversion.service)
-    if diversion.closing or service is None:
-        return CLOSING_MS
-    match service.traffic:
-        case services.Board():
-            return service.limits.idle_ms
-        case services.Booking() | services.Upload():
-            return min(service.limits.idle_ms, SHORT_WORK_MS)
-
-
-def oldest_view(state: State, ranking: hashing.Ranking) -> int:
-    """Return the view of the oldest record outside the own buckets.
-
-    0 where there is none.
-    """
-    placed = state.placed.get(ranking.view.service, {})
-    oldest = 0
-    for bucket, view in placed:
-        if oldest and view >= oldest:
-            continue
-        home = ranking.home(bucket)
-        if home is None or home.number != state.number:
-            oldest = view
-    return oldest
-
-
 def idle_ms(state: State, service: int) -> int:
     """Return after how long without a packet a flow is forgotten."""
     entry = state.served.get(service)
@@ -241,7 +155,7 @@
         service=service.number,
         bucket=bucket,
         isn=isn,
-        view=placed_view(state, service.number, decided_view),
+        view=placed.placed_view(state, service.number, decided_view),
         phase=records.Phase.OPEN,
         opened_ms=now,
         up_ms=now,
@@ -251,7 +165,7 @@
     state.orphans.pop(key, None)
     state.counts[service.number].open_flows += 1
     state.total_open += 1
-    _count_placed(state, flow.service, bucket, flow.view)
+    placed.count(state, flow.service, bucket, flow.view)
     state.flow_schedule.add(flow, now + HALF_OPEN_MS)
     return flow
 
@@ -280,17 +194,3 @@
         counts.hold_ms = held_ms
     else:
         counts.hold_ms += (held_ms - counts.hold_ms) // HOLD_MEAN_DIVISOR
-
-
-def _count_placed(state: State, service: int, bucket: int, view: int) -> None:
-    placed = state.placed.setdefault(service, {})
-    placed[(bucket, view)] = placed.get((bucket, view), 0) + 1
-
-
-def _uncount_placed(
-    state: State, service: int, bucket: int, view: int
-) -> None:
-    placed = state.placed[service]
-    placed[(bucket, view)] -= 1
-    if not placed[(bucket, view)]:
-        del placed[(bucket, view)]
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -6,6 +6,7 @@
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import adoption
 from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import parking
@@ -138,9 +139,9 @@
     now: int,
 ) -> None:
     key, diverted = item
-    due_ms = diverted.used_ms + tables.diversion_idle_ms(state, diverted)
+    due_ms = diverted.used_ms + diversion_table.idle_ms(state, diverted)
     if now >= due_ms:
-        tables.remove_diversion(state, key)
+        diversion_table.remove(state, key)
     else:
         check_ms = min(due_ms, now + CHECK_AT_MOST_MS)
         state.diversion_schedule.add((key, diverted), check_ms)
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -18,13 +18,13 @@
 from gentianspoke import errors
 from gentianspoke.net import datagrams
 from gentianspoke.shells.agent import effects
+from gentianspoke.shells.agent import gauges
 from gentianspoke.shells.agent import heartbeat
 from gentianspoke.shells.agent import status
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
 
 TICK_S = 0.05
-LOAD_REPORT_S = 0.5
 STATUS_POLL_S = 0.5
 NS_PER_S = 1_000_000_000
 
@@ -61,7 +61,9 @@
             joining=True,
         )
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
-        proc.metrics.on_render(self._set_gauges)
+        proc.metrics.on_render(
+            lambda: gauges.set_gauges(proc, self.state, (peers, upstream))
+        )
 
     def take(self, update: feed_client.Update) -> int:
         """Take an update of the feed, return the version in force."""
@@ -118,25 +120,6 @@
             self._effects.carry_out(core.on_tick(self.state, now))
             self._effects.write_reports(self.state)
 
-    async def report_load(self) -> None:
-        """Tell the other members of each service the own counts."""
-        while True:
-            await asyncio.sleep(LOAD_REPORT_S)
-            for service, ranking in self.state.rankings.items():
-                counts = self.state.counts[service]
-                report = frames.LoadReport(
-                    service,
-                    self.state.number,
-                    counts.open_flows,
-                    counts.running,
-                    counts.queued,
-                    self._proc.events.logical,
-                )
-                data = frame.encode(report, self._proc.ring)
-                for member in ranking.view.members:
-                    if member.number != self.state.number:
-                        self._peers.send(data, (member.host, member.port))
-
     async def poll_status(self) -> None:
         """Watch the upstream's status page for draining and restarts."""
         if self._cfg.status is None:
@@ -224,22 +207,6 @@
         loguru.logger.exception(message)
         self._proc.metrics.counts.dropped['internal-error'] += 1
 
-    def _set_gauges(self) -> None:
-        state = self.state
-        gauges = self._proc.metrics.set_gauge
-        lease_left_ms = state.lease_until_ms - self._proc.clock.now()
-        gauges('flows_open', state.total_open)
-        gauges('flows_running', state.total_running)
-        gauges('flows_queued', sum(map(len, state.queues.values())))
-        gauges('flows_ended_kept', state.total_ended)
-        gauges('diversions', len(state.diversions))
-        gauges('orphans', len(state.orphans))
-        gauges('lease_left_ms', max(0, lease_left_ms))
-        gauges('draining', int(state.draining))
-        gauges('joining', int(state.joining))
-        gauges('recovering', int(state.recovering))
-        gauges('unsent', self._peers.unsent + self._upstream.unsent)
-
 
 def member_number(instance: str, incarnation: str) -> int:
     """Return the 64-bit number of one incarnation of an upstream."""
--- /dev/null
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -0,0 +1,27 @@
+"""Current counts of an agent, set before its metrics page is rendered."""
+
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.net import datagrams
+from gentianspoke.shells import process
+
+
+def set_gauges(
+    proc: process.Process,
+    state: agent_state.AgentState,
+    sockets: tuple[datagrams.DatagramSocket, ...],
+) -> None:
+    """Set the gauges to what the state and the sockets say now."""
+    set_gauge = proc.metrics.set_gauge
+    lease_left_ms = state.lease_until_ms - proc.clock.now()
+    set_gauge('flows_open', state.total_open)
+    set_gauge('flows_running', state.total_running)
+    set_gauge('flows_queued', state.leftover().queued)
+    set_gauge('flows_ended_kept', state.total_ended)
+    set_gauge('openings_held', len(state.parked))
+    set_gauge('diversions', len(state.diversions))
+    set_gauge('orphans', len(state.orphans))
+    set_gauge('lease_left_ms', max(0, lease_left_ms))
+    set_gauge('draining', int(state.draining))
+    set_gauge('joining', int(state.joining))
+    set_gauge('recovering', int(state.recovering))
+    set_gauge('unsent', sum(sock.unsent for sock in sockets))
--- /dev/null
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -0,0 +1,58 @@
+"""Load reports of an agent to the other members of its services."""
+
+import asyncio
+
+from gentianspoke.codec import frame
+from gentianspoke.core import frames
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.net import datagrams
+from gentianspoke.shells import process
+
+LOAD_REPORT_S = 0.5
+# Reports sent in one interval, however large the services are; members take
+# turns, and one whose turn is long past is taken as typical.
+REPORTS_AT_MOST = 8
+
+
+async def report_load(
+    proc: process.Process,
+    state: agent_state.AgentState,
+    peers: datagrams.DatagramSocket,
+) -> None:
+    """Tell the other members of each service the own counts."""
+    turn = 0
+    while True:
+        await asyncio.sleep(LOAD_REPORT_S)
+        receivers = _receivers(state)
+        for offset in range(min(REPORTS_AT_MOST, len(receivers))):
+            service, member = receivers[(turn + offset) % len(receivers)]
+            report = _report(state, service, proc.events.logical)
+            data = frame.encode(report, proc.ring)
+            peers.send(data, (member.host, member.port))
+        turn += REPORTS_AT_MOST
+
+
+def _receivers(
+    state: agent_state.AgentState,
+) -> list[tuple[int, views.Member]]:
+    return [
+        (service, member)
+        for service, ranking in state.rankings.items()
+        for member in ranking.view.members
+        if member.number != state.number
+    ]
+
+
+def _report(
+    state: agent_state.AgentState, service: int, logical: int
+) -> frames.LoadReport:
+    counts = state.counts[service]
+    return frames.LoadReport(
+        service,
+        state.number,
+        counts.open_flows,
+        counts.running,
+        counts.queued,
+        logical,
+    )
--- a/src/gentianspoke/shells/agent/main.py
+++ b/src/gentianspoke/shells/agent/main.py
@@ -6,6 +6,7 @@
 from gentianspoke import errors
 from gentianspoke.net import datagrams
 from gentianspoke.shells.agent import agent as agent_shell
+from gentianspoke.shells.agent import loads
 from gentianspoke.shells.agent import status
 from gentianspoke.shells.agent import stopping
 from gentianspoke.shells import feed_client
@@ -39,7 +40,7 @@
                 agent.read_peers(),
                 agent.read_upstream(),
                 agent.tick(),
-                agent.report_load(),
+                loads.report_load(proc, agent.state, peers),
                 agent.heartbeat.run(),
                 agent.poll_status(),
                 feed_client.follow_feeds(proc, 'agent', agent.take),
