Forget diversions and counts whose service or report is gone

Cause: an opening on an address that another service has by now ended in an internal error where a diversion of the earlier service was left (the new row failed with KeyError before); what was sent to a member that never reports was counted without end; a counter that nothing read is removed.

--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -123,7 +123,10 @@
         if place not in state.fresh_loads:
             del state.loads[place]
             del state.own_then[place]
-            state.sent.pop(place, None)
+    for place in tuple(state.sent):
+        # Without a report nothing else would take back what was sent.
+        if place not in state.loads:
+            del state.sent[place]
     state.fresh_loads.clear()
     state.typical.clear()
 
--- a/src/gentianspoke/decisions/agent/diversion_table.py
+++ b/src/gentianspoke/decisions/agent/diversion_table.py
@@ -20,8 +20,6 @@
     """Remember that an opening was offered to another member."""
     remove(state, key)
     state.diversions[key] = diversion
-    count = (diversion.service, diversion.target)
-    state.diverted_to[count] += 1
     placed.count(
         state, diversion.service, diversion.bucket, diversion.placed_view
     )
@@ -34,7 +32,6 @@
     diversion = state.diversions.pop(key, None)
     if diversion is None:
         return
-    state.diverted_to[(diversion.service, diversion.target)] -= 1
     placed.uncount(
         state, diversion.service, diversion.bucket, diversion.placed_view
     )
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -79,7 +79,11 @@
     packet: packets.Packet,
     now: int,
 ) -> actions.Action | None:
-    service = state.served[diverted.service]
+    service = state.served.get(diverted.service)
+    if service is None or diverted.service != forward.service:
+        # The address has another service by now.
+        diversion_table.remove(state, packet.key)
+        return None
     if _must_ask_again(state, service, diverted):
         return None
     member = state.member(diverted.service, diverted.target)
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -104,10 +104,6 @@
     placed: dict[int, dict[tuple[int, int], int]] = dataclasses.field(
         default_factory=dict
     )
-    # Diversions by service and target.
-    diverted_to: collections.Counter[tuple[int, int]] = dataclasses.field(
-        default_factory=collections.Counter
-    )
     loads: dict[tuple[int, int], frames.LoadReport] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/agent/test_at_most_once.py
+++ b/tests/agent/test_at_most_once.py
@@ -10,7 +10,9 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
+from gentianspoke.decisions import hashing
 
 SYN = builders.segment()
 NEXT_SYN = builders.segment(seq=900)
@@ -386,3 +388,21 @@
             )
         wire.take(SECOND, core.on_tick(states[SECOND], now))
     assert wire.delivered == delivered
+
+
+def test_a_diversion_of_a_service_that_is_gone_is_forgotten():
+    states, wire = full_home(builders.service())
+    wire.lost_to = {SECOND, THIRD}
+    wire.send(HOME, SYN)
+    state = states[HOME]
+    state.total_running = 0
+    newer = builders.service(number=2)
+    state.set_catalogue([newer])
+    state.set_view(dataclasses.replace(view(), service=2))
+    bucket = hashing.bucket_of(SYN.key, 2)
+    frame = dataclasses.replace(
+        fakes.forward(HOME, SYN), service=2, bucket=bucket
+    )
+    (action,) = core.on_forward(state, frame, SYN, 0)
+    assert SYN.key not in state.diversions
+    assert not isinstance(action, actions.Refuse)
--- a/tests/agent/test_limits.py
+++ b/tests/agent/test_limits.py
@@ -150,9 +150,11 @@
 def test_a_load_report_that_is_not_renewed_is_forgotten():
     state = fakes.agent(1, builders.service(), THREE)
     core.on_load(state, frames.LoadReport(1, 2, 100, 0, 0))
+    for number in (2, 3):
+        diversion.count_placed(state, 1, number)
     for now in (3_000, 6_000):
         core.on_tick(state, now)
-    assert state.loads == {}
+    assert (state.loads, state.sent) == ({}, {})
 
 
 def test_a_load_report_of_a_stranger_is_ignored():
