--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -9,7 +9,6 @@
 from gentianspoke.decisions.agent import opening
 from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import placed
-from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import timing
@@ -45,8 +44,7 @@
             decided = [
                 opening.decide_opening(state, service, forward, packet, now)
             ]
-            parked = records.Parked(forward, packet, now)
-            parking.park_if_waiting(state, decided, parked)
+            parking.park_if_waiting(state, decided, forward, packet, now)
     if state.total_running < running:
         decided.extend(timing.start_queued(state, now))
     return decided
--- a/src/gentianspoke/decisions/agent/parking.py
+++ b/src/gentianspoke/decisions/agent/parking.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import opening
@@ -25,13 +26,16 @@
 def park_if_waiting(
     state: State,
     decided: list[actions.Action],
-    parked: records.Parked,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
 ) -> None:
     """Hold an opening that was dropped only because it came too early."""
-    match decided, parked.packet:
+    match decided, packet:
         case [actions.Drop(reason=reason)], packets.Segment():
             if reason == AWAITING and len(state.parked) < PARKED_AT_MOST:
-                state.parked[parked.packet.key] = parked
+                parked = records.Parked(forward, packet, now)
+                state.parked[packet.key] = parked
 
 
 def retry(state: State, now: int) -> list[actions.Action]:
