Let the check of the alerts page find gauges set by a module of their own

The agent's gauges moved from a method _set_gauges to gauges.set_gauges, which the check did not look at; it now reads both, and again covers all of them.

--- a/tests/telemetry/test_alerts_page.py
+++ b/tests/telemetry/test_alerts_page.py
@@ -28,7 +28,7 @@
     for path in SHELLS:
         for node in ast.walk(ast.parse(path.read_text())):
             match node:
-                case ast.FunctionDef(name='_set_gauges'):
+                case ast.FunctionDef(name='_set_gauges' | 'set_gauges'):
                     names |= texts_in(node)
     return names - {'name'}
 
