--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -8,10 +8,9 @@
 from gentianspoke.decisions.agent import established
 from gentianspoke.decisions.agent import opening
 from gentianspoke.decisions.agent import parking
-from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions.agent import tables
 from gentianspoke.decisions.agent import timing
 from gentianspoke.decisions import hashing
 
@@ -45,8 +44,7 @@
             decided = [
                 opening.decide_opening(state, service, forward, packet, now)
             ]
-            parked = records.Parked(forward, packet, now)
-            parking.park_if_waiting(state, decided, parked)
+            parking.park_if_waiting(state, decided, forward, packet, now)
     if state.total_running < running:
         decided.extend(timing.start_queued(state, now))
     return decided
@@ -98,7 +96,7 @@
     0 where there is none; see :class:`gentianspoke.core.views.Member`.
     """
     ranking = state.rankings.get(service)
-    return tables.oldest_view(state, ranking) if ranking else 0
+    return placed.oldest_view(state, ranking) if ranking else 0
 
 
 def _why_unfit(
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -4,6 +4,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import records
@@ -78,7 +79,11 @@
     packet: packets.Packet,
     now: int,
 ) -> actions.Action | None:
-    service = state.served[diverted.service]
+    service = state.served.get(diverted.service)
+    if service is None or diverted.service != forward.service:
+        # The address has another service by now.
+        diversion_table.remove(state, packet.key)
+        return None
     if _must_ask_again(state, service, diverted):
         return None
     member = state.member(diverted.service, diverted.target)
@@ -129,5 +134,5 @@
         # The target may have handed the opening to its upstream before it
         # was lost, so it is neither placed again nor refused.
         return actions.Drop('outcome-unknown')
-    tables.remove_diversion(state, packet.key)
+    diversion_table.remove(state, packet.key)
     return None
