--- /dev/null
+++ b/specs/checking.py
@@ -0,0 +1,114 @@
+"""Running a specification: exhaustively, or up to its first violation."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import minicheck
+
+Step = tuple[str, tuple]
+Successors = collections.abc.Callable[[tuple], list[Step]]
+Invariants = dict[str, collections.abc.Callable[[dict], bool]]
+
+
+class Specification(typing.Protocol):
+    """What a specification gives to the checker."""
+
+    name: str
+    fields: tuple[str, ...]
+    initial: tuple
+    invariants: Invariants
+
+    def successors(self, state: tuple) -> list[Step]:
+        """Return every step that may follow a state, with its label."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a check found.
+
+    ``trace`` holds the labels of the shortest path to the first violation
+    and is empty where all invariants hold; ``states`` the state after
+    each step. ``exhaustive`` tells whether all states were visited.
+    """
+
+    name: str
+    state_count: int
+    exhaustive: bool
+    violated: str = ''
+    trace: tuple[str, ...] = ()
+    states: tuple[dict, ...] = ()
+
+    def describe(self) -> str:
+        """Return one line on the verdict and the number of states."""
+        verdict = f'violates {self.violated}' if self.violated else 'holds'
+        extent = 'all' if self.exhaustive else 'the first'
+        return f'{self.name}: {verdict}; {extent} {self.state_count} states'
+
+
+def check(specification: Specification, most_states: int) -> Result:
+    """Visit all states and return the verdict.
+
+    ``most_states`` bounds the search; a search that reaches it is not
+    exhaustive and proves nothing.
+    """
+    return _run(specification, specification.successors, most_states)
+
+
+def find_violation(specification: Specification, most_states: int) -> Result:
+    """Search until the first violation, which makes the path shortest."""
+    found: list[str] = []
+
+    def watch(name: str, holds: collections.abc.Callable) -> typing.Any:
+        def watched(state: dict) -> bool:
+            if holds(state):
+                return True
+            found.append(name)
+            return False
+
+        return watched
+
+    def successors(state: tuple) -> list[Step]:
+        return [] if found else specification.successors(state)
+
+    invariants = {
+        name: watch(name, holds)
+        for name, holds in specification.invariants.items()
+    }
+    result = _run(specification, successors, most_states, invariants)
+    return dataclasses.replace(result, exhaustive=not found)
+
+
+def _run(
+    specification: Specification,
+    successors: Successors,
+    most_states: int,
+    invariants: Invariants | None = None,
+) -> Result:
+    protocol = minicheck.Protocol(
+        name=specification.name,
+        candidate=False,
+        fields=specification.fields,
+        initial=specification.initial,
+        transitions=successors,
+        invariants=invariants or specification.invariants,
+    )
+    report = minicheck.check_safety(protocol, max_states=most_states)
+    violated, path = _shortest(report['properties'])
+    return Result(
+        name=specification.name,
+        state_count=report['reachable_states'],
+        exhaustive=report['exhaustive'],
+        violated=violated,
+        trace=tuple(step['label'] for step in path[1:]),
+        states=tuple(step['state'] for step in path),
+    )
+
+
+def _shortest(properties: dict) -> tuple[str, list[dict]]:
+    found = [
+        (name, verdict['counterexample'])
+        for name, verdict in properties.items()
+        if verdict['holds'] is False
+    ]
+    return min(found, key=lambda item: len(item[1]), default=('', []))
