--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,11 @@
 RUN = PYTHONPATH=src:. $(BIN)/python
 SOURCES = src tests tools benchmarks demo
 
-.PHONY: test demo generate check lint format types stale layers unit binary clean
+<<<<<<< HEAD
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean proof-control bench-log
+=======
+.PHONY: test demo bench-datapath bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary clean
+>>>>>>> datapath
 
 test: check unit
 
@@ -29,8 +33,12 @@
 generate: $(VENV)/.ready
 	$(RUN) tools/generate.py
 
+pages: $(VENV)/.ready
+	$(RUN) tools/reference_pages.py
+
 stale: $(VENV)/.ready
 	$(RUN) tools/generate.py --check
+	$(RUN) tools/reference_pages.py --check
 
 layers: $(VENV)/.ready
 	$(RUN) tools/check_layers.py
@@ -38,8 +46,27 @@
 unit: $(VENV)/.ready
 	$(RUN) -m pytest
 
+# Every shell sets USER, so only one given on make's command line counts.
 demo: $(VENV)/.ready
-	$(RUN) -m demo
+	$(RUN) -m demo $(if $(filter command line,$(origin USER)),$(USER))
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache
+
+bench-policy: $(VENV)/.ready
+	$(RUN) -m benchmarks.policy
+
+bench-datapath: $(VENV)/.ready
+	$(RUN) -m benchmarks.datapath
+
+bench-memory: $(VENV)/.ready
+	$(RUN) -m benchmarks.state_memory
+
+bench-slots: $(VENV)/.ready
+	$(RUN) -m benchmarks.policy.slots
+
+proof-control: $(VENV)/.ready
+	$(RUN) -m pytest tests/control/proof_control_group.py
+
+bench-log: $(VENV)/.ready
+	$(RUN) -m benchmarks.catalogue_log
--- a/src/gentianspoke/commands/root.py
+++ b/src/gentianspoke/commands/root.py
@@ -6,7 +6,10 @@
 
 from gentianspoke.commands import catalogue
 from gentianspoke.commands import config
+from gentianspoke.commands import control_members
+from gentianspoke.commands import explain
 from gentianspoke.commands import processes
+from gentianspoke.commands import timeline
 
 Command = (
     processes.RunEntry
@@ -14,6 +17,9 @@
     | processes.RunControl
     | config.Config
     | catalogue.Catalogue
+    | control_members.ControlGroup
+    | timeline.Timeline
+    | explain.Explain
 )
 
 
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -21,6 +21,19 @@
         super().__init__(f'{place}: {remedy}')
 
 
+class StartError(GentianspokeError):
+    """A process that the system did not let start."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the settings file and the system's reason."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot start ({reason}); check that its addresses are'
+            ' of this instance and unused, and that the folders of its files'
+            ' exist and are writable'
+        )
+
+
 class CatalogueFileError(SettingsError):
     """A catalogue file whose entries are not valid."""
 
@@ -79,5 +92,131 @@
         super().__init__(f'this control instance does not lead; {remedy}')
 
 
+class OutcomeUnknownError(ControlError):
+<<<<<<< HEAD
+    """A request that may or may not be carried out."""
+
+    def __init__(self) -> None:
+        """Name the remedy: the same idempotency key again."""
+        super().__init__(
+            'the leader changed or no majority answered, so the outcome is'
+            ' unknown; send the request again with the same idempotency'
+            ' key, which is carried out once'
+        )
+
+
+class BusyError(ControlError):
+    """More requests wait for the log than it takes at a time."""
+
+    def __init__(self) -> None:
+        """Say that the request was not taken."""
+        super().__init__(
+            'too many requests wait for the catalogue log, so this one was'
+            ' not taken; send it again in a second'
+        )
+
+
+class MemberChangeError(ControlError):
+    """A change of control members that was refused."""
+
+
+class IdentityError(GentianspokeError):
+    """A control instance whose data folder is not that of its member."""
+
+
+=======
+    """An edit whose answer was lost."""
+
+    def __init__(self, key: str) -> None:
+        """Name the idempotency key of the edit."""
+        self.key = key
+        super().__init__(
+            'no control instance answered in time, so the edit may have been'
+            f' accepted; run the same command again with --key {key}'
+        )
+
+
+class EditRefusedError(ControlError):
+    """An edit that was not accepted, with nothing of it applied."""
+
+
+class NotInForceError(ControlError):
+    """A version that is not in force everywhere within the time limit."""
+
+    def __init__(
+        self, version: int, in_force: int, consumers: int, lagging: str
+    ) -> None:
+        """Count the consumers and name those that lag."""
+        self.version = version
+        super().__init__(
+            f'version {version} is accepted, but in force on {in_force} of'
+            f' {consumers} consumers only; look at those that lag:'
+            f' {lagging or "none is named"}'
+        )
+
+
+>>>>>>> membership
+class ChannelError(GentianspokeError):
+    """The other end of a channel did not show that it holds a key."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the reason, a few words for people to read."""
+        self.reason = reason
+        super().__init__(
+            f'the other end is not authenticated ({reason}); check that both'
+            ' have the key files of one deployment and that their clocks'
+            ' agree'
+        )
+
+
 class StorageError(GentianspokeError):
     """Durable state that cannot be read or written."""
+
+
+class FolderInUseError(StorageError):
+    """A data folder that another process uses."""
+
+    def __init__(self, path: str) -> None:
+        """Name the folder."""
+        super().__init__(
+            f'{path}: another process uses this data folder; stop it first,'
+            ' or give this instance a folder of its own'
+        )
+
+
+class DamageError(StorageError):
+    """A journal file that is damaged before its end."""
+
+    def __init__(self, file: str, offset: int) -> None:
+        """Name the file and the byte at which the damage begins."""
+        self.file = file
+        self.offset = offset
+        super().__init__(
+            f'{file}: damaged at byte {offset}, with valid data after it,'
+            ' so accepted changes may be missing; do not repair the file:'
+            ' replace this control instance with "gentianspoke control-group'
+            ' replace"'
+        )
+
+
+class WriteError(StorageError):
+    """A write or sync of durable state that failed."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and the system's reason."""
+        super().__init__(
+            f'{file}: cannot be made durable ({reason}); check space and'
+            ' health of the disk, then start this instance again'
+        )
+
+
+class LogFileError(GentianspokeError):
+    """A log file that the time line cannot read."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Name the file and why it cannot be read."""
+        self.file = file
+        super().__init__(
+            f'{file}: cannot be read ({reason}); check path and rights, or'
+            ' copy the log to this instance'
+        )
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -16,6 +16,8 @@
 from gentianspoke.shells import process
 
 LAGGARDS_NAMED = 16
+# One request has to reach a peer within one heartbeat's timeout.
+REQUEST_BYTES_AT_MOST = 1 << 20
 
 
 class CatalogueService(catalogue_grpc.CatalogueBase):
@@ -27,7 +29,7 @@
         log: log_port.CatalogueLog,
         consumers: hub.Hub,
     ) -> None:
-        """Serve the log, and wake the consumers after each edit."""
+        """Serve the log, and tell of the consumers."""
         self._proc = proc
         self._log = log
         self._hub = consumers
@@ -41,15 +43,34 @@
     ) -> None:
         """Accept or refuse edits."""
         message = await calls.receive(stream)
+        if message.ByteSize() > REQUEST_BYTES_AT_MOST:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT,
+                f'the request is larger than {REQUEST_BYTES_AT_MOST} bytes;'
+                ' split the file',
+            )
         request = _checked(catalogue_codec.decode_request, message)
-        answer = await self._log.submit(request)
-        await stream.send_message(catalogue_codec.encode_answer(answer))
+        key = request.idempotency_key
+        known = self._log.catalogue.known_answer(key) is not None
+        try:
+            answer = await self._log.submit(request)
+        except errors.NotLeaderError as exc:
+            await stream.send_message(
+                catalogue_pb2.ApplyReply(leader=exc.leader, redirected=True)
+            )
+            return
+        except errors.ControlError as exc:
+            raise grpclib.GRPCError(
+                grpclib.const.Status.UNAVAILABLE, str(exc)
+            ) from exc
+        reply = catalogue_codec.encode_answer(answer)
+        reply.repeated_answer = known
+        await stream.send_message(reply)
         self._proc.events.write(
             'catalogue-answered',
             accepted=answer.accepted,
             version=answer.version,
         )
-        self._hub.wake()
 
     async def List(  # noqa: N802
         self,
@@ -83,12 +104,11 @@
         """Return the accepted texts of an entry."""
         request = await calls.receive(stream)
         items = [
-            catalogue_pb2.HistoryItem(
-                version=item.version,
-                operator=item.operator,
-                idempotency_key=item.idempotency_key,
-                entry=catalogue_codec.encode_entry(item.entry),
-            )
+<<<<<<< HEAD
+            catalogue_codec.encode_history_item(item)
+=======
+            catalogue_codec.encode_history(item)
+>>>>>>> membership
             for item in self._log.catalogue.history
             if item.entry.name == request.name
         ]
@@ -103,19 +123,22 @@
     ) -> None:
         """Return how many consumers run a version."""
         request = await calls.receive(stream)
-        wanted = request.version or self._log.catalogue.version
-        lagging = self._hub.lagging(wanted)
-        consumers = len(self._hub.subscribers)
-        await stream.send_message(
-            catalogue_pb2.StatusReply(
-                version=self._log.catalogue.version,
-                consumers=consumers,
-                in_force=consumers - len(lagging),
-                laggards=lagging[:LAGGARDS_NAMED],
-                confirmed_age_ms=self._log.confirmed_age_ms(),
-                role='leader',
-            )
+        version = self._log.catalogue.version
+        reply = catalogue_pb2.StatusReply(
+            version=version,
+            confirmed_age_ms=self._log.confirmed_age_ms(),
+            leader=self._log.leader,
+            term=self._log.term,
+            role='leader' if self._log.is_leader else 'follower',
         )
+        if self._log.is_leader:
+            summary = self._hub.summary()
+            wanted = request.version or version
+            reply.consumers = summary.consumers
+            reply.in_force = summary.in_force(wanted)
+            reply.complete = self._hub.complete
+            reply.laggards.extend(summary.lagging(wanted)[:LAGGARDS_NAMED])
+        await stream.send_message(reply)
 
 
 def _checked(
