Check the hand-over of placement by explicit states

The specification calls ServiceMembers and ownership themselves; a test replays random traces against AgentState.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=src:. $(BIN)/python
-SOURCES = src tests tools benchmarks demo
+SOURCES = src tests tools benchmarks demo specs
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath
+.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
 test: check unit
 
@@ -80,3 +80,11 @@
 
 bench-log: $(VENV)/.ready
 	$(RUN) -m benchmarks.catalogue_log
+
+# The specifications at larger bounds, with the trace of each mistake.
+model: $(VENV)/.ready
+	$(RUN) -m specs
+
+# Writes docs/fault-matrix.md.
+matrix: $(VENV)/.ready
+	$(RUN) -m tests.matrix
--- a/specs/handover.py
+++ b/specs/handover.py
@@ -17,8 +17,9 @@
 the leader, ``ownership`` and ``AgentState`` for the agents.
 
 Properties: at no time two agents may decide for the bucket; the opening
-is never at the upstreams of two agents that run. (What an agent that died
-had placed is known to nobody; TCP's handshake is the second line there.)
+is never at the upstreams of two agents that run and are listed. (What an
+agent that died, or that control has removed, had placed is known to
+nobody; TCP's handshake is the second line there.)
 """
 
 import dataclasses
@@ -33,13 +34,15 @@
 Mistake = states.Mistake
 State = states.State
 Steps = list[checking.Step]
+# Heartbeats after which every agent is live, known to be, and has a lease.
+SETTLING_ROUNDS = 5
 
 
 class Handover:
     """The specification, with one rule left out where ``mistake`` is set."""
 
     name = 'handover'
-    fields = State._fields
+    fields: tuple[str, ...] = State._fields
 
     def __init__(
         self, bounds: Bounds = Bounds(), mistake: Mistake | None = None
@@ -48,16 +51,24 @@
         self.bounds = bounds
         self.mistake = mistake
         self.numbers = tuple(range(1, bounds.agents + 1))
-        self.invariants = {
+        self.invariants: checking.Invariants = {
             'single-decider': self._single_decider,
             'one-holder': self._one_holder,
         }
         agents = (states.Agent(),) * bounds.agents
-        self.initial = State(agents, states.Leader(), (), frozenset())
+        self.initial: tuple = self._settle(
+            State(agents, states.Leader(), (), frozenset())
+        )
 
     def successors(self, state: tuple) -> Steps:
-        """Return every step that may follow."""
-        state = State(*state)
+        """Return every step that may follow, within the bounds."""
+        found = self.steps(State(*state))
+        ranked = [(label, states.renumber(State(*s))) for label, s in found]
+        most = self.bounds.view_numbers
+        return [step for step in ranked if step[1].leader.number <= most]
+
+    def steps(self, state: State) -> Steps:
+        """Return every step that may follow, with growing view numbers."""
         found: Steps = [('tick', self._tick(state))]
         for index in range(self.bounds.agents):
             if state.agents[index].up:
@@ -65,9 +76,7 @@
             else:
                 found.append(self._start(state, index))
         found.extend(self._leader_steps(state))
-        ranked = [(label, states.renumber(State(*s))) for label, s in found]
-        most = self.bounds.view_numbers
-        return [step for step in ranked if step[1].leader.number <= most]
+        return found
 
     def deciders(self, state: State) -> list[int]:
         """Return the agents that may decide now."""
@@ -76,9 +85,21 @@
             for number, agent in zip(self.numbers, state.agents)
             if agent.up
             and self._holds_lease(agent)
-            and self._verdict(number, agent).may_place
+            and agent.seen.may_place
+            and not agent.joining
         ]
 
+    def _settle(self, state: State) -> State:
+        for number in self.bounds.settled:
+            state = State(*self._start(state, number - 1)[1])
+        for _ in range(SETTLING_ROUNDS):
+            for number in self.bounds.settled:
+                state = State(*self._heartbeat(state, number - 1)[0][1])
+            for number in self.bounds.settled:
+                view = state.issued[-1]
+                state = State(*self._apply(state, number - 1, view)[1])
+        return states.renumber(state)
+
     def _single_decider(self, state: dict) -> bool:
         return len(self.deciders(State(**state))) <= 1
 
@@ -86,21 +107,13 @@
         holders = [
             agent
             for number, agent in zip(self.numbers, state['agents'])
-            if agent.record is not None and agent.record.target == number
+            if _holds(agent, number) and not agent.record.lost
         ]
         return len(holders) <= 1
 
     def _holds_lease(self, agent: states.Agent) -> bool:
         return agent.lease_ticks > 0 or self.mistake is Mistake.NO_LEASE
 
-    def _verdict(
-        self, number: int, agent: states.Agent
-    ) -> agents_code.Verdict:
-        trusting = self.mistake is Mistake.NO_ACKNOWLEDGEMENT
-        return agents_code.verdict(
-            agent.view, number, agent.since, agent.joining, trusting
-        )
-
     def _tick(self, state: State) -> State:
         agents = tuple(map(self._age, state.agents))
         most = self.bounds.lease_ticks
@@ -130,7 +143,8 @@
 
     def _start(self, state: State, index: int) -> checking.Step:
         age = self.bounds.lease_ticks
-        agent = states.Agent(up=True, age_ticks=age)
+        joining = self.mistake is not Mistake.RESTART_ACTS
+        agent = states.Agent(up=True, joining=joining, age_ticks=age)
         label = f'start {self.numbers[index]}'
         return (label, state.with_agent(index, agent))
 
@@ -138,13 +152,10 @@
         number = self.numbers[index]
         agent = state.agents[index]
         found: Steps = []
-        for view in state.issued:
-            if view.number >= agent.view.number and view != agent.view:
+        offered = 2 if self.bounds.stale_sources else 1
+        for view in state.issued[-offered:]:
+            if view.number >= agent.seen.number:
                 found.append(self._apply(state, index, view))
-        if state.issued and agent.view == state.issued[-1]:
-            confirmed = dataclasses.replace(agent, age_ticks=0, missed=False)
-            after = state.with_agent(index, confirmed)
-            found.append((f'confirm {number}', after))
         if self.bounds.crashes:
             after = state.with_agent(index, states.Agent())
             found.append((f'crash {number}', after))
@@ -160,24 +171,24 @@
     ) -> checking.Step:
         number = self.numbers[index]
         agent = state.agents[index]
-        missed = agent.missed or agent.age_ticks >= self.bounds.lease_ticks
-        if self.mistake is Mistake.MISSED_VIEWS:
-            missed = False
-        since = agent.since
-        if view.number > agent.view.number:
-            was_home = agents_code.home_of(agent.view) == number
-            kept = was_home and not missed
-            since = agent.since if kept else view.number
-        if agents_code.home_of(view) != number:
-            since = 0
+        missed = agent.age_ticks >= self.bounds.lease_ticks
+        past = agent.seen
+        if missed and view.number > past.number:
+            past = states.Seen()
+        trusting = self.mistake is Mistake.NO_ACKNOWLEDGEMENT
+        seen = agents_code.apply_view(view, number, past, trusting)
+        if not self.bounds.offers:
+            seen = dataclasses.replace(
+                seen, decides_since=0, asked=(), live=()
+            )
+            if seen.home != number:
+                seen = states.Seen(seen.number)
         shown = agents_code.is_shown_not_live(view, number)
         current = view is state.issued[-1]
         after = dataclasses.replace(
             agent,
-            view=view,
-            since=since,
+            seen=seen,
             joining=agent.joining and not shown,
-            missed=missed and not current,
             age_ticks=0 if current else agent.age_ticks,
         )
         which = 'the current view' if current else 'the view before'
@@ -191,9 +202,9 @@
             dataclasses.replace(state.leader, hold_ticks=0),
             number,
             agent.joining,
-            agent.view.number,
+            agent.seen.number,
             _oldest_flow_view(agent, number),
-            self.mistake is Mistake.ACK_GOES_BACK,
+            self.mistake is Mistake.RESTART_ACTS,
         )
         granted = self._is_granted(state, agent, heard.caught_up)
         after = _lead(state, heard.leader)
@@ -214,13 +225,18 @@
         lease = min(self.bounds.lease_ticks, state.leader.hold_ticks)
         if self.mistake is Mistake.DEPOSED_GRANTS and state.leader.hold_ticks:
             lease = self.bounds.lease_ticks
-        caught_up = state.issued and agent.view == state.issued[-1]
+        caught_up = self._has_current(state, agent)
         if lease <= agent.lease_ticks or not caught_up:
             return []
         after = dataclasses.replace(agent, lease_ticks=lease)
         label = f'deposed leader hears {self.numbers[index]}'
         return [(label, state.with_agent(index, after))]
 
+    def _has_current(self, state: State, agent: states.Agent) -> bool:
+        if not state.issued:
+            return False
+        return agent.seen.number == state.issued[-1].number
+
     def _is_granted(
         self, state: State, agent: states.Agent, caught_up: bool
     ) -> bool:
@@ -292,16 +308,16 @@
     def _may_decide(self, state: State, index: int) -> bool:
         number = self.numbers[index]
         agent = state.agents[index]
-        verdict = self._verdict(number, agent)
-        if not verdict.may_place:
+        seen = agent.seen
+        if agent.joining or not seen.may_place:
             return False
         if agent.record is not None:
             offered = agent.record.target != number
-            if not offered or agent.record.view >= verdict.since:
+            if not offered or agent.record.view >= seen.decides_since:
                 return False
         if self.mistake is Mistake.NO_ASKING:
             return True
-        return all(self._denies(state, asked, ()) for asked in verdict.asked)
+        return all(self._denies(state, asked, ()) for asked in seen.asked)
 
     def _denies(
         self, state: State, number: int, passed: tuple[int, ...]
@@ -320,21 +336,24 @@
     def _decide(self, state: State, index: int) -> Steps:
         number = self.numbers[index]
         agent = state.agents[index]
-        view = agent.view.number
+        view = agent.seen.number
+        targets = agent.seen.live
+        if agent.record is not None:
+            # The first target may yet get the first offer.
+            targets = (agent.record.target,)
         found: Steps = []
-        for target in self.numbers:
+        for target in targets:
             record = states.Record(target, number, view, view)
             after = state.with_agent(
                 index, dataclasses.replace(agent, record=record)
             )
             if target == number:
                 found.append((f'{number} places the opening', after))
-            elif _is_live(agent.view, target):
-                offer = states.Offer(target, number, view)
-                offers = state.offers | {offer}
-                if len(offers) <= self.bounds.offers:
-                    label = f'{number} offers the opening to {target}'
-                    found.append((label, after._replace(offers=offers)))
+                continue
+            offers = state.offers | {states.Offer(target, number, view)}
+            if len(offers) <= self.bounds.offers:
+                label = f'{number} offers the opening to {target}'
+                found.append((label, after._replace(offers=offers)))
         return found
 
     def _take_offer(
@@ -342,13 +361,13 @@
     ) -> Steps:
         number = self.numbers[index]
         agent = state.agents[index]
-        accepted = agents_code.accepts_offer(
-            agent.view, number, agent.joining, offer.decider, offer.view
+        accepted = not agent.joining and agents_code.accepts_offer(
+            agent.seen, number, offer.decider, offer.view
         )
-        if not accepted and self.mistake is not Mistake.STALE_OFFER:
+        if not accepted:
             return []
         record = states.Record(
-            number, offer.decider, offer.view, agent.view.number
+            number, offer.decider, offer.view, agent.seen.number
         )
         after = dataclasses.replace(agent, record=record)
         label = f'{number} takes the offer of {offer.decider}'
@@ -366,16 +385,29 @@
 def _issue(state: State, leader: states.Leader) -> State:
     view = leader_code.view_of(leader)
     earlier = [item for item in state.issued if item.number != view.number]
-    return state._replace(issued=(*earlier[-1:], view))
+    listed = {member.number for member in view.members}
+    agents = tuple(
+        (
+            _without_trace(agent)
+            if _holds(agent, number) and number not in listed
+            else agent
+        )
+        for number, agent in enumerate(state.agents, start=1)
+    )
+    return state._replace(agents=agents, issued=(*earlier[-1:], view))
+
+
+def _holds(agent: states.Agent, number: int) -> bool:
+    return agent.record is not None and agent.record.target == number
+
+
+def _without_trace(agent: states.Agent) -> states.Agent:
+    assert agent.record is not None
+    lost = dataclasses.replace(agent.record, lost=True)
+    return dataclasses.replace(agent, record=lost)
 
 
 def _oldest_flow_view(agent: states.Agent, number: int) -> int:
-    if agent.record is None or agents_code.home_of(agent.view) == number:
+    if agent.record is None or agent.seen.home == number:
         return 0
     return agent.record.placed_view
-
-
-def _is_live(view: views.View, number: int) -> bool:
-    return any(
-        member.is_live and member.number == number for member in view.members
-    )
--- a/specs/handover_agent.py
+++ b/specs/handover_agent.py
@@ -26,47 +26,52 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
-    """What a home with a valid lease may do in a view.
-
-    ``since`` is the view since which it is the home; ``asked`` are the
-    members that it asks before it places.
-    """
-
-    may_place: bool
-    since: int
-    asked: tuple[int, ...]
-
-
 @functools.cache
-def verdict(
-    view: views.View, number: int, since: int, joining: bool, trusting: bool
-) -> Verdict:
-    """Return the verdict of the code, without regard to the lease.
+def apply_view(
+    view: views.View, number: int, past: states.Seen, trusting: bool
+) -> states.Seen:
+    """Return what an agent draws from a view.
 
+    ``past`` is what it drew from its earlier views without a gap.
     ``trusting`` takes all members to have acknowledged the view.
     """
     if trusting:
         view = _acknowledged(view)
-    state, ranking = _open(view, number, since, joining)
-    if home_of(view) != number:
-        return Verdict(False, 0, ())
     bucket = bucket_of_order(3)
+    state, ranking = _open(view, number, past)
+    home = ranking.home(bucket)
+    if home is None:
+        return states.Seen(view.number)
+    kept = past.home == home.number and past.since
+    seen = states.Seen(
+        number=view.number,
+        home=home.number,
+        since=past.since if kept else view.number,
+        decides_since=ownership.home_since(
+            state, ranking, bucket, home.number
+        ),
+    )
+    if home.number != number:
+        return seen
     asked = ownership.members_to_ask(state, ranking, bucket)
-    return Verdict(
-        ownership.may_place(state, SERVICE, ranking, bucket, now=0),
-        ownership.home_since(state, ranking, bucket),
-        tuple(member.number for member in asked),
+    return dataclasses.replace(
+        seen,
+        may_place=ownership.may_place(state, SERVICE, ranking, bucket, now=0),
+        asked=tuple(member.number for member in asked),
+        live=tuple(item.number for item in view.members if item.is_live),
     )
 
 
 @functools.cache
 def accepts_offer(
-    view: views.View, number: int, joining: bool, decider: int, decided: int
+    seen: states.Seen, number: int, decider: int, decided: int
 ) -> bool:
     """Return whether an agent with a valid lease takes an offer."""
-    state, ranking = _open(view, number, 0, joining)
+    if not seen.home:
+        return False
+    home = handover_leader.live_member(seen.home, seen.decides_since)
+    view = views.View(states.SERVICE_NUMBER, seen.decides_since, (home,))
+    state, ranking = _open(view, number, states.Seen())
     offer = frames.Forward(
         service=states.SERVICE_NUMBER,
         view=decided,
@@ -79,29 +84,21 @@
     return ownership.accepts_offer(state, SERVICE, ranking, offer, now=0)
 
 
-@functools.cache
-def home_of(view: views.View) -> int:
-    """Return the home of the bucket, 0 without one."""
-    home = hashing.Ranking(view).home(bucket_of_order(3))
-    return home.number if home else 0
-
-
 @functools.cache
 def is_shown_not_live(view: views.View, number: int) -> bool:
     """Return whether a view tells an agent that it has to join anew."""
-    state, _ = _open(view, number, 0, True)
+    state, _ = _open(view, number, states.Seen())
     return state.is_shown_not_live()
 
 
 @functools.cache
 def bucket_of_order(count: int) -> int:
     """Return the first bucket whose order is 1, 2, ... ``count``."""
-    report = handover_leader.service_members.ServiceReport(1)
-    record = handover_leader.service_members.ServiceMembers(1, lambda: 1)
-    for number in range(1, count + 1):
-        heartbeat = handover_leader.announcement(number, False, report)
-        record.announce(heartbeat, report, now=0)
-    ranking = hashing.Ranking(record.view())
+    members = tuple(
+        handover_leader.live_member(number, 1)
+        for number in range(1, count + 1)
+    )
+    ranking = hashing.Ranking(views.View(1, 1, members))
     for bucket in range(hashing.BUCKETS_PER_SERVICE):
         order = [member.number for member in ranking.order(bucket)]
         if order == sorted(order):
@@ -110,20 +107,19 @@
 
 
 def _open(
-    view: views.View, number: int, since: int, joining: bool
+    view: views.View, number: int, past: states.Seen
 ) -> tuple[agent_state.AgentState, hashing.Ranking]:
     state = agent_state.AgentState(
         number=number,
         zone='',
         capacity=agent_state.Capacity(1, 1, 0),
         started_ms=0,
-        joining=joining,
         lease_until_ms=1,
     )
     state.set_catalogue([SERVICE])
-    if 0 < since < view.number:
-        alone = tuple(item for item in view.members if item.number == number)
-        state.set_view(views.View(view.service, since, alone))
+    if past.home and past.since < view.number:
+        home = handover_leader.live_member(past.home, past.since)
+        state.set_view(views.View(view.service, past.since, (home,)))
     state.set_view(view)
     return state, state.rankings[view.service]
 
--- a/specs/handover_leader.py
+++ b/specs/handover_leader.py
@@ -71,6 +71,16 @@
     return views.View(states.SERVICE_NUMBER, leader.number, members)
 
 
+def live_member(number: int, joined_view: int) -> views.Member:
+    """Return a member that became live in a view."""
+    record = service_members.ServiceMembers(
+        states.SERVICE_NUMBER, lambda: joined_view
+    )
+    report = service_members.ServiceReport(states.SERVICE_NUMBER)
+    record.announce(announcement(number, False, report), report, now=0)
+    return record.listings[number].member
+
+
 def announcement(
     number: int, joining: bool, report: service_members.ServiceReport
 ) -> service_members.Announcement:
--- a/specs/handover_state.py
+++ b/specs/handover_state.py
@@ -23,9 +23,7 @@
     NEW_LEADER_GRANTS = 'a new leader grants a lease to whoever asks'
     DEPOSED_GRANTS = 'a deposed leader grants whole leases'
     GRANT_BEFORE_ACK = 'a lease for a member that has not seen its view'
-    ACK_GOES_BACK = 'a restarted member gets a lease on an older view'
-    MISSED_VIEWS = 'a home counts on views that it may have missed'
-    STALE_OFFER = 'an agent takes the offer of a former home'
+    RESTART_ACTS = 'a restarted member acts on an older view'
     NO_ASKING = 'a new home places without asking who knows the opening'
 
 
@@ -34,16 +32,20 @@
     """What happens, any number of times, and to how many agents.
 
     ``view_numbers`` bounds the numbers in use at once, not over a run. A
-    heartbeat reaches the leader at once, since a late one brings nothing
-    that one sent later does not; with ``late_replies`` its answer may
-    take time or be lost. ``offers`` adds one opening, whose copies reach
-    every agent at any time, with as many offers of it on their way.
+    stale source gives the view before the current one. A heartbeat reaches
+    the leader at once, since a late one brings nothing that one sent later
+    does not; with ``late_replies`` its answer may take time or be lost. The
+    search begins with the agents of ``settled`` in service. ``offers`` adds
+    one opening, whose copies reach every agent at any time, with as many
+    offers of it on their way.
     """
 
     agents: int = 2
+    settled: tuple[int, ...] = ()
     lease_ticks: int = 1
     view_numbers: int = 4
     late_replies: bool = False
+    stale_sources: bool = True
     crashes: bool = True
     new_leaders: bool = True
     offers: int = 0
@@ -53,13 +55,15 @@
 class Record:
     """What an agent knows of the opening: handed over, or offered to.
 
-    ``target`` is the agent itself where the upstream has the opening.
+    ``target`` is the agent itself where the upstream has the opening. A
+    ``lost`` record is that of an agent which control has removed.
     """
 
     target: int
     decider: int
     view: int
     placed_view: int
+    lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,21 +75,39 @@
     view: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """What an agent draws from the view that it applied last.
+
+    ``home`` is the bucket's home, ``since`` the number of the oldest view
+    from which on it has seen that home without a gap, and
+    ``decides_since`` what the code makes of that. For the home itself,
+    ``may_place`` is the verdict of the code for a valid lease; it asks the
+    members ``asked`` before it places, and may offer to those ``live``.
+    """
+
+    number: int = 0
+    home: int = 0
+    since: int = 0
+    decides_since: int = 0
+    may_place: bool = False
+    asked: tuple[int, ...] = ()
+    live: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Agent:
     """An agent: its view, its lease, and what it knows of the opening.
 
-    ``since`` is the number of the oldest view since which it has been the
-    home without a gap, 0 where it is not. ``age_ticks`` counts from the
-    last confirmation of its view; ``reply_ticks`` is the age of a granted
-    lease on its way, ``NONE`` where there is none.
+    ``age_ticks`` counts from the last confirmation of its view, up to the
+    length of a lease, from which on it may have missed views;
+    ``reply_ticks`` is the age of a granted lease on its way, ``NONE``
+    where there is none.
     """
 
     up: bool = False
     joining: bool = True
-    view: views.View = views.View(SERVICE_NUMBER, 0, ())
-    since: int = 0
-    missed: bool = True
+    seen: Seen = Seen()
     age_ticks: int = 0
     lease_ticks: int = 0
     reply_ticks: int = NONE
@@ -133,7 +155,8 @@
     used = {0, state.leader.number}
     used.update(offer.view for offer in state.offers)
     for agent in state.agents:
-        used.update(_view_numbers(agent.view), (agent.since,))
+        seen = agent.seen
+        used.update((seen.number, seen.since, seen.decides_since))
         if agent.record is not None:
             used.update((agent.record.view, agent.record.placed_view))
     for listed in state.leader.listed:
@@ -182,8 +205,12 @@
         )
     return dataclasses.replace(
         agent,
-        view=_rank_view(agent.view, rank),
-        since=rank[agent.since],
+        seen=dataclasses.replace(
+            agent.seen,
+            number=rank[agent.seen.number],
+            since=rank[agent.seen.since],
+            decides_since=rank[agent.seen.decides_since],
+        ),
         record=record,
     )
 
--- /dev/null
+++ b/specs/tables.py
@@ -0,0 +1,87 @@
+"""What is checked: bounds in which all holds, mistakes that must be found."""
+
+import dataclasses
+
+from specs import checking
+from specs import handover
+
+Mistake = handover.Mistake
+NO_FAULT = handover.Bounds(
+    stale_sources=False, crashes=False, new_leaders=False
+)
+MOST_STATES = 5_000_000
+# Searches of the test suite; all of them together take some 10 s.
+SMALL = (
+    dataclasses.replace(handover.Bounds(), view_numbers=2),
+    dataclasses.replace(NO_FAULT, view_numbers=2, offers=1),
+)
+LARGE = (
+    dataclasses.replace(NO_FAULT, view_numbers=3),
+    dataclasses.replace(NO_FAULT, view_numbers=3, stale_sources=True),
+    dataclasses.replace(NO_FAULT, view_numbers=3, crashes=True),
+    dataclasses.replace(NO_FAULT, view_numbers=3, new_leaders=True),
+    dataclasses.replace(NO_FAULT, view_numbers=2, offers=1, crashes=True),
+    dataclasses.replace(NO_FAULT, view_numbers=2, offers=1, new_leaders=True),
+    dataclasses.replace(
+        NO_FAULT, view_numbers=2, lease_ticks=2, late_replies=True
+    ),
+)
+_SETTLED = dataclasses.replace(NO_FAULT, settled=(1, 2))
+_LEADERS = dataclasses.replace(_SETTLED, new_leaders=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seed:
+    """A seeded mistake, with bounds in which it must be found.
+
+    ``is_small`` tells that the test suite has the time for it.
+    """
+
+    mistake: Mistake
+    bounds: handover.Bounds
+    is_small: bool = True
+
+
+SEEDS = (
+    Seed(Mistake.REMOVAL_BEFORE_LEASE_END, _SETTLED),
+    Seed(Mistake.DRIFT_BEYOND_BOUND, _SETTLED),
+    Seed(
+        Mistake.LEASE_FROM_REPLY,
+        dataclasses.replace(_SETTLED, lease_ticks=2, late_replies=True),
+    ),
+    Seed(Mistake.NO_LEASE, _SETTLED),
+    Seed(Mistake.NO_ACKNOWLEDGEMENT, _SETTLED),
+    Seed(Mistake.NEW_LEADER_ISSUES, _LEADERS),
+    Seed(Mistake.NEW_LEADER_GRANTS, _LEADERS),
+    Seed(
+        Mistake.DEPOSED_GRANTS,
+        dataclasses.replace(_LEADERS, lease_ticks=2, view_numbers=3),
+        is_small=False,
+    ),
+    Seed(Mistake.GRANT_BEFORE_ACK, _SETTLED),
+    Seed(
+        Mistake.RESTART_ACTS,
+        dataclasses.replace(
+            NO_FAULT,
+            settled=(2,),
+            view_numbers=3,
+            crashes=True,
+            stale_sources=True,
+        ),
+    ),
+    Seed(
+        Mistake.NO_ASKING,
+        dataclasses.replace(NO_FAULT, settled=(2,), view_numbers=3, offers=1),
+    ),
+)
+
+
+def prove(bounds: handover.Bounds) -> checking.Result:
+    """Visit every state within the bounds."""
+    return checking.check(handover.Handover(bounds), MOST_STATES)
+
+
+def find(seed: Seed) -> checking.Result:
+    """Search for the shortest trace of a seeded mistake."""
+    specification = handover.Handover(seed.bounds, seed.mistake)
+    return checking.find_violation(specification, MOST_STATES)
--- /dev/null
+++ b/tests/agent/test_late_offers.py
@@ -0,0 +1,71 @@
+"""Offers that arrive late, as the model's traces have them."""
+
+import dataclasses
+
+import builders
+import fakes
+import pytest
+
+from gentianspoke.core import views
+
+SYN = builders.segment()
+FIRST, SECOND, THIRD = fakes.order()
+LIVE, DRAINING, _ = views.State
+GAP_MS = 2_500
+
+
+def view(number, **changes):
+    """Return a view that all members have acknowledged."""
+    names = {'first': FIRST, 'second': SECOND, 'third': THIRD}
+    members = []
+    for name, member in sorted(names.items(), key=lambda item: item[1]):
+        found = builders.member(member, acked_view=number)
+        members.append(dataclasses.replace(found, **changes.get(name, {})))
+    return builders.view(*members, number=number)
+
+
+def give(states, newer):
+    for state in states.values():
+        state.set_view(newer)
+
+
+def offered_late(first_view, home):
+    """Return agents of which ``home`` has an offer on its way."""
+    entry = builders.service()
+    states = {n: fakes.agent(n, entry, first_view) for n in (1, 2, 3)}
+    wire = fakes.Wire(*states.values())
+    states[home].total_running = 4
+    wire.hold_to = {FIRST, SECOND, THIRD} - {home}
+    wire.send(home, SYN)
+    assert len(wire.held) == 1
+    states[home].total_running = 0
+    wire.hold_to = set()
+    return states, wire
+
+
+@pytest.mark.parametrize('released', [False, True])
+def test_an_offer_from_before_another_home_decided_is_not_taken(released):
+    closed = {'state': DRAINING, 'closed_view': 1}
+    states, wire = offered_late(view(1, first=closed), SECOND)
+    joined = {'joined_view': 2}
+    record = {'oldest_flow_view': 1}
+    give(states, view(2, first=joined, second=record))
+    wire.send(FIRST, SYN)
+    assert wire.delivered == [FIRST]
+    closed = {'state': DRAINING, 'closed_view': 3, 'oldest_flow_view': 2}
+    give(states, view(3, first=closed))
+    if released:
+        wire.release(SYN)
+    assert wire.delivered == [FIRST]
+
+
+def test_a_home_that_may_have_missed_views_does_not_place_its_offer_anew():
+    states, wire = offered_late(view(1), FIRST)
+    states[FIRST].confirmed_ms = 0
+    states[FIRST].note_feed(GAP_MS)
+    for state in states.values():
+        state.lease_until_ms = 2 * GAP_MS
+    give(states, view(2))
+    wire.send(FIRST, SYN, GAP_MS)
+    wire.release(SYN, GAP_MS)
+    assert len(set(wire.delivered)) == 1
--- /dev/null
+++ b/tests/model/test_handover.py
@@ -0,0 +1,95 @@
+"""The hand-over specification holds, and each seeded mistake is found."""
+
+import random
+
+import pytest
+
+from gentianspoke.core import views
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions import hashing
+from specs import handover
+from specs import handover_agent
+from specs import tables
+
+SMALL_SEEDS = [seed for seed in tables.SEEDS if seed.is_small]
+
+
+@pytest.mark.parametrize('bounds', tables.SMALL, ids=str)
+def test_the_hand_over_holds_in_every_state(bounds):
+    result = tables.prove(bounds)
+    assert (result.exhaustive, result.violated) == (True, '')
+    assert result.state_count > 10_000
+
+
+@pytest.mark.parametrize('seed', SMALL_SEEDS, ids=lambda s: s.mistake.name)
+def test_a_seeded_mistake_is_found_with_its_trace(seed):
+    result = tables.find(seed)
+    assert result.violated in ('single-decider', 'one-holder')
+    assert result.trace
+
+
+def test_every_mistake_has_a_seed():
+    assert {seed.mistake for seed in tables.SEEDS} == set(handover.Mistake)
+
+
+class Replayed:
+    """An agent of the code that gets the views of a trace."""
+
+    def __init__(self, number):
+        self.state = agent_state.AgentState(
+            number, '', agent_state.Capacity(1, 1, 0), 0, joining=True
+        )
+        self.state.set_catalogue([handover_agent.SERVICE])
+
+    def apply(self, view, missed):
+        self.state.views_missed = missed
+        self.state.set_view(view)
+        self.state.joining &= not self.state.is_shown_not_live()
+
+    def decides(self):
+        ranking = self.state.rankings.get(1)
+        bucket = handover_agent.bucket_of_order(3)
+        home = ranking.home(bucket) if ranking else None
+        if home is None or home.number != self.state.number:
+            return False
+        self.state.lease_until_ms = 1
+        return ownership.may_place(
+            self.state, handover_agent.SERVICE, ranking, bucket, 0
+        )
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_agents_of_the_code_decide_as_in_a_trace_of_the_model(seed):
+    rng = random.Random(seed)
+    specification = handover.Handover()
+    state = specification.initial
+    agents = {number: Replayed(number) for number in specification.numbers}
+    decided = 0
+    for _ in range(1_500):
+        label, after = rng.choice(specification.steps(state))
+        words = label.split()
+        if words[0] == 'start':
+            agents[int(words[1])] = Replayed(int(words[1]))
+        if words[1:2] == ['applies']:
+            number = int(words[0])
+            view = state.issued[-1 if 'current' in label else -2]
+            held = state.agents[number - 1]
+            agents[number].apply(view, held.age_ticks >= 1)
+        state = after
+        for number, agent in enumerate(state.agents, start=1):
+            if agent.up:
+                expected = agent.seen.may_place and not agent.joining
+                assert agents[number].decides() is expected
+                decided += expected
+    assert decided
+
+
+def test_the_bucket_of_the_specification_has_the_order_it_needs():
+    members = tuple(
+        handover_agent.handover_leader.live_member(number, 1)
+        for number in (1, 2, 3)
+    )
+    ranking = hashing.Ranking(views.View(1, 1, members))
+    order = ranking.order(handover_agent.bucket_of_order(3))
+    assert [member.number for member in order] == [1, 2, 3]
