Run every fault at every step of a flow, and renew offers to rejoined members

Cause: the matrix cell 'wait: agent restarts' left a booking neither placed nor refused for 40 s: the target's agent had joined in a newer view than the offer's and refused it, the home repeated the old view, and each copy went round until its hop limit. A home that may place now dates its offer by the present view; members on the way take that over. Ruled out: placing anew, since the first offer may still be taken.

--- a/specs/handover.py
+++ b/specs/handover.py
@@ -312,9 +312,11 @@
         if agent.joining or not seen.may_place:
             return False
         if agent.record is not None:
-            offered = agent.record.target != number
-            if not offered or agent.record.view >= seen.decides_since:
+            if agent.record.target == number:
                 return False
+            if agent.record.view >= seen.decides_since:
+                # The home renews its offer, with the same target.
+                return agent.record.view < seen.number
         if self.mistake is Mistake.NO_ASKING:
             return True
         return all(self._denies(state, asked, ()) for asked in seen.asked)
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -85,6 +85,7 @@
     if member is None:
         return on_lost_target(state, service, diverted, packet)
     diverted.used_ms = now
+    _renew(state, service, diverted, forward, now)
     if forward.purpose is frames.Purpose.ASK:
         return passing.pass_to(state, member, forward, frames.Purpose.ASK)
     # The target gets the same offer even if it did not know the flow a
@@ -94,6 +95,34 @@
     )
 
 
+def _renew(
+    state: State,
+    service: services.Service,
+    diverted: records.Diversion,
+    forward: frames.Forward,
+    now: int,
+) -> None:
+    """Date an offer by the present view, where the decider is home still.
+
+    A target that joined after the offer was made does not know since when
+    the decider has been the home, and takes only offers of newer views.
+    """
+    ranking = state.rankings[diverted.service]
+    home = ranking.home(diverted.bucket)
+    if home is None:
+        return
+    if forward.purpose is frames.Purpose.OFFER:
+        newer = forward.view > diverted.view
+        if newer and ownership.accepts_offer(
+            state, service, ranking, forward, now
+        ):
+            diverted.decider = forward.decider
+            diverted.view = forward.view
+    elif home.number == state.number == diverted.decider:
+        if ownership.may_place(state, service, ranking, diverted.bucket, now):
+            diverted.view = ranking.view.number
+
+
 def _must_ask_again(
     state: State, service: services.Service, diverted: records.Diversion
 ) -> bool:
--- /dev/null
+++ b/tests/matrix/cells.py
@@ -0,0 +1,297 @@
+"""Every fault at every step of a flow, alone and in pairs."""
+
+import dataclasses
+import itertools
+
+from gentianspoke.core import frames
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.control import membership
+from tests.matrix import world as worlds
+
+STEPS = ('open', 'wait', 'place', 'forward', 'answer', 'close')
+PAIR_STEPS = ('wait', 'place', 'answer')
+PATIENCE_MS = 40_000
+LATE_MS = 4_000
+CROSSED_MS = 150
+FIRST_PORT = 5_000
+PROBE_PORT = 5_001
+NEIGHBOUR_PORT = 6_000
+NEIGHBOUR_MS = 500
+SLOTS = 4
+FREE_MS = 2_000
+WHOLE = frozenset({'whole'})
+# What a caller may see whose upstream is lost or silent. "opening" is an
+# opening without an answer: its outcome is unknown, so it is not refused.
+ANY_END = frozenset({'whole', 'refused', 'reset', 'opening'})
+
+
+def lose(world, send):
+    """Lose the packet."""
+
+
+def duplicate(world, send):
+    """Deliver the packet twice."""
+    send()
+    send()
+
+
+def delay(world, send):
+    """Deliver the packet after its sender has sent it again."""
+    send(LATE_MS)
+
+
+def cross(world, send):
+    """Let later packets overtake the packet."""
+    send(CROSSED_MS)
+
+
+def entry_dies(world, send):
+    """Remove an entry."""
+    world.entries.pop(0)
+    send()
+
+
+def entry_joins(world, send):
+    """Add an entry."""
+    world.add_entry()
+    send()
+
+
+def views_uneven(world, send):
+    """Keep an entry on its views while the owner drains."""
+    world.frozen.add(id(world.entries[0]))
+    drain(world, send)
+
+
+def agent_restarts(world, send):
+    """Restart the owner's agent beside its running upstream."""
+    number = world.owner()
+    if number in world.agents:
+        world.add_agent(number, worlds.BOOKINGS, recovering=True)
+    send()
+
+
+def upstream_dies(world, send):
+    """Remove the owner with its agent."""
+    number = world.owner()
+    world.agents.pop(number, None)
+    world.upstreams.pop(number, None)
+    send()
+
+
+def upstream_restarts(world, send):
+    """Begin a new incarnation of the owner."""
+    number = world.owner()
+    if number in world.agents:
+        world.upstreams[number].connections.clear()
+        state = world.agents[number]
+        now = world.clock.now()
+        for action in core.on_incarnation(state, number + 100, now):
+            world._act(number, action)
+    send()
+
+
+def upstream_joins(world, send):
+    """Add an upstream."""
+    world.add_agent(9, worlds.BOOKINGS)
+    send()
+
+
+def drain(world, send):
+    """Drain the owner."""
+    number = world.owner()
+    if number in world.agents:
+        world.agents[number].draining = True
+        world.drained[number] = world.clock.now()
+    send()
+
+
+def leader_changes(world, send):
+    """Put a new leader of control in place, with the views it knows."""
+    now = world.clock.now()
+    known = world.leader.all_views()
+    world.leader = membership.Membership(
+        world.leader.term + 1, worlds.LIMITS, now
+    )
+    world.leader.adopt(known, now)
+    send()
+
+
+def cut_off(world, send):
+    """Cut the owner off from control, both ways."""
+    world.unheard.add(world.owner())
+    world.unfed.add(world.owner())
+    send()
+
+
+def cut_off_one_way(world, send):
+    """Lose the owner's heartbeats, while it gets its feed."""
+    world.unheard.add(world.owner())
+    send()
+
+
+def load_lies(world, send):
+    """Report absurd loads for every member to every member."""
+    for state in world.agents.values():
+        for number, count in zip(worlds.MEMBERS, (0, 10**6, 1)):
+            report = frames.LoadReport(1, number, count, count, count)
+            core.on_load(state, report)
+    send()
+
+
+def flow_silent(world, send):
+    """Let the owner lose track of the one connection for good."""
+    number = world.owner()
+    if number in world.upstreams:
+        world.upstreams[number].silent.add(FIRST_PORT)
+    send()
+
+
+# An agent that starts while it is cut off from control has no catalogue.
+CUT_OFF_AT_START = frozenset({'agent restarts', 'cut off both ways'})
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault, how a flow may end under it, and why it may not apply."""
+
+    name: str
+    strike: object
+    ends: frozenset = WHOLE
+    is_packet: bool = False
+
+
+FAULTS = (
+    Fault('packet lost', lose, is_packet=True),
+    Fault('packet duplicated', duplicate, is_packet=True),
+    Fault('packet late', delay, is_packet=True),
+    Fault('packets crossed', cross, is_packet=True),
+    Fault('entry dies', entry_dies),
+    Fault('entry joins', entry_joins),
+    Fault('views uneven', views_uneven),
+    Fault('agent restarts', agent_restarts),
+    Fault('upstream dies', upstream_dies, ANY_END),
+    Fault('upstream restarts', upstream_restarts, ANY_END),
+    Fault('upstream joins', upstream_joins),
+    Fault('drain', drain),
+    Fault('leader changes', leader_changes),
+    Fault('cut off both ways', cut_off),
+    Fault('cut off one way', cut_off_one_way),
+    Fault('load lies', load_lies),
+    Fault('flow silent', flow_silent, ANY_END),
+)
+
+
+SILENT = FAULTS[-1]
+
+
+@dataclasses.dataclass(frozen=True)
+class Cell:
+    """One or two faults at one step."""
+
+    step: str
+    faults: tuple
+
+    @property
+    def name(self):
+        """Return the cell's name in the table and in test ids."""
+        return f'{self.step}: ' + ' + '.join(f.name for f in self.faults)
+
+    @property
+    def ends(self):
+        """Return how the flow may end."""
+        if CUT_OFF_AT_START <= {fault.name for fault in self.faults}:
+            return ANY_END
+        ends = frozenset().union(*(fault.ends for fault in self.faults))
+        if self.step == 'wait' and len(self.faults) > 1:
+            # A queue that is lost is decided anew, and may be refused.
+            return ends | {'refused'}
+        return ends
+
+    @property
+    def why_not(self):
+        """Return why the cell does not apply, empty where it does."""
+        if self.step == 'wait' and any(f.is_packet for f in self.faults):
+            return 'a queued opening is not on its way'
+        if self.step == 'wait' and self.faults == (SILENT,):
+            return 'nothing of a queued opening is at the upstream'
+        return ''
+
+
+SINGLES = tuple(Cell(step, (fault,)) for fault in FAULTS for step in STEPS)
+PAIRS = tuple(
+    Cell(step, pair)
+    for step in PAIR_STEPS
+    for pair in itertools.combinations(FAULTS, 2)
+    if not all(fault.is_packet for fault in pair)
+)
+CELLS = SINGLES + PAIRS
+
+
+@dataclasses.dataclass
+class Outcome:
+    """How a cell ended; ``broken`` names the promises that were broken."""
+
+    reached: bool
+    end: str
+    broken: list
+
+
+def run(cell):
+    """Run a cell and check every promise."""
+    world = worlds.World()
+    struck = []
+
+    def hook(step, send):
+        if step != cell.step or struck:
+            send()
+            return
+        # The last fault decides what becomes of the packet itself.
+        ordered = sorted(cell.faults, key=lambda fault: fault.is_packet)
+        for fault in ordered[:-1]:
+            fault.strike(world, lambda delay_ms=0: None)
+            struck.append(fault.name)
+        ordered[-1].strike(world, send)
+        struck.append(ordered[-1].name)
+
+    world.hook = hook
+    if cell.step == 'wait':
+        world.occupy(SLOTS)
+        world.post(FREE_MS, lambda: world.occupy(-SLOTS))
+    end = world.clock.now() + PATIENCE_MS
+    caller = world.call(FIRST_PORT)
+    neighbours = itertools.count(NEIGHBOUR_PORT)
+    while not caller.done and world.clock.now() < end:
+        world.call(next(neighbours))
+        world.run(NEIGHBOUR_MS, until=lambda: caller.done)
+    world.run(8_000)
+    probe = world.call(PROBE_PORT)
+    world.run(PATIENCE_MS, until=lambda: probe.done)
+    broken = list(_broken(world, cell, caller, probe))
+    return Outcome(len(struck) == len(cell.faults), caller.state, broken)
+
+
+def _broken(world, cell, caller, probe):
+    runs = [port for port, _ in world.runs]
+    if len(runs) > len(set(runs)):
+        yield 'ran more than once'
+    for item in world.callers:
+        if item.state == 'refused' and item.sport in runs:
+            yield 'refused, but ran'
+        if item.state == 'whole' and item.sport not in runs:
+            yield 'answered, but did not run'
+        if (
+            item.state == 'whole'
+            and item.answer != b'done for %d' % item.sport
+        ):
+            yield 'got an answer that is not its own'
+    if any(upstream.strangers for upstream in world.upstreams.values()):
+        yield 'reached another service'
+    if caller.state not in cell.ends:
+        yield f'flow ended as {caller.state}'
+    if probe.state != 'whole':
+        yield f'a new flow ended as {probe.state}'
+    for number, since in world.drained.items():
+        later = [t for _, n, t in world.placements if n == number]
+        if any(time > since + 5_000 for time in later):
+            yield 'an upstream that drains got new work'
--- /dev/null
+++ b/tests/matrix/ends.py
@@ -0,0 +1,152 @@
+"""A caller and an upstream that speak as much TCP as the matrix needs."""
+
+import dataclasses
+
+import dpkt
+
+from gentianspoke.codec import ip
+from gentianspoke.core import packets
+
+RETRY_MS = 500
+REQUEST = b'book'
+SYN, ACK, FIN, RST = packets.SYN, packets.ACK, packets.FIN, packets.RST
+
+
+def tcp(source, target, sport, dport, flags, seq, ack, data=b''):
+    """Return one IP packet."""
+    segment = dpkt.tcp.TCP(
+        sport=sport, dport=dport, seq=seq, ack=ack, flags=flags, data=data
+    )
+    return ip.wrap(source, target, packets.TCP, segment)
+
+
+def read(raw):
+    """Return the TCP part of an IP packet."""
+    return dpkt.ip.IP(raw).data
+
+
+@dataclasses.dataclass
+class Caller:
+    """Opens one flow, sends a request, takes its answer, and closes."""
+
+    sport: int
+    service: bytes
+    isn: int = 100
+    state: str = 'opening'
+    peer: int = 0
+    answer: bytes = b''
+    due_ms: int = 0
+    address: bytes = bytes((10, 9, 0, 1))
+
+    @property
+    def done(self):
+        """Whether nothing more is sent."""
+        return self.state in ('whole', 'refused', 'reset')
+
+    def due(self, now):
+        """Return what to send now, with the step that it belongs to."""
+        if self.done or now < self.due_ms:
+            return None
+        self.due_ms = now + RETRY_MS
+        nxt = self.isn + 1
+        match self.state:
+            case 'opening':
+                return 'open', self._packet(SYN, self.isn, 0)
+            case 'waiting':
+                raw = self._packet(ACK, nxt, self.peer + 1, REQUEST)
+                return 'forward', raw
+            case _:
+                seq = nxt + len(REQUEST)
+                ack = self.peer + 1 + len(self.answer)
+                return 'close', self._packet(FIN | ACK, seq, ack)
+
+    def take(self, raw, now):
+        """Take a packet of the fabric."""
+        seg = read(raw)
+        if self.done:
+            return
+        if seg.flags & RST:
+            exact = seg.ack == self.isn + 1
+            if self.state == 'opening' and exact:
+                self.state = 'refused'
+            elif self.state != 'opening' and seg.seq >= self.peer + 1:
+                self.state = 'reset'
+        elif seg.flags & SYN and self.state == 'opening':
+            if seg.ack == self.isn + 1:
+                self.peer, self.state, self.due_ms = seg.seq, 'waiting', now
+        elif seg.data and self.state == 'waiting':
+            if seg.seq == self.peer + 1:
+                self.answer, self.state = bytes(seg.data), 'closing'
+                self.due_ms = now
+        elif seg.flags & FIN and self.state == 'closing':
+            self.state = 'whole'
+
+    def _packet(self, flags, seq, ack, data=b''):
+        return tcp(
+            self.address, self.service, self.sport, 443, flags, seq, ack, data
+        )
+
+
+@dataclasses.dataclass
+class Connection:
+    """One connection of an upstream."""
+
+    isn: int
+    peer: int
+    ran: bool = False
+
+
+class Upstream:
+    """Runs each request once it comes on an established connection."""
+
+    def __init__(self, name, service, runs):
+        """Begin without connections; ``runs`` lists (caller, upstream)."""
+        self.name = name
+        self.service = service
+        self.runs = runs
+        self.silent = set()
+        self.strangers = 0
+        self.connections = {}
+        self._isn = 10_000 * (name + 1)
+
+    def take(self, raw):
+        """Take a packet from the agent; return the packets it causes."""
+        datagram = dpkt.ip.IP(raw)
+        seg = datagram.data
+        if datagram.dst != self.service:
+            self.strangers += 1
+            return []
+        if seg.sport in self.silent:
+            return []
+        conn = self.connections.get(seg.sport)
+        if seg.flags & RST:
+            self.connections.pop(seg.sport, None)
+            return []
+        if seg.flags & SYN:
+            return [self._accept(datagram, seg, conn)]
+        if conn is None or seg.ack < conn.isn + 1:
+            return [self._packet(datagram, seg, RST, seg.ack, 0)]
+        ack = seg.seq + len(seg.data)
+        if seg.data:
+            if not conn.ran:
+                conn.ran = True
+                self.runs.append((seg.sport, self.name))
+            answer = b'done for %d' % seg.sport
+            seq = conn.isn + 1
+            return [self._packet(datagram, seg, ACK, seq, ack, answer)]
+        if seg.flags & FIN:
+            flags = FIN | ACK
+            return [self._packet(datagram, seg, flags, seg.ack, ack + 1)]
+        return []
+
+    def _accept(self, datagram, seg, conn):
+        if conn is None or conn.peer != seg.seq:
+            self._isn += 1_000
+            conn = Connection(self._isn, seg.seq)
+            self.connections[seg.sport] = conn
+        flags = SYN | ACK
+        return self._packet(datagram, seg, flags, conn.isn, seg.seq + 1)
+
+    def _packet(self, datagram, seg, flags, seq, ack, data=b''):
+        source, target = datagram.dst, datagram.src
+        return tcp(source, target, seg.dport, seg.sport, flags, seq, ack, data)
--- /dev/null
+++ b/tests/matrix/world.py
@@ -0,0 +1,284 @@
+"""Entries, agents and a leader on the real decisions, and their network."""
+
+import dataclasses
+import heapq
+import itertools
+
+import builders
+
+from gentianspoke import clock
+from gentianspoke.codec import ip
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.control import membership
+from gentianspoke.decisions import routing
+from tests.matrix import ends
+
+LATENCY_MS = 5
+STEP_MS = 50
+HEARTBEAT_MS = 500
+LIMITS = membership.MembershipLimits(lease_ms=3_000, suspect_ms=1_800)
+BOOKINGS = builders.service(wait_ms=5_000)
+BOARDS = dataclasses.replace(
+    builders.service(services.Board(), number=2), address=bytes((10, 1, 0, 2))
+)
+ENTRIES = (BOOKINGS, BOARDS)
+MEMBERS = (1, 2, 3)
+OTHER_MEMBER = 4
+
+
+class World:
+    """All processes; ``hook`` may change what happens to a packet."""
+
+    def __init__(self):
+        """Start everything and let it settle."""
+        self.clock = clock.ManualClock(100_000)
+        self.runs = []
+        self.agents = {}
+        self.upstreams = {}
+        self.entries = []
+        self.frozen = set()
+        self.unheard = set()
+        self.unfed = set()
+        self.callers = []
+        self.placements = []
+        # Upstreams that drain, with the time since when.
+        self.drained = {}
+        self.hook = lambda step, send: send()
+        self._heap = []
+        self._order = itertools.count()
+        self._spray = itertools.count()
+        self.leader = membership.Membership(1, LIMITS, self.clock.now())
+        for number in MEMBERS:
+            self.add_agent(number, BOOKINGS)
+        self.add_agent(OTHER_MEMBER, BOARDS)
+        for _ in range(2):
+            self.add_entry()
+        self.run(6_000)
+
+    def add_agent(self, number, entry, recovering=False):
+        """Start an agent; its upstream starts with it unless it runs."""
+        state = agent_state.AgentState(
+            number=number,
+            zone='zone-a',
+            capacity=agent_state.Capacity(4, 2_000, 0),
+            started_ms=self.clock.now(),
+            recovering=recovering,
+            joining=True,
+        )
+        state.set_catalogue([entry])
+        # The upstream's status page still says that it drains.
+        state.draining = number in self.drained
+        self.agents[number] = state
+        if number not in self.upstreams:
+            self.upstreams[number] = ends.Upstream(
+                number, entry.address, self.runs
+            )
+        return state
+
+    def add_entry(self):
+        """Start an entry with the present views."""
+        table = routing.RouteTable()
+        table.set_catalogue(1, list(ENTRIES))
+        for view in self.leader.all_views():
+            table.set_view(view)
+        self.entries.append(table)
+
+    def call(self, sport, service=BOOKINGS):
+        """Start a caller."""
+        caller = ends.Caller(sport, service.address)
+        self.callers.append(caller)
+        return caller
+
+    def owner(self, sport=5_000):
+        """Return the agent that has a flow, else the home of its bucket."""
+        key = builders.flow_key(sport)
+        for number, state in self.agents.items():
+            if key in state.flows:
+                return number
+        packet = packets.Segment(key, packets.SYN, 0, 0, 0, b'')
+        return routing.route(self.entries[-1], packet).member.number
+
+    def run(self, duration_ms, until=lambda: False):
+        """Let time pass."""
+        end = self.clock.now() + duration_ms
+        while self.clock.now() < end and not until():
+            now = self.clock.advance(STEP_MS)
+            self._deliver(now)
+            for number, state in tuple(self.agents.items()):
+                self._carry_out(number, core.on_tick(state, now))
+            if now % HEARTBEAT_MS == 0:
+                self._heartbeats(now)
+            self._feed(now)
+            for caller in self.callers:
+                self._call(caller, now)
+
+    def occupy(self, slots):
+        """Let work that is not simulated hold more or fewer slots."""
+        for number in MEMBERS:
+            if number in self.agents:
+                state = self.agents[number]
+                state.total_running = max(0, state.total_running + slots)
+
+    def post(self, delay_ms, action):
+        """Let something happen later."""
+        item = (self.clock.now() + delay_ms, next(self._order), action)
+        heapq.heappush(self._heap, item)
+
+    def _deliver(self, now):
+        while self._heap and self._heap[0][0] <= now:
+            heapq.heappop(self._heap)[2]()
+
+    def _call(self, caller, now):
+        found = caller.due(now)
+        if found is None or not self.entries:
+            return
+        step, raw = found
+        entry = self.entries[next(self._spray) % len(self.entries)]
+
+        def send(delay_ms=0):
+            self.post(LATENCY_MS + delay_ms, lambda: self._route(entry, raw))
+
+        self._hooked(step, caller, send)
+
+    def _hooked(self, step, caller, send):
+        if caller is self.callers[0]:
+            self.hook(step, send)
+        else:
+            send()
+
+    def _route(self, entry, raw):
+        if not any(entry is item for item in self.entries):
+            return
+        self._act(0, routing.route(entry, ip.parse(raw)))
+
+    def _heartbeats(self, now):
+        for number, state in self.agents.items():
+            if number in self.unheard:
+                continue
+            service = next(iter(state.served))
+            ranking = state.rankings.get(service)
+            report = membership.ServiceReport(
+                service,
+                ranking.view.number if ranking else 0,
+                core.oldest_flow_view(state, service),
+            )
+            closed = state.draining or state.joining
+            grant = self.leader.announce(
+                membership.Announcement(
+                    number=state.number,
+                    instance=f'agent-{number}',
+                    host='127.0.0.1',
+                    port=number,
+                    zone='zone-a',
+                    weight=100,
+                    state=views.State.DRAINING if closed else views.State.LIVE,
+                    recovering=state.recovering,
+                    services=(service,),
+                    reports=(report,),
+                ),
+                now,
+            )
+            held = state.lease_until_ms > now
+            if held or not grant.renewal_only:
+                lease = grant.lease_ms * 950 // 1_000
+                state.lease_until_ms = max(state.lease_until_ms, now + lease)
+        self.leader.tick(now)
+
+    def _feed(self, now):
+        changed = self.leader.take_changed(now)
+        for number, state in self.agents.items():
+            if number in self.unfed:
+                continue
+            state.note_feed(now)
+            for view in changed:
+                if view.service in state.served:
+                    state.set_view(view)
+            state.confirm_feed(now)
+            if state.joining and state.rankings:
+                state.joining = not state.is_shown_not_live()
+        for entry in self.entries:
+            if id(entry) not in self.frozen:
+                for view in changed:
+                    entry.set_view(view)
+
+    def _by_number(self, number):
+        found = (n for n, s in self.agents.items() if s.number == number)
+        return next(found, None)
+
+    def _receive(self, forward):
+        number = self._by_number(forward.target)
+        if number is not None:
+            packet = ip.parse(forward.packet)
+            state = self.agents[number]
+            now = self.clock.now()
+            found = core.on_forward(state, forward, packet, now)
+            self._carry_out(number, found)
+
+    def _carry_out(self, number, found):
+        for action in found:
+            self._act(number, action)
+
+    def _act(self, number, action):
+        match action:
+            case actions.Pass(forward=forward):
+                self.post(LATENCY_MS, lambda: self._receive(forward))
+            case actions.Deliver(raw=raw):
+                self._hand_over(number, raw)
+            case actions.Answer(raw=raw):
+                self._answer(raw)
+            case actions.Refuse(packet=packet):
+                self._to_caller(ip.reset_for(packet))
+            case actions.ResetCaller(key=key, seq=seq, ack=ack):
+                self._to_caller(ip.reset_to_caller(key, seq, ack))
+            case actions.Drop(reason='queued'):
+                self._hooked('wait', self.callers[0], lambda: None)
+            case actions.ResetUpstream(key=key, seq=seq, ack=ack):
+                raw = ip.reset_to_upstream(key, seq, ack)
+                self.post(0, lambda: self._at_upstream(number, raw))
+
+    def _hand_over(self, number, raw):
+        segment = ip.parse(raw)
+        sport = packets.caller_port(segment.key)
+        caller = next(c for c in self.callers if c.sport == sport)
+
+        def send(delay_ms=0):
+            self.post(delay_ms, lambda: self._at_upstream(number, raw))
+
+        if packets.is_opening(segment):
+            if (sport, number) not in [item[:2] for item in self.placements]:
+                self.placements.append((sport, number, self.clock.now()))
+            self._hooked('place', caller, send)
+        else:
+            send()
+
+    def _at_upstream(self, number, raw):
+        if number not in self.upstreams or number not in self.agents:
+            return
+        for reply in self.upstreams[number].take(raw):
+            packet = ip.parse(reply, reply=True)
+            state = self.agents[number]
+            found = core.on_reply(state, packet, self.clock.now())
+            self._carry_out(number, found)
+
+    def _answer(self, raw):
+        port = ends.read(raw).dport
+        caller = next(c for c in self.callers if c.sport == port)
+
+        def send(delay_ms=0):
+            self.post(LATENCY_MS + delay_ms, lambda: self._to_caller(raw))
+
+        if ends.read(raw).data:
+            self._hooked('answer', caller, send)
+        else:
+            send()
+
+    def _to_caller(self, raw):
+        port = ends.read(raw).dport
+        for caller in self.callers:
+            if caller.sport == port:
+                caller.take(raw, self.clock.now())
