--- a/src/gentianspoke/commands/explain.py
+++ b/src/gentianspoke/commands/explain.py
@@ -6,8 +6,10 @@
 
 import cappa
 
+from gentianspoke.commands import printing
 from gentianspoke.commands import timeline
 from gentianspoke.decisions.timeline import explaining
+from gentianspoke.decisions.timeline import filtering
 from gentianspoke.telemetry import event_files
 
 FLOWS_SHOWN = 20
@@ -28,6 +30,8 @@
         str,
         cappa.Arg(long='--flow', help='Only flows whose text contains this.'),
     ] = ''
+    since: timeline.Since = ''
+    until: timeline.Until = ''
     limit: typing.Annotated[
         int, cappa.Arg(long='--limit', help='Most flows to show.')
     ] = FLOWS_SHOWN
@@ -35,6 +39,8 @@
 
     def __call__(self) -> None:
         """Print the sum for each service, then the flows, then doubts."""
+        since_ms = timeline.parse_time('--since', self.since)
+        until_ms = timeline.parse_time('--until', self.until)
         counts = event_files.ReadCounts()
         explainer = explaining.Explainer()
         for event in timeline.merged_events(self.files, counts):
@@ -43,6 +49,7 @@
             failure
             for failure in explainer.finish()
             if self._is_chosen(failure)
+            and filtering.is_within(failure.first_wall_ms, since_ms, until_ms)
         ]
         doubts = explainer.unknown() + _doubts(counts, bool(chosen))
         show = _print_json if self.as_json else _print_text
@@ -83,34 +90,38 @@
     if len(failures) > limit:
         print(f'{len(failures) - limit} more flows; raise --limit to see them')
     for doubt in doubts:
-        print(f'unknown: {doubt}')
+        _print_line(f'unknown: {doubt}')
+
+
+def _print_line(text: str) -> None:
+    print(printing.printable(text))
 
 
 def _print_summary(summary: explaining.ServiceSummary) -> None:
     share = summary.share_permille / PERMILLE_PER_PERCENT
-    print(
+    _print_line(
         f'service {summary.service}: {summary.failures} flows failed,'
         f' {summary.not_run} of them refused as not run;'
         f' at fault: {summary.verdict} ({share:.1f}%)'
     )
     for (fault, reason), count in summary.reasons.most_common(REASONS_SHOWN):
-        print(f'  {count:>8}  {fault:<9} {reason}')
+        _print_line(f'  {count:>8}  {fault:<9} {reason}')
 
 
 def _print_failure(failure: explaining.Failure) -> None:
     finding = failure.finding
-    print(
+    _print_line(
         f'flow {failure.flow} ({failure.service})'
         f' at {timeline.format_time(failure.first_wall_ms)}:'
         f' {finding.outcome.value}; at fault: {failure.fault}'
         f' ({finding.reason})'
     )
     told_by = ', '.join(sorted(failure.instances))
-    print(f'    told by {told_by} in {failure.events} events')
+    _print_line(f'    told by {told_by} in {failure.events} events')
     for text in finding.evidence:
-        print(f'    evidence: {text}')
+        _print_line(f'    evidence: {text}')
     for text in finding.unknown:
-        print(f'    unknown: {text}')
+        _print_line(f'    unknown: {text}')
 
 
 def _print_json(
