--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -1,23 +1,40 @@
 """Check all specifications at the larger bounds: ``make model``."""
 
+import collections.abc
 import sys
 
+from specs import checking
 from specs import tables
 
 
+def print_proofs(results: collections.abc.Iterable[checking.Result]) -> int:
+    """Print verdicts; return how many do not hold in every state."""
+    faults = 0
+    for result in results:
+        print(result.describe(), flush=True)
+        faults += not result.exhaustive or bool(result.violated)
+    return faults
+
+
+def print_seed(text: str, result: checking.Result) -> int:
+    """Print the trace of a seeded mistake; return 1 where there is none."""
+    print(f'{text}: {result.describe()}', flush=True)
+    for number, label in enumerate(result.trace, start=1):
+        print(f'  {number}. {label}', flush=True)
+    return 0 if result.violated else 1
+
+
 def main() -> int:
     """Print each verdict; return 1 where one is not as it must be."""
     faults = 0
-    for bounds in tables.SMALL + tables.LARGE:
-        result = tables.prove(bounds)
-        print(result.describe(), bounds, flush=True)
-        faults += not result.exhaustive or bool(result.violated)
     for seed in tables.SEEDS:
-        result = tables.find(seed)
-        print(f'{seed.mistake.value}: {result.describe()}', flush=True)
-        for number, label in enumerate(result.trace, start=1):
-            print(f'  {number}. {label}', flush=True)
-        faults += not result.violated
+        faults += print_seed(seed.mistake.value, tables.find(seed))
+    for item in tables.LOG_SEEDS:
+        faults += print_seed(item.mistake.value, tables.find_in_log(item))
+    logs = tables.SMALL_LOGS + tables.LARGE_LOGS
+    faults += print_proofs(map(tables.prove_log, logs))
+    bounds = tables.SMALL + tables.LARGE
+    faults += print_proofs(map(tables.prove, bounds))
     return 1 if faults else 0
 
 
--- a/specs/tables.py
+++ b/specs/tables.py
@@ -4,6 +4,7 @@
 
 from specs import checking
 from specs import handover
+from specs import log
 
 Mistake = handover.Mistake
 NO_FAULT = handover.Bounds(
@@ -85,3 +86,58 @@
     """Search for the shortest trace of a seeded mistake."""
     specification = handover.Handover(seed.bounds, seed.mistake)
     return checking.find_violation(specification, MOST_STATES)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogSeed:
+    """A seeded mistake in the log, with bounds in which it is found."""
+
+    mistake: log.Mistake
+    bounds: log.Bounds
+    is_small: bool = True
+
+
+_NO_CRASH = log.Bounds(crashes=0)
+SMALL_LOGS = (
+    log.Bounds(records=1),
+    log.Bounds(records=1, crashes=0, wipes=1),
+)
+LARGE_LOGS = (
+    log.Bounds(),
+    log.Bounds(crashes=0, snapshots=True),
+    log.Bounds(voters=(1, 2), crashes=0, changes=True),
+    log.Bounds(records=1, terms=4, crashes=0),
+)
+LOG_SEEDS = (
+    LogSeed(
+        log.Mistake.VOTE_BEFORE_CAUGHT_UP,
+        log.Bounds(records=1, crashes=0, wipes=1),
+    ),
+    LogSeed(log.Mistake.NO_SYNC, log.Bounds(), is_small=False),
+    LogSeed(log.Mistake.VOTE_NOT_SAVED, log.Bounds()),
+    LogSeed(log.Mistake.OLD_LOG_WINS, _NO_CRASH),
+    LogSeed(
+        log.Mistake.OLD_TERM_COMMIT,
+        log.Bounds(records=1, terms=4, crashes=0),
+        is_small=False,
+    ),
+    LogSeed(
+        log.Mistake.TWO_CHANGES, dataclasses.replace(_NO_CRASH, changes=True)
+    ),
+    LogSeed(log.Mistake.NO_MAJORITY, _NO_CRASH),
+    LogSeed(
+        log.Mistake.ANSWERS_NOT_IN_SNAPSHOT,
+        dataclasses.replace(_NO_CRASH, snapshots=True),
+    ),
+)
+
+
+def prove_log(bounds: log.Bounds) -> checking.Result:
+    """Visit every state of the log within the bounds."""
+    return checking.check(log.ReplicatedLog(bounds), MOST_STATES)
+
+
+def find_in_log(seed: LogSeed) -> checking.Result:
+    """Search for the shortest trace of a mistake in the log."""
+    specification = log.ReplicatedLog(seed.bounds, seed.mistake)
+    return checking.find_violation(specification, MOST_STATES)
