--- a/specs/log.py
+++ b/specs/log.py
@@ -204,7 +204,7 @@
         if leads:
             after = dataclasses.replace(after, votes=frozenset())
         label = f'{other} votes for {number}'
-        found = [(label, lost.replaced(number, after))]
+        found: list[checking.Step] = [(label, lost.replaced(number, after))]
         if followed != voter:
             found.append((f'{label}, answer lost', lost))
         return found
@@ -262,7 +262,7 @@
             leader, matched=frozenset(known | {(other, size)})
         )
         label = f'{other} stores {size} of {number}'
-        found = [(label, lost.replaced(number, after))]
+        found: list[checking.Step] = [(label, lost.replaced(number, after))]
         if followed != follower:
             found.append((f'{label}, answer lost', lost))
         return [step for step in found if step[1] != state]
