--- /dev/null
+++ b/specs/__main__.py
@@ -0,0 +1,43 @@
+"""Check all specifications at the larger bounds: ``make model``."""
+
+import collections.abc
+import sys
+
+from specs import catalogue_cases
+from specs import checking
+from specs import tables
+
+
+def print_proofs(results: collections.abc.Iterable[checking.Result]) -> int:
+    """Print verdicts; return how many do not hold in every state."""
+    faults = 0
+    for result in results:
+        print(result.describe(), flush=True)
+        faults += not result.exhaustive or bool(result.violated)
+    return faults
+
+
+def print_seed(text: str, result: checking.Result) -> int:
+    """Print the trace of a seeded mistake; return 1 where there is none."""
+    print(f'{text}: {result.describe()}', flush=True)
+    for number, label in enumerate(result.trace, start=1):
+        print(f'  {number}. {label}', flush=True)
+    return 0 if result.violated else 1
+
+
+def main() -> int:
+    """Print each verdict; return 1 where one is not as it must be."""
+    faults = 0
+    for seed in tables.SEEDS:
+        faults += print_seed(seed.mistake.value, tables.find(seed))
+    for mistake in catalogue_cases.MISTAKES:
+        faults += print_seed(mistake.value, catalogue_cases.find(mistake))
+    logs = (*catalogue_cases.SMALL.values(), *catalogue_cases.LARGE.values())
+    faults += print_proofs(map(catalogue_cases.prove, logs))
+    bounds = tables.SMALL + tables.LARGE
+    faults += print_proofs(map(tables.prove, bounds))
+    return 1 if faults else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/specs/catalogue_cases.py
+++ b/specs/catalogue_cases.py
@@ -1,10 +1,12 @@
 """Bounds and mistakes with which the catalogue log is checked."""
 
 from specs import catalogue_log
+from specs import checking
 
 Bounds = catalogue_log.Bounds
 Mistake = catalogue_log.Mistake
 
+MOST_STATES = 5_000_000
 # Exhaustive within seconds; CI runs these.
 SMALL = {
     'one edit': Bounds(records=2, sends_a=1, sends_b=0, crashes=0),
@@ -35,7 +37,7 @@
     ),
     Mistake.VOTE_NOT_SYNCED: (
         Bounds(terms=1),
-        'leader-has-what-was-committed',
+        'one-leader-per-term',
     ),
     Mistake.VOTE_IGNORES_LOG: (Bounds(), 'leader-has-what-was-committed'),
     Mistake.COMMIT_OLD_TERM: (
@@ -44,7 +46,7 @@
     ),
     Mistake.WIPED_KEEPS_IDENTITY: (
         Bounds(losses=1, crashes=0),
-        'leader-has-what-was-committed',
+        'one-leader-per-term',
     ),
     Mistake.SWAP_IN_ONE_CHANGE: (
         Bounds(spares=1, crashes=0, sends_a=1, sends_b=0),
@@ -67,3 +69,15 @@
         'one-winner-per-version',
     ),
 }
+
+
+def prove(bounds: Bounds) -> checking.Result:
+    """Visit every state within the bounds."""
+    return checking.check(catalogue_log.CatalogueLog(bounds), MOST_STATES)
+
+
+def find(mistake: Mistake) -> checking.Result:
+    """Search for the shortest trace of a mistake."""
+    bounds, _ = MISTAKES[mistake]
+    specification = catalogue_log.CatalogueLog(bounds, mistake)
+    return checking.find_violation(specification, MOST_STATES)
--- a/specs/catalogue_log.py
+++ b/specs/catalogue_log.py
@@ -10,9 +10,9 @@
 The verdicts are the code's own: ``groups.Group`` for majorities and the
 commit index, ``catalogue.Catalogue`` for the answers to edits.
 
-Properties: what an operator was told stays so. Committed logs agree and
-every leader of the newest term has what was committed; a version has one
-winner; a key has one answer.
+Properties: what an operator was told stays so. A term has one leader,
+committed logs agree, and every leader of the newest term has what was
+committed; a version has one winner; a key has one answer.
 """
 
 import itertools
@@ -33,7 +33,7 @@
     """The specification, with one rule left out where ``mistake`` is set."""
 
     name = 'catalogue-log'
-    fields = State._fields
+    fields: tuple[str, ...] = State._fields
 
     def __init__(
         self, bounds: Bounds = Bounds(), mistake: Mistake | None = None
@@ -45,7 +45,7 @@
         self.numbers = range(count)
         self.first = tuple(range(bounds.voters))
         nodes = (Node(matches=(0,) * count),) * count
-        self.initial = State(
+        self.initial: tuple = State(
             nodes,
             (),
             (),
@@ -54,7 +54,8 @@
             bounds.losses,
             bounds.delays,
         )
-        self.invariants = {
+        self.invariants: checking.Invariants = {
+            'one-leader-per-term': _one_leader,
             'committed-logs-agree': self._committed_logs_agree,
             'leader-has-what-was-committed': self._leader_is_complete,
             'one-winner-per-version': _one_winner,
@@ -366,6 +367,11 @@
         )
 
 
+def _one_leader(state: dict) -> bool:
+    terms = [node.term for node in state['nodes'] if node.leads]
+    return len(terms) == len(set(terms))
+
+
 def _one_winner(state: dict) -> bool:
     winners = [
         kind
--- /dev/null
+++ b/specs/handover.py
@@ -0,0 +1,415 @@
+"""Hand-over of the right to place: leases, views and acknowledgements.
+
+One service, one bucket, a few agents whose order for the bucket is fixed,
+and the leader of the control instances. Time goes in ticks. A lease lasts
+``lease_ticks`` of true time on the slowest clock within the drift bound;
+the leader's fastest clock removes a member after as many ticks, so drift
+is covered by the two values' being equal.
+
+Steps: an agent starts, crashes, sends a heartbeat, applies the current
+view or, from a source that is behind, the one before it, early, late or
+never; the leader suspects or removes a silent member, and a new leader
+takes its place with or without its last view. With ``offers``, one
+opening is placed, offered, and asked for, its copies coming at any time;
+a home asks all members in one step.
+
+The verdicts are the code's own: ``service_members.ServiceMembers`` for
+the leader, ``ownership`` and ``AgentState`` for the agents.
+
+Properties: at no time two agents may decide for the bucket; the opening
+is never at the upstreams of two agents that run and are listed. (What an
+agent that died, or that control has removed, had placed is known to
+nobody; TCP's handshake is the second line there.)
+"""
+
+import dataclasses
+
+from gentianspoke.core import views
+from specs import checking
+from specs import handover_agent as agents_code
+from specs import handover_leader as leader_code
+from specs import handover_state as states
+
+Bounds = states.Bounds
+Mistake = states.Mistake
+State = states.State
+Steps = list[checking.Step]
+# Heartbeats after which every agent is live, known to be, and has a lease.
+SETTLING_ROUNDS = 5
+
+
+class Handover:
+    """The specification, with one rule left out where ``mistake`` is set."""
+
+    name = 'handover'
+    fields: tuple[str, ...] = State._fields
+
+    def __init__(
+        self, bounds: Bounds = Bounds(), mistake: Mistake | None = None
+    ) -> None:
+        """Begin with no agent up."""
+        self.bounds = bounds
+        self.mistake = mistake
+        self.numbers = tuple(range(1, bounds.agents + 1))
+        self.invariants: checking.Invariants = {
+            'single-decider': self._single_decider,
+            'one-holder': self._one_holder,
+        }
+        agents = (states.Agent(),) * bounds.agents
+        self.initial: tuple = self._settle(
+            State(agents, states.Leader(), (), frozenset())
+        )
+
+    def successors(self, state: tuple) -> Steps:
+        """Return every step that may follow, within the bounds."""
+        found = self.steps(State(*state))
+        ranked = [(label, states.renumber(State(*s))) for label, s in found]
+        most = self.bounds.view_numbers
+        return [step for step in ranked if step[1].leader.number <= most]
+
+    def steps(self, state: State) -> Steps:
+        """Return every step that may follow, with growing view numbers."""
+        found: Steps = [('tick', self._tick(state))]
+        for index in range(self.bounds.agents):
+            if state.agents[index].up:
+                found.extend(self._agent_steps(state, index))
+            else:
+                found.append(self._start(state, index))
+        found.extend(self._leader_steps(state))
+        return found
+
+    def deciders(self, state: State) -> list[int]:
+        """Return the agents that may decide now."""
+        return [
+            number
+            for number, agent in zip(self.numbers, state.agents)
+            if agent.up
+            and self._holds_lease(agent)
+            and agent.seen.may_place
+            and not agent.joining
+        ]
+
+    def _settle(self, state: State) -> State:
+        for number in self.bounds.settled:
+            state = State(*self._start(state, number - 1)[1])
+        for _ in range(SETTLING_ROUNDS):
+            for number in self.bounds.settled:
+                state = State(*self._heartbeat(state, number - 1)[0][1])
+            for number in self.bounds.settled:
+                view = state.issued[-1]
+                state = State(*self._apply(state, number - 1, view)[1])
+        return states.renumber(state)
+
+    def _single_decider(self, state: dict) -> bool:
+        return len(self.deciders(State(**state))) <= 1
+
+    def _one_holder(self, state: dict) -> bool:
+        holders = [
+            agent
+            for number, agent in zip(self.numbers, state['agents'])
+            if _holds(agent, number) and not agent.record.lost
+        ]
+        return len(holders) <= 1
+
+    def _holds_lease(self, agent: states.Agent) -> bool:
+        return agent.lease_ticks > 0 or self.mistake is Mistake.NO_LEASE
+
+    def _tick(self, state: State) -> State:
+        agents = tuple(map(self._age, state.agents))
+        most = self.bounds.lease_ticks
+        listed = tuple(
+            dataclasses.replace(
+                item, silent_ticks=min(item.silent_ticks + 1, most)
+            )
+            for item in state.leader.listed
+        )
+        hold = max(0, state.leader.hold_ticks - 1)
+        leader = states.Leader(state.leader.number, listed, hold)
+        after = state._replace(agents=agents, leader=leader)
+        ended = state.leader.hold_ticks == 1
+        return _issue(after, leader) if ended else after
+
+    def _age(self, agent: states.Agent) -> states.Agent:
+        most = self.bounds.lease_ticks
+        reply = agent.reply_ticks
+        if reply != states.NONE:
+            reply = reply + 1 if reply + 1 < most else states.NONE
+        return dataclasses.replace(
+            agent,
+            lease_ticks=max(0, agent.lease_ticks - 1),
+            reply_ticks=reply,
+            age_ticks=min(agent.age_ticks + 1, most),
+        )
+
+    def _start(self, state: State, index: int) -> checking.Step:
+        age = self.bounds.lease_ticks
+        joining = self.mistake is not Mistake.RESTART_ACTS
+        agent = states.Agent(up=True, joining=joining, age_ticks=age)
+        label = f'start {self.numbers[index]}'
+        return (label, state.with_agent(index, agent))
+
+    def _agent_steps(self, state: State, index: int) -> Steps:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        found: Steps = []
+        offered = 2 if self.bounds.stale_sources else 1
+        for view in state.issued[-offered:]:
+            if view.number >= agent.seen.number:
+                found.append(self._apply(state, index, view))
+        if self.bounds.crashes:
+            after = state.with_agent(index, states.Agent())
+            found.append((f'crash {number}', after))
+        if agent.reply_ticks != states.NONE:
+            found.append((f'reply {number}', self._take_reply(state, index)))
+        found.extend(self._heartbeat(state, index))
+        if self.bounds.offers:
+            found.extend(self._opening_steps(state, index))
+        return found
+
+    def _apply(
+        self, state: State, index: int, view: views.View
+    ) -> checking.Step:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        missed = agent.age_ticks >= self.bounds.lease_ticks
+        past = agent.seen
+        if missed and view.number > past.number:
+            past = states.Seen()
+        trusting = self.mistake is Mistake.NO_ACKNOWLEDGEMENT
+        seen = agents_code.apply_view(view, number, past, trusting)
+        if not self.bounds.offers:
+            seen = dataclasses.replace(
+                seen, decides_since=0, asked=(), live=()
+            )
+            if seen.home != number:
+                seen = states.Seen(seen.number)
+        shown = agents_code.is_shown_not_live(view, number)
+        current = view is state.issued[-1]
+        after = dataclasses.replace(
+            agent,
+            seen=seen,
+            joining=agent.joining and not shown,
+            age_ticks=0 if current else agent.age_ticks,
+        )
+        which = 'the current view' if current else 'the view before'
+        label = f'{number} applies {which}'
+        return (label, state.with_agent(index, after))
+
+    def _heartbeat(self, state: State, index: int) -> Steps:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        heard = leader_code.announce(
+            dataclasses.replace(state.leader, hold_ticks=0),
+            number,
+            agent.joining,
+            agent.seen.number,
+            _oldest_flow_view(agent, number),
+            self.mistake is Mistake.RESTART_ACTS,
+        )
+        granted = self._is_granted(state, agent, heard.caught_up)
+        after = _lead(state, heard.leader)
+        reply = dataclasses.replace(agent, reply_ticks=0)
+        answered = after.with_agent(index, reply)
+        label = f'heartbeat {number}'
+        if not granted:
+            return [(label, after), *self._deposed(state, index)]
+        found: Steps = [(label, self._take_reply(answered, index))]
+        if self.bounds.late_replies:
+            found.append((f'{label}, late reply', answered))
+        return [*found, *self._deposed(state, index)]
+
+    def _deposed(self, state: State, index: int) -> Steps:
+        # A deposed leader's leases count from its last confirmation by a
+        # majority, so they end with the grace of the new leader.
+        agent = state.agents[index]
+        lease = min(self.bounds.lease_ticks, state.leader.hold_ticks)
+        if self.mistake is Mistake.DEPOSED_GRANTS and state.leader.hold_ticks:
+            lease = self.bounds.lease_ticks
+        caught_up = self._has_current(state, agent)
+        if lease <= agent.lease_ticks or not caught_up:
+            return []
+        after = dataclasses.replace(agent, lease_ticks=lease)
+        label = f'deposed leader hears {self.numbers[index]}'
+        return [(label, state.with_agent(index, after))]
+
+    def _has_current(self, state: State, agent: states.Agent) -> bool:
+        if not state.issued:
+            return False
+        return agent.seen.number == state.issued[-1].number
+
+    def _is_granted(
+        self, state: State, agent: states.Agent, caught_up: bool
+    ) -> bool:
+        if agent.lease_ticks > 0 or caught_up:
+            return True
+        if state.leader.hold_ticks:
+            return self.mistake is Mistake.NEW_LEADER_GRANTS
+        return self.mistake is Mistake.GRANT_BEFORE_ACK
+
+    def _take_reply(self, state: State, index: int) -> State:
+        agent = state.agents[index]
+        left = self.bounds.lease_ticks - agent.reply_ticks
+        match self.mistake:
+            case Mistake.LEASE_FROM_REPLY:
+                left = self.bounds.lease_ticks
+            case Mistake.DRIFT_BEYOND_BOUND:
+                left += 1
+        after = dataclasses.replace(
+            agent,
+            lease_ticks=max(agent.lease_ticks, left),
+            reply_ticks=states.NONE,
+        )
+        return state.with_agent(index, after)
+
+    def _leader_steps(self, state: State) -> Steps:
+        found: Steps = []
+        leader = dataclasses.replace(state.leader, hold_ticks=0)
+        removal = self.bounds.lease_ticks
+        if self.mistake is Mistake.REMOVAL_BEFORE_LEASE_END:
+            removal -= 1
+        for item in leader.listed:
+            number = item.member.number
+            if item.silent_ticks >= self.bounds.lease_ticks - 1:
+                after = leader_code.suspect(leader, number)
+                found.append((f'suspect {number}', _lead(state, after)))
+            if item.silent_ticks >= removal:
+                after = leader_code.remove(leader, number)
+                found.append((f'remove {number}', _lead(state, after)))
+        if self.bounds.new_leaders:
+            found.extend(self._new_leaders(state))
+        return found
+
+    def _new_leaders(self, state: State) -> Steps:
+        hold = self.bounds.lease_ticks
+        if self.mistake is Mistake.NEW_LEADER_ISSUES:
+            hold = 0
+        number = state.leader.number
+        found: Steps = []
+        for known in (None, *state.issued[-1:]):
+            leader = leader_code.begin_term(number, known, hold)
+            which = 'with' if known else 'without'
+            after = state._replace(leader=leader)
+            found.append((f'new leader {which} the last view', after))
+        return found
+
+    def _opening_steps(self, state: State, index: int) -> Steps:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        if not self._holds_lease(agent):
+            return []
+        found: Steps = []
+        for offer in state.offers:
+            if offer.target == number and agent.record is None:
+                found.extend(self._take_offer(state, index, offer))
+        if self._may_decide(state, index):
+            found.extend(self._decide(state, index))
+        return found
+
+    def _may_decide(self, state: State, index: int) -> bool:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        seen = agent.seen
+        if agent.joining or not seen.may_place:
+            return False
+        if agent.record is not None:
+            if agent.record.target == number:
+                return False
+            if agent.record.view >= seen.decides_since:
+                # The home renews its offer, with the same target.
+                return agent.record.view < seen.number
+        if self.mistake is Mistake.NO_ASKING:
+            return True
+        return all(self._denies(state, asked, ()) for asked in seen.asked)
+
+    def _denies(
+        self, state: State, number: int, passed: tuple[int, ...]
+    ) -> bool:
+        """Return whether a member that is asked does not know the opening."""
+        agent = state.agents[number - 1]
+        if not agent.up or number in passed:
+            # The question is lost, or goes round until its hops are used.
+            return False
+        if agent.record is None:
+            return True
+        if agent.record.target == number:
+            return False
+        return self._denies(state, agent.record.target, (*passed, number))
+
+    def _decide(self, state: State, index: int) -> Steps:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        view = agent.seen.number
+        targets = agent.seen.live
+        if agent.record is not None:
+            # The first target may yet get the first offer.
+            targets = (agent.record.target,)
+        found: Steps = []
+        for target in targets:
+            record = states.Record(target, number, view, view)
+            after = state.with_agent(
+                index, dataclasses.replace(agent, record=record)
+            )
+            if target == number:
+                found.append((f'{number} places the opening', after))
+                continue
+            offers = state.offers | {states.Offer(target, number, view)}
+            if len(offers) <= self.bounds.offers:
+                label = f'{number} offers the opening to {target}'
+                found.append((label, after._replace(offers=offers)))
+        return found
+
+    def _take_offer(
+        self, state: State, index: int, offer: states.Offer
+    ) -> Steps:
+        number = self.numbers[index]
+        agent = state.agents[index]
+        accepted = not agent.joining and agents_code.accepts_offer(
+            agent.seen, number, offer.decider, offer.view
+        )
+        if not accepted:
+            return []
+        record = states.Record(
+            number, offer.decider, offer.view, agent.seen.number
+        )
+        after = dataclasses.replace(agent, record=record)
+        label = f'{number} takes the offer of {offer.decider}'
+        return [(label, state.with_agent(index, after))]
+
+
+def _lead(state: State, leader: states.Leader) -> State:
+    hold = state.leader.hold_ticks
+    before = state.leader
+    after = state._replace(leader=dataclasses.replace(leader, hold_ticks=hold))
+    changed = leader_code.view_of(before) != leader_code.view_of(leader)
+    return _issue(after, leader) if changed and not hold else after
+
+
+def _issue(state: State, leader: states.Leader) -> State:
+    view = leader_code.view_of(leader)
+    earlier = [item for item in state.issued if item.number != view.number]
+    listed = {member.number for member in view.members}
+    agents = tuple(
+        (
+            _without_trace(agent)
+            if _holds(agent, number) and number not in listed
+            else agent
+        )
+        for number, agent in enumerate(state.agents, start=1)
+    )
+    return state._replace(agents=agents, issued=(*earlier[-1:], view))
+
+
+def _holds(agent: states.Agent, number: int) -> bool:
+    return agent.record is not None and agent.record.target == number
+
+
+def _without_trace(agent: states.Agent) -> states.Agent:
+    assert agent.record is not None
+    lost = dataclasses.replace(agent.record, lost=True)
+    return dataclasses.replace(agent, record=lost)
+
+
+def _oldest_flow_view(agent: states.Agent, number: int) -> int:
+    if agent.record is None or agent.seen.home == number:
+        return 0
+    return agent.record.placed_view
--- a/tests/model/test_catalogue_log.py
+++ b/tests/model/test_catalogue_log.py
@@ -4,9 +4,6 @@
 
 from specs import catalogue_cases
 from specs import catalogue_log
-from specs import checking
-
-MOST_STATES = 300_000
 
 
 @pytest.mark.parametrize(
@@ -15,23 +12,21 @@
     ids=catalogue_cases.SMALL.keys(),
 )
 def test_what_an_operator_was_told_stays_so(bounds):
-    specification = catalogue_log.CatalogueLog(bounds)
-    result = checking.check(specification, MOST_STATES)
+    result = catalogue_cases.prove(bounds)
     print(result.describe())
     assert result.exhaustive
     assert result.violated == ''
 
 
 @pytest.mark.parametrize(
-    ('mistake', 'bounds', 'violated'),
+    ('mistake', 'violated'),
     [
-        pytest.param(mistake, *found, id=mistake.name)
-        for mistake, found in catalogue_cases.MISTAKES.items()
+        pytest.param(mistake, violated, id=mistake.name)
+        for mistake, (_, violated) in catalogue_cases.MISTAKES.items()
     ],
 )
-def test_a_rule_that_is_left_out_is_missed(mistake, bounds, violated):
-    specification = catalogue_log.CatalogueLog(bounds, mistake)
-    result = checking.find_violation(specification, MOST_STATES)
+def test_a_rule_that_is_left_out_is_missed(mistake, violated):
+    result = catalogue_cases.find(mistake)
     print(result.describe(), *result.trace, sep='\n  ')
     assert result.violated == violated
 
