Reset a silent flow that has no other flow to compare with

Ruled out: resetting all silent flows after a longer time (an outage of everything ends by itself and must break no flow).

--- a/src/gentianspoke/decisions/agent/adoption.py
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -3,7 +3,8 @@
 An agent that restarted cannot tell which older flows its upstream has. It
 hands the packet to the upstream: an answer confirms the flow, a reset
 disowns it, and then the next recovering agent tries. Silence disowns it
-too, after ``CONFIRM_MS``.
+too, after ``CONFIRM_MS``; later packets are tried again, since an upstream
+may stand still for a while, until the flow was unknown for ``GIVE_UP_MS``.
 """
 
 import dataclasses
@@ -24,6 +25,8 @@
 ORPHANS_AT_MOST = 10_000
 # How long an upstream may take to confirm a flow that was handed to it.
 CONFIRM_MS = 3_000
+# How long a flow may be tried at one upstream that stays silent about it.
+GIVE_UP_MS = 10_000
 
 State = agent_state.AgentState
 
@@ -50,7 +53,7 @@
     now: int,
 ) -> actions.Action:
     """Let the next recovering agent try a flow that no agent knows."""
-    if state.recovering and state.number not in forward.tried:
+    if _may_try_here(state, forward, packet.key, now):
         return _try_here(state, service, forward, packet, now)
     following = _next_recovering(state, service, forward)
     if following is None:
@@ -75,6 +78,14 @@
     return offer_adoption(state, service, search, packet, now)
 
 
+def _may_try_here(
+    state: State, forward: frames.Forward, key: packets.FlowKey, now: int
+) -> bool:
+    if not state.recovering or state.number in forward.tried:
+        return False
+    return now - state.orphans.get(key, now) < GIVE_UP_MS
+
+
 def _try_here(
     state: State,
     service: services.Service,
@@ -82,8 +93,12 @@
     packet: packets.Packet,
     now: int,
 ) -> actions.Action:
+    unknown_since_ms = state.orphans.get(packet.key)
     flow = tables.adopt_flow(state, service, packet.key, forward.bucket, now)
     flow.unconfirmed = forward
+    if unknown_since_ms is not None:
+        # Only the upstream's answer ends the time that it was unknown.
+        state.orphans[packet.key] = unknown_since_ms
     state.flow_schedule.add(flow, now + CONFIRM_MS)
     match packet:
         case packets.Segment():
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -34,6 +34,7 @@
         flow.unconfirmed = None
         if _is_reset(packet):
             return [adoption.disown(state, flow, forward, now)]
+        state.orphans.pop(flow.key, None)
     match packet:
         case packets.Segment():
             return _decide_segment(state, flow, packet, now)
--- a/src/gentianspoke/decisions/agent/silence.py
+++ b/src/gentianspoke/decisions/agent/silence.py
@@ -3,12 +3,15 @@
 A flow is silent when one side repeats the same segment ``REPEATS`` times
 over ``SILENT_MS`` and is not answered. It is reset only where other flows
 show that the part of the path which all share works; an outage of
-everything ends by itself and breaks no flow here.
+everything ends by itself and breaks no flow here. The only flow of an
+upstream, such as the last one of a drain, has no other to compare with; it
+is reset after ``ALONE_MS``.
 
 =====================  ======================  =========================
 Who repeats            What else was seen      Verdict
 =====================  ======================  =========================
 caller, unanswered     others answered         upstream lost the flow
+caller, unanswered     no other flow is open   upstream does not answer
 caller, acknowledged   others heard            network towards caller
 upstream               caller sends on         network towards caller
 upstream               nothing, others heard   caller is gone
@@ -24,6 +27,7 @@
 
 REPEATS = 4
 SILENT_MS = 6_000
+ALONE_MS = 15_000
 
 State = agent_state.AgentState
 
@@ -36,9 +40,12 @@
         return []
     since_ms = flow.up.since_ms
     if flow.down_ms < since_ms:
-        if state.answered_ms < since_ms:
+        if state.answered_ms >= since_ms:
+            reason = 'the upstream answers others but not this flow'
+        elif state.total_open == 1 and now - since_ms >= ALONE_MS:
+            reason = 'the upstream does not answer its only flow'
+        else:
             return []
-        reason = 'the upstream answers others but not this flow'
         return _reset(state, flow, verdicts.Fault.UPSTREAM, reason, now)
     if _acknowledges(flow.down, flow.up):
         reason = 'answers do not reach the caller'
