--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -19,8 +19,8 @@
 from gentianspoke.decisions import hashing
 from gentianspoke.decisions import routing
 
-FEW = 2_000
-MANY = 12_000
+FEW = 2 * hashing.BUCKETS_PER_SERVICE
+MANY = 12 * hashing.BUCKETS_PER_SERVICE
 SERVICE = bytes((10, 1, 0, 1))
 PORT = 443
 
@@ -109,13 +109,24 @@
 
 
 def build_orders(count: int) -> object:
-    """Return a ranking of seven members with so many orders computed."""
+    """Return rankings of seven members with so many orders computed."""
+    return _rankings(count, lambda ranking, bucket: ranking.order(bucket))
+
+
+def build_homes(count: int) -> object:
+    """Return rankings of seven members with so many homes computed."""
+    return _rankings(count, lambda ranking, bucket: ranking.home(bucket))
+
+
+def _rankings(
+    count: int, ask: collections.abc.Callable[[hashing.Ranking, int], object]
+) -> list[hashing.Ranking]:
     members = tuple(member_of(item) for item in range(7))
-    rankings = []
-    for service in range(count // hashing.BUCKETS_PER_SERVICE + 1):
+    rankings: list[hashing.Ranking] = []
+    for service in range(count // hashing.BUCKETS_PER_SERVICE):
         ranking = hashing.Ranking(views.View(service, 1, members))
-        for bucket in range(min(count, hashing.BUCKETS_PER_SERVICE)):
-            ranking.home(bucket)
+        for bucket in range(hashing.BUCKETS_PER_SERVICE):
+            ask(ranking, bucket)
         rankings.append(ranking)
     return rankings
 
@@ -125,7 +136,8 @@
     'diversion, agent': build_diversions,
     'catalogue entry, entry': build_entries,
     'member of a view': build_members,
-    'order of a bucket, 7 members': build_orders,
+    'order of a bucket of 7 members, agent': build_orders,
+    'home of a bucket of 7 members, entry': build_homes,
 }
 
 
--- a/src/gentianspoke/decisions/hashing.py
+++ b/src/gentianspoke/decisions/hashing.py
@@ -5,7 +5,7 @@
 Schomaker, "Weighted distributed hash tables" (SPAA 2005).
 """
 
-import functools
+import array
 import math
 import typing
 
@@ -17,8 +17,13 @@
 BUCKETS_PER_SERVICE = 1024
 HASH_BITS = 64
 HASH_RANGE = float(1 << HASH_BITS)
-SERVICE_BYTES = 4
-BUCKET_BYTES = 4
+BUCKET_BITS = 32
+LABEL_BYTES = 8
+# Values of the table of homes; higher ones are positions among the members.
+HOME_UNKNOWN = 0
+HOME_NOBODY = 1
+FIRST_POSITION = 2
+ONE_BYTE_VALUES = 1 << 8
 
 
 def bucket_of(key: packets.FlowKey, service: int) -> int:
@@ -26,20 +31,14 @@
     return xxhash.xxh3_64_intdigest(key, service) % BUCKETS_PER_SERVICE
 
 
-@functools.cache
-def _bucket_label(service: int, bucket: int) -> bytes:
-    return service.to_bytes(SERVICE_BYTES, 'big') + bucket.to_bytes(
-        BUCKET_BYTES, 'big'
-    )
-
-
 def score(service: int, bucket: int, number: int, weight: int) -> float:
     """Return the rendezvous score of a member for a bucket.
 
     The member with the highest score is the bucket's home; each member
     is home of a share of buckets in proportion to its weight.
     """
-    digest = xxhash.xxh3_64_intdigest(_bucket_label(service, bucket), number)
+    label = (service << BUCKET_BITS | bucket).to_bytes(LABEL_BYTES, 'big')
+    digest = xxhash.xxh3_64_intdigest(label, number)
     return -weight / math.log((digest + 0.5) / HASH_RANGE)
 
 
@@ -47,7 +46,9 @@
     """The members of one view, ordered for each bucket when asked.
 
     Orders depend on the members' numbers and weights alone, so a view that
-    changes neither takes them over from the one before it.
+    changes neither takes them over from the one before it; homes, which
+    depend on who is live too, likewise. An entry asks for homes only, which
+    take a byte or four for each bucket; orders are for agents.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         if earlier is not None and earlier._weights == self._weights:
             self._numbers = earlier._numbers
         self._orders: dict[int, tuple[views.Member, ...]] = {}
-        self._homes: dict[int, views.Member | None] = {}
+        self._homes = self._take_homes(earlier)
         self._least_acked: dict[int, float] = {}
 
     def order(self, bucket: int) -> tuple[views.Member, ...]:
@@ -77,10 +78,13 @@
 
     def home(self, bucket: int) -> views.Member | None:
         """Return the first live member of a bucket, ``None`` without one."""
-        if bucket not in self._homes:
-            live = (member for member in self.order(bucket) if member.is_live)
-            self._homes[bucket] = next(live, None)
-        return self._homes[bucket]
+        value = self._homes[bucket]
+        if value == HOME_UNKNOWN:
+            value = self._find_home(bucket)
+            self._homes[bucket] = value
+        if value == HOME_NOBODY:
+            return None
+        return self.view.members[value - FIRST_POSITION]
 
     def least_acked(self, own: int) -> float:
         """Return the oldest view that a member but ``own`` may act on.
@@ -98,6 +102,29 @@
             self._least_acked[own] = min(acked, default=math.inf)
         return self._least_acked[own]
 
+    def _take_homes(
+        self, earlier: typing.Optional['Ranking']
+    ) -> 'array.array[int]':
+        if earlier is not None and _same_live(earlier.view, self.view):
+            return earlier._homes
+        highest = len(self.view.members) + FIRST_POSITION
+        code = 'B' if highest < ONE_BYTE_VALUES else 'L'
+        return array.array(code, [HOME_UNKNOWN]) * BUCKETS_PER_SERVICE
+
+    def _find_home(self, bucket: int) -> int:
+        service = self.view.service
+        found = HOME_NOBODY
+        best = (-math.inf, 0)
+        for position, member in enumerate(self.view.members):
+            if not member.is_live:
+                continue
+            number = member.number
+            rank = (score(service, bucket, number, member.weight), number)
+            if rank > best:
+                best = rank
+                found = position + FIRST_POSITION
+        return found
+
     def _order_numbers(self, bucket: int) -> tuple[int, ...]:
         numbers = self._numbers.get(bucket)
         if numbers is None:
@@ -115,5 +142,11 @@
         return tuple([number for _, number in scored])
 
 
+def _same_live(first: views.View, second: views.View) -> bool:
+    return [
+        (item.number, item.weight, item.is_live) for item in first.members
+    ] == [(item.number, item.weight, item.is_live) for item in second.members]
+
+
 def _is_joining(member: views.Member) -> bool:
     return member.state is views.State.DRAINING and member.acked_view == 0
--- /dev/null
+++ b/tests/decisions/test_hashing.py
@@ -0,0 +1,57 @@
+"""Homes and orders of buckets, computed and taken over."""
+
+import builders
+import pytest
+
+from gentianspoke.core import views
+from gentianspoke.decisions import hashing
+
+BUCKETS = range(0, hashing.BUCKETS_PER_SERVICE, 7)
+DRAINING = views.State.DRAINING
+
+
+def view_of(*members, number=1):
+    return views.View(1, number, tuple(members))
+
+
+@pytest.mark.parametrize('closed', [(), (2,), (1, 3), (1, 2, 3, 4)])
+@pytest.mark.parametrize('count', [4, 300])
+def test_a_home_is_the_first_live_member_of_the_order(closed, count):
+    members = (
+        (
+            builders.member(number, DRAINING, closed_view=1)
+            if number in closed
+            else builders.member(number)
+        )
+        for number in range(1, count + 1)
+    )
+    ranking = hashing.Ranking(view_of(*members))
+    for bucket in BUCKETS:
+        live = [item for item in ranking.order(bucket) if item.is_live]
+        assert ranking.home(bucket) == (live[0] if live else None)
+
+
+@pytest.mark.parametrize(
+    'later',
+    [
+        pytest.param(
+            (builders.member(1), builders.member(2, acked_view=9)),
+            id='acknowledgement',
+        ),
+        pytest.param(
+            (builders.member(1), builders.member(2, DRAINING, closed_view=2)),
+            id='drain',
+        ),
+        pytest.param((builders.member(2),), id='removal'),
+    ],
+)
+def test_homes_are_taken_over_only_where_they_stay(later):
+    first = view_of(builders.member(1), builders.member(2))
+    earlier = hashing.Ranking(first)
+    for bucket in BUCKETS:
+        earlier.home(bucket)
+    second = view_of(*later, number=2)
+    ranking = hashing.Ranking(second, earlier)
+    anew = hashing.Ranking(second)
+    for bucket in BUCKETS:
+        assert ranking.home(bucket) == anew.home(bucket)
