--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -9,6 +9,11 @@
 import tracemalloc
 
 from benchmarks import tables
+from gentianspoke.codec import catalogue
+from gentianspoke.codec import feed
+from gentianspoke.codec import frame
+from gentianspoke.codec import keys
+from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
@@ -152,9 +157,23 @@
     return size
 
 
+def message_sizes() -> dict[str, int]:
+    """Return the bytes of messages, without what carries them."""
+    members = tuple(member_of(item) for item in range(1, 4))
+    view = views.View(1, views.make_view_number(1, 5), members)
+    ring = keys.KeyRing(1, {1: bytes(32)})
+    report = frames.LoadReport(1_000, members[0].number, 2_000, 4, 3)
+    entry = catalogue.encode_entry(service_of(53_000))
+    return {
+        'message: catalogue entry': entry.ByteSize(),
+        'message: view of 3 members': feed.encode_view(view).ByteSize(),
+        'message: load report': len(frame.encode(report, ring)),
+    }
+
+
 def main() -> None:
     """Print the bytes of one item of each kind."""
-    rows: list[list[str]] = []
+    rows = [[name, str(size)] for name, size in message_sizes().items()]
     for name, build in BUILDS.items():
         build(10)
         slope = (size_of(build, MANY) - size_of(build, FEW)) / (MANY - FEW)
