Keep the log without replicas among the tests, its only users

Cause: control runs the replicated log also for a single member, so LocalLog was code of the product that no process used. make check and the 107 tests of feeds and commands pass.

--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import grpclib.server
+import local_log
 import loopback
 
 from gentianspoke import clock
@@ -15,7 +16,6 @@
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import leadership
-from gentianspoke.shells.control import local_log
 from gentianspoke.shells.control import relay
 from gentianspoke.shells import process
 from gentianspoke.telemetry import logs
