Keep libraries' INFO lines out of the log of a process

Cause: one of the 16 proofs of control failed (KeyError: 'event') since each step of the state machine's library stood in the log as a line of its own. Ruled out: a fault of the catch-up that the proof is about (the member had caught up).

--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -42,7 +42,15 @@
     if log_file is not None:
         _end_last_line(log_file)
     loguru.logger.add(log_file or sys.stderr, level=level, format=_format_line)
-    logging.basicConfig(handlers=[_ToLoguru()], level=level, force=True)
+    logging.basicConfig(
+        handlers=[_ToLoguru()], level=_library_level(level), force=True
+    )
+
+
+def _library_level(level: str) -> str:
+    # What a library tells at INFO, such as each step of a state machine,
+    # would bury the process's own lines.
+    return 'WARNING' if level == 'INFO' else level
 
 
 class _ToLoguru(logging.Handler):
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -229,7 +229,9 @@
         """Return the events that an instance has written."""
         path = self.folder / f'{name}.jsonl'
         lines = path.read_text().splitlines() if path.exists() else []
-        return [json.loads(line) for line in lines]
+        # A library's warning is a line of the log too, but no event.
+        found = [json.loads(line) for line in lines]
+        return [item for item in found if 'event' in item]
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/telemetry/test_library_lines.py
@@ -0,0 +1,30 @@
+"""What libraries log, in the log of a process."""
+
+import json
+import logging
+
+import loguru
+import pytest
+
+from gentianspoke.telemetry import logs
+
+
+@pytest.mark.parametrize(
+    ('level', 'library_level', 'is_written'),
+    [
+        ('INFO', logging.INFO, False),
+        ('INFO', logging.WARNING, True),
+        ('DEBUG', logging.DEBUG, True),
+        ('ERROR', logging.WARNING, False),
+    ],
+)
+def test_a_library_is_heard_where_it_warns_or_at_debug(
+    tmp_path, level, library_level, is_written
+):
+    path = tmp_path / 'log.jsonl'
+    logs.configure(str(path), level)
+    logging.getLogger('transitions').log(library_level, 'told')
+    loguru.logger.remove()
+    lines = path.read_text().splitlines()
+    messages = [json.loads(line)['message'] for line in lines]
+    assert messages == (['told'] if is_written else [])
