Let one constant serve for thousandths and one for milliseconds a second

Cause: PERMILLE was defined in six modules, and a second time MS_PER_S in two commands beside clock.MS_PER_S. Removed with them, since nothing uses it: ConflictError, Catalogue.changed_since and IPV4_KEY_BYTES. Ruled out: merging pairs that are alike in shape only, such as encoders of different messages.

--- a/src/gentianspoke/commands/catalogue_edits.py
+++ b/src/gentianspoke/commands/catalogue_edits.py
@@ -9,6 +9,7 @@
 
 import cappa
 
+from gentianspoke import clock
 from gentianspoke.commands import catalogue_options as options
 from gentianspoke.commands import catalogue_output
 from gentianspoke.config import catalogue_file
@@ -16,7 +17,6 @@
 from gentianspoke import errors
 from gentianspoke.shells import catalogue_client
 
-MS_PER_S = 1000
 UNKNOWN_OPERATOR = 'unknown'
 
 Edits = tuple[catalogue.Edit, ...]
@@ -144,7 +144,9 @@
     timeout_ms: int,
     output: catalogue_output.Output,
 ) -> None:
-    status = asyncio.run(client.wait_in_force(version, timeout_ms / MS_PER_S))
+    status = asyncio.run(
+        client.wait_in_force(version, timeout_ms / clock.MS_PER_S)
+    )
     if status is None:
         raise errors.NotInForceError(version, 0, 0, 'no instance leads')
     output.in_force(version, status)
--- a/src/gentianspoke/commands/timeline.py
+++ b/src/gentianspoke/commands/timeline.py
@@ -9,6 +9,7 @@
 
 import cappa
 
+from gentianspoke import clock
 from gentianspoke.commands import printing
 from gentianspoke.decisions.timeline import events
 from gentianspoke.decisions.timeline import filtering
@@ -16,8 +17,6 @@
 from gentianspoke import errors
 from gentianspoke.telemetry import event_files
 
-MS_PER_S = 1000
-
 Files = typing.Annotated[
     list[str],
     cappa.Arg(num_args=-1, required=True, help='Log files of the processes.'),
@@ -120,18 +119,21 @@
         ) from exc
     if moment.tzinfo is None:
         moment = moment.replace(tzinfo=datetime.timezone.utc)
-    return round(moment.timestamp() * MS_PER_S)
+    return round(moment.timestamp() * clock.MS_PER_S)
 
 
 def format_time(wall_ms: int) -> str:
     """Return milliseconds since 1970 as a UTC time for people."""
     try:
         moment = datetime.datetime.fromtimestamp(
-            wall_ms / MS_PER_S, datetime.timezone.utc
+            wall_ms / clock.MS_PER_S, datetime.timezone.utc
         )
     except (ValueError, OverflowError, OSError):
         return f'{wall_ms}ms'
-    return moment.strftime('%Y-%m-%dT%H:%M:%S.') + f'{wall_ms % MS_PER_S:03}Z'
+    return (
+        moment.strftime('%Y-%m-%dT%H:%M:%S.')
+        + f'{wall_ms % clock.MS_PER_S:03}Z'
+    )
 
 
 def table_line(event: events.Event) -> str:
--- a/src/gentianspoke/config/catalogue_file.py
+++ b/src/gentianspoke/config/catalogue_file.py
@@ -10,10 +10,10 @@
 from gentianspoke.config import yaml_files
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.core import shares
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_file_model
 
-PERMILLE = 1000
 PROTOCOLS = {'tcp': packets.TCP, 'udp': packets.UDP}
 PROTOCOL_NAMES = {number: name for name, number in PROTOCOLS.items()}
 
@@ -103,8 +103,8 @@
         queue=given.queue,
         wait_ms=_duration(given.wait),
         idle_ms=_duration(given.idle),
-        bound_permille=round(given.bound * PERMILLE),
-        retry_permille=round(given.retry_share * PERMILLE),
+        bound_permille=round(given.bound * shares.PERMILLE),
+        retry_permille=round(given.retry_share * shares.PERMILLE),
     )
 
 
@@ -155,8 +155,8 @@
                 'queue': entry.limits.queue,
                 'wait': units.format_duration(entry.limits.wait_ms),
                 'idle': units.format_duration(entry.limits.idle_ms),
-                'bound': entry.limits.bound_permille / PERMILLE,
-                'retry_share': entry.limits.retry_permille / PERMILLE,
+                'bound': entry.limits.bound_permille / shares.PERMILLE,
+                'retry_share': entry.limits.retry_permille / shares.PERMILLE,
             },
             'base_version': entry.version,
         }
--- a/src/gentianspoke/core/packets.py
+++ b/src/gentianspoke/core/packets.py
@@ -19,7 +19,6 @@
 TCP = 6
 UDP = 17
 PORT_BYTES = 2
-IPV4_KEY_BYTES = 1 + 2 * 4 + 2 * PORT_BYTES
 
 
 class Flags(enum.IntFlag):
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -3,13 +3,12 @@
 import enum
 
 from gentianspoke.core import services
+from gentianspoke.core import shares
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
-PERMILLE = 1000
-
 
 class Admission(enum.Enum):
     """What an upstream can do with one more flow of a service."""
@@ -76,8 +75,8 @@
     """
     age_ms = now - state.started_ms
     if state.recovering or age_ms >= state.capacity.ramp_ms:
-        return PERMILLE
-    return max(1, age_ms * PERMILLE // state.capacity.ramp_ms)
+        return shares.PERMILLE
+    return max(1, age_ms * shares.PERMILLE // state.capacity.ramp_ms)
 
 
 def start_queued(
@@ -118,6 +117,9 @@
     def used_share(service: services.Service) -> tuple[int, int]:
         running = state.counts[service.number].running
         oldest = state.queues[service.number][0]
-        return running * PERMILLE // service.limits.slots, oldest.opened_ms
+        return (
+            running * shares.PERMILLE // service.limits.slots,
+            oldest.opened_ms,
+        )
 
     return min(able, key=used_share, default=None)
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -15,6 +15,7 @@
 
 from gentianspoke.core import frames
 from gentianspoke.core import services
+from gentianspoke.core import shares
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import state as agent_state
@@ -62,9 +63,9 @@
     weights = sum(member.weight for member in live)
     own = ranking.by_number[state.number].weight
     mean = (total + 1) * own / weights
-    bound = mean * service.limits.bound_permille / admission.PERMILLE
+    bound = mean * service.limits.bound_permille / shares.PERMILLE
     ramp = admission.ramp_permille(state, now)
-    return math.ceil(bound * ramp / admission.PERMILLE)
+    return math.ceil(bound * ramp / shares.PERMILLE)
 
 
 def choose_other(
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -154,12 +154,6 @@
         """Return all entries, retired ones included, by name."""
         return [self.entries[name] for name in sorted(self.entries)]
 
-    def changed_since(self, version: int) -> list[services.Service]:
-        """Return the entries whose text is newer than ``version``."""
-        return [
-            entry for entry in self.entry_list() if entry.version > version
-        ]
-
     def _conflicts(self, request: Request) -> tuple[Conflict, ...]:
         found: list[Conflict] = []
         names: set[str] = set()
--- a/src/gentianspoke/decisions/control/membership.py
+++ b/src/gentianspoke/decisions/control/membership.py
@@ -18,12 +18,12 @@
 import collections.abc
 import dataclasses
 
+from gentianspoke.core import shares
 from gentianspoke.core import views
 from gentianspoke.decisions.control import service_members
 
 # Difference of two clocks' rates that leases allow for.
 CLOCK_DRIFT_PERMILLE = 50
-PERMILLE = 1000
 # A longer pause between two ticks means that this process stood still and
 # could not take heartbeats.
 STALL_MS = 1_000
@@ -45,7 +45,11 @@
     @property
     def removal_ms(self) -> int:
         """Time without a heartbeat after which no lease can be valid."""
-        return self.lease_ms * (PERMILLE + CLOCK_DRIFT_PERMILLE) // PERMILLE
+        return (
+            self.lease_ms
+            * (shares.PERMILLE + CLOCK_DRIFT_PERMILLE)
+            // shares.PERMILLE
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -3,13 +3,13 @@
 import dataclasses
 import random
 
+from gentianspoke.core import shares
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import records
 from gentianspoke.decisions.control.replica import roles
 
-PERMILLE = 1000
 LONG_AGO_MS = -(10**12)
 
 
@@ -30,8 +30,8 @@
     @property
     def claim_ms(self) -> int:
         """How long a majority's answer lets the leader claim to lead."""
-        steady = PERMILLE - 2 * self.drift_permille
-        return self.election_min_ms * steady // PERMILLE
+        steady = shares.PERMILLE - 2 * self.drift_permille
+        return self.election_min_ms * steady // shares.PERMILLE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/timeline/explaining.py
+++ b/src/gentianspoke/decisions/timeline/explaining.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from gentianspoke.core import shares
 from gentianspoke.core import verdicts
 from gentianspoke.decisions.timeline import blame
 from gentianspoke.decisions.timeline import context
@@ -12,7 +13,6 @@
 # How long after an agent's verdict its own reset or refusal may be written.
 JOIN_MS = 1_000
 UNNAMED_SERVICE = '?'
-PERMILLE = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +61,7 @@
         """The share of failures behind the verdict, in thousandths."""
         if not self.failures:
             return 0
-        return self.faults[self.verdict] * PERMILLE // self.failures
+        return self.faults[self.verdict] * shares.PERMILLE // self.failures
 
 
 class Explainer:
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -69,19 +69,6 @@
         )
 
 
-class ConflictError(ControlError):
-    """An edit that was based on an older version of its entry."""
-
-    def __init__(self, name: str, version: int) -> None:
-        """Name the entry and its current version."""
-        self.name = name
-        self.version = version
-        super().__init__(
-            f'{name}: changed meanwhile, now at version {version}; read it'
-            ' with "catalogue get", merge, and apply again'
-        )
-
-
 class NotLeaderError(ControlError):
     """A request that only the leader can carry out."""
 
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -6,6 +6,7 @@
 from gentianspoke.codec import feed
 from gentianspoke.config import settings
 from gentianspoke.config import units
+from gentianspoke.core import shares
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
@@ -24,7 +25,6 @@
 AVOIDED_MS = 1_000
 # The lease is given up this much early, against a clock that runs slow.
 LEASE_MARGIN_PERMILLE = 50
-PERMILLE = 1_000
 
 
 class Heartbeat:
@@ -101,7 +101,7 @@
         if sent.number != self._state.number:
             # The upstream has restarted since; the lease is not its own.
             return
-        margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // PERMILLE
+        margin_ms = reply.lease_ms * LEASE_MARGIN_PERMILLE // shares.PERMILLE
         until_ms = sent_ms + reply.lease_ms - margin_ms
         state = self._state
         holds = state.lease_until_ms > self._proc.clock.now()
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentianspoke.core import shares
 from gentianspoke.decisions.control import membership
 from gentianspoke import errors
 from gentianspoke.shells.control import hub
@@ -27,7 +28,7 @@
         self._log = log
         self._hub = consumers
         self._limits = membership.MembershipLimits(
-            lease_ms, lease_ms * SUSPECT_PERMILLE // membership.PERMILLE
+            lease_ms, lease_ms * SUSPECT_PERMILLE // shares.PERMILLE
         )
         self._members: membership.Membership | None = None
 
