--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -20,6 +20,7 @@
 import yaml
 
 from gentianspoke import clock
+from gentianspoke.codec import ip
 from gentianspoke.codec import keys
 from gentianspoke.config import settings
 from gentianspoke.config import units
@@ -112,11 +113,11 @@
         match role:
             case settings.AgentSettings():
                 shell = agent_shell.Agent(
-                    self.proc, role, None, None, 'incarnation', False
+                    self.proc, role, ip, None, None, 'incarnation', False
                 )
                 self.agent = shell
             case _:
-                shell = entry_shell.Entry(self.proc, None)
+                shell = entry_shell.Entry(self.proc, None, ip)
         self.shell = shell
 
     async def run(self) -> None:
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -147,7 +147,7 @@
 def entry_case(sock: datagrams.DatagramSocket, sink: tuple[str, int]) -> Case:
     """Return an entry that forwards segments of open flows."""
     proc = make_process(settings.EntrySettings(sock.address))
-    entry = entry_shell.Entry(proc, sock)
+    entry = entry_shell.Entry(proc, sock, ip)
     entry.take(feed_client.CatalogueUpdate(True, 1, [service()]))
     entry.take(view(MEMBERS, sink))
     raw = [segment(number, packets.ACK) for number in range(FLOWS)]
@@ -173,7 +173,7 @@
         ramp_ms=0,
     )
     proc = make_process(role)
-    agent = agent_shell.Agent(proc, role, sock, upstream, 'one', False)
+    agent = agent_shell.Agent(proc, role, ip, sock, upstream, 'one', False)
     agent.state.joining = False
     agent.take(feed_client.CatalogueUpdate(True, 1, [service()]))
     agent.take(view(agent.state.number, sink))
--- a/src/gentianspoke/clock.py
+++ b/src/gentianspoke/clock.py
@@ -11,11 +11,15 @@
 
 
 class Clock:
-    """The monotonic clock of this process, in milliseconds."""
+    """The clock of this process, in milliseconds.
+
+    It never goes back, and it goes on while the instance is suspended: a
+    lease or the age of a confirmation must not seem younger than it is.
+    """
 
     def now(self) -> int:
         """Return the milliseconds since an arbitrary fixed moment."""
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall(self) -> int:
         """Return the milliseconds since 1970, for people to read only."""
--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -26,6 +26,15 @@
         limits=catalogue_pb2.Limits(**dataclasses.asdict(service.limits)),
         version=service.version,
         retired=service.retired,
+        shares=[
+            catalogue_pb2.Share(
+                pool=item.pool, weight=item.weight, name=item.name
+            )
+            for item in service.shares
+        ],
+        former=service.former,
+        handshake=service.handshake,
+        priority=service.priority,
     )
 
 
@@ -59,6 +68,13 @@
         ),
         version=entry.version,
         retired=entry.retired,
+        shares=tuple(
+            services.Share(item.pool, item.weight, item.name)
+            for item in entry.shares
+        ),
+        former=tuple(entry.former),
+        handshake=entry.handshake,
+        priority=entry.priority,
     )
     if entry.protocol == packets.UDP and services.needs_single_decider(
         service
@@ -72,10 +88,30 @@
 
 def encode_request(request: catalogue.Request) -> catalogue_pb2.ApplyRequest:
     """Return a request as a message."""
+    document = request.document
     return catalogue_pb2.ApplyRequest(
         idempotency_key=request.idempotency_key,
         operator=request.operator,
         edits=[_encode_edit(edit) for edit in request.edits],
+        document=encode_document(document) if document else None,
+    )
+
+
+def encode_document(document: catalogue.Document) -> catalogue_pb2.Document:
+    """Return a whole catalogue as a message."""
+    return catalogue_pb2.Document(
+        version=document.version,
+        text=document.text,
+        entries=[encode_entry(item) for item in document.entries],
+    )
+
+
+def decode_document(message: catalogue_pb2.Document) -> catalogue.Document:
+    """Return a message as a whole catalogue."""
+    return catalogue.Document(
+        version=message.version,
+        text=message.text,
+        entries=tuple(decode_entry(item) for item in message.entries),
     )
 
 
@@ -84,7 +120,8 @@
 
     Raises :class:`gentianspoke.errors.ControlError` where it is invalid.
     """
-    if not message.idempotency_key or not message.edits:
+    has_document = message.HasField('document')
+    if not message.idempotency_key or not (message.edits or has_document):
         raise errors.ControlError(
             'the request has no idempotency key or no edit; send both'
         )
@@ -92,6 +129,7 @@
         idempotency_key=message.idempotency_key,
         operator=message.operator,
         edits=tuple(_decode_edit(edit) for edit in message.edits),
+        document=decode_document(message.document) if has_document else None,
     )
 
 
--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -20,6 +20,8 @@
             body = _encode_forward(frame)
         case frames.LoadReport():
             body = _encode_load(frame)
+        case frames.Owned():
+            body = _encode_owned(frame)
     packed = body.SerializeToString()
     envelope = envelope_pb2.Envelope()
     envelope.version = VERSION
@@ -51,6 +53,8 @@
             return _decode_forward(body)
         case 'load':
             return _decode_load(body)
+        case 'owned':
+            return _decode_owned(body)
         case _:
             raise errors.PacketError('empty-frame')
 
@@ -80,6 +84,8 @@
         forward.offers_left = frame.offers_left
     if frame.decider:
         forward.decider = frame.decider
+    if frame.pool != frame.service:
+        forward.pool = frame.pool
     return body
 
 
@@ -104,6 +110,7 @@
         sender=body.sender,
         decider=forward.decider,
         logical=body.logical,
+        pool=forward.pool,
     )
 
 
@@ -112,7 +119,7 @@
         sender=frame.sender,
         logical=frame.logical,
         load=envelope_pb2.LoadReport(
-            service=frame.service,
+            pool=frame.pool,
             open_flows=frame.open_flows,
             running=frame.running,
             queued=frame.queued,
@@ -122,10 +129,37 @@
 
 def _decode_load(body: envelope_pb2.Body) -> frames.LoadReport:
     return frames.LoadReport(
-        service=body.load.service,
+        pool=body.load.pool,
         sender=body.sender,
         open_flows=body.load.open_flows,
         running=body.load.running,
         queued=body.load.queued,
         logical=body.logical,
     )
+
+
+def _encode_owned(frame: frames.Owned) -> envelope_pb2.Body:
+    return envelope_pb2.Body(
+        sender=frame.sender,
+        logical=frame.logical,
+        owned=envelope_pb2.Owned(
+            service=frame.service,
+            pool=frame.pool,
+            bucket=frame.bucket,
+            target=frame.target,
+            key=frame.key,
+        ),
+    )
+
+
+def _decode_owned(body: envelope_pb2.Body) -> frames.Owned:
+    owned = body.owned
+    return frames.Owned(
+        service=owned.service,
+        pool=owned.pool,
+        bucket=owned.bucket,
+        target=owned.target,
+        sender=body.sender,
+        key=owned.key,
+        logical=body.logical,
+    )
--- a/src/gentianspoke/codec/ip.py
+++ b/src/gentianspoke/codec/ip.py
@@ -9,6 +9,7 @@
 
 import dpkt
 
+from gentianspoke.config import units
 from gentianspoke.core import packets
 from gentianspoke import errors
 
@@ -89,6 +90,10 @@
     )
 
 
+def destination(raw: bytes) -> units.Address | None:
+    """Return ``None``: all packets to callers go through the fabric."""
+
+
 def _parse_ipv4(raw: bytes, reply: bool) -> packets.Packet:
     if len(raw) < IPV4_HEADER_BYTES:
         raise errors.PacketError('truncated')
--- a/src/gentianspoke/codec/keys.py
+++ b/src/gentianspoke/codec/keys.py
@@ -18,13 +18,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRing:
-    """The keys that are accepted, and the one that signs."""
+    """The keys that are accepted, and the one that signs.
+
+    A ring without keys tags nothing and accepts everything, for
+    deployments whose network is trusted.
+    """
 
     active: int
     keys: dict[int, bytes]
 
     def tag(self, body: bytes) -> bytes:
-        """Return the tag of ``body`` by the active key."""
+        """Return the tag of ``body`` by the active key, empty without."""
+        if not self.keys:
+            return b''
         return _digest(self.keys[self.active], body)
 
     def verify(self, key_id: int, tag: bytes, body: bytes) -> None:
@@ -33,6 +39,8 @@
         Raises :class:`gentianspoke.errors.PacketError` for an unknown key
         or a tag that does not match.
         """
+        if not self.keys:
+            return
         key = self.keys.get(key_id)
         if key is None:
             raise errors.PacketError('unknown-key')
@@ -40,6 +48,9 @@
             raise errors.PacketError('bad-tag')
 
 
+NO_KEYS = KeyRing(0, {})
+
+
 def _digest(key: bytes, body: bytes) -> bytes:
     digest = _keyed(key).copy()
     digest.update(body)
--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -177,6 +177,15 @@
             )
             for item in state.answers
         ],
+        document=(
+            catalogue_codec.encode_document(state.document)
+            if state.document
+            else None
+        ),
+        pools=[
+            replica_pb2.PoolNumber(name=item.name, number=item.number)
+            for item in state.pools
+        ],
     )
 
 
@@ -200,4 +209,13 @@
             )
             for item in message.answers
         ),
+        document=(
+            catalogue_codec.decode_document(message.document)
+            if message.HasField('document')
+            else None
+        ),
+        pools=tuple(
+            catalogue.PoolNumber(item.name, item.number)
+            for item in message.pools
+        ),
     )
--- /dev/null
+++ b/src/gentianspoke/config/from_model.py
@@ -0,0 +1,87 @@
+"""Settings from checked models to data classes.
+
+Apart from the data classes, so that a process whose settings come from
+elsewhere does not load the models.
+"""
+
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.generated import settings_model
+
+
+def from_model(
+    model: settings_model.Settings,
+    role: (
+        settings_model.EntrySettings
+        | settings_model.AgentSettings
+        | settings_model.ControlSettings
+    ),
+) -> settings.Settings:
+    """Return checked values as data classes; ``role`` is the one given."""
+    return settings.Settings(
+        instance=model.instance,
+        zone=model.zone,
+        key_file=model.key_file,
+        log_file=model.log_file,
+        log_level=str(model.log_level),
+        metrics=_optional_address(model.metrics),
+        grace_ms=_duration(model.grace),
+        feeds=tuple(units.host_port(item.root) for item in model.feeds or ()),
+        role=_role(role),
+    )
+
+
+def _role(
+    role: (
+        settings_model.EntrySettings
+        | settings_model.AgentSettings
+        | settings_model.ControlSettings
+    ),
+) -> settings.Role:
+    match role:
+        case settings_model.EntrySettings():
+            return settings.EntrySettings(units.host_port(role.listen.root))
+        case settings_model.AgentSettings():
+            return _agent(role)
+        case settings_model.ControlSettings():
+            return _control(role)
+
+
+def _agent(role: settings_model.AgentSettings) -> settings.AgentSettings:
+    return settings.AgentSettings(
+        listen=units.host_port(role.listen.root),
+        upstream_side=units.host_port(role.upstream_side.root),
+        upstream=units.host_port(role.upstream.root),
+        status=_optional_address(role.status),
+        fabric=units.host_port(role.fabric.root),
+        services=tuple(role.services),
+        slots=role.slots,
+        connections=role.connections,
+        weight=role.weight,
+        ramp_ms=_duration(role.ramp),
+    )
+
+
+def _control(role: settings_model.ControlSettings) -> settings.ControlSettings:
+    members = tuple(
+        (member.instance, units.host_port(member.address.root))
+        for member in role.members or ()
+    )
+    return settings.ControlSettings(
+        listen=units.host_port(role.listen.root),
+        data_folder=role.data_folder,
+        members=members,
+        lease_ms=_duration(role.lease),
+        join=bool(role.join),
+    )
+
+
+def _duration(value: settings_model.Duration | str) -> int:
+    text = value if isinstance(value, str) else value.root
+    return units.duration_ms(text)
+
+
+def _optional_address(
+    value: settings_model.HostPort | None,
+) -> units.Address | None:
+    return units.host_port(value.root) if value is not None else None
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from gentianspoke.config import units
-from gentianspoke.generated import settings_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,7 +14,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
-    """Settings of an agent; durations are milliseconds."""
+    """Settings of an agent; durations are milliseconds.
+
+    ``pool`` names the pool of its upstream where services share pools;
+    then it serves all services that name the pool. ``recovery_ms`` tells
+    how long a restarted agent adopts flows that it does not know.
+    """
 
     listen: units.Address
     upstream_side: units.Address
@@ -27,17 +31,29 @@
     connections: int
     weight: int
     ramp_ms: int
+    pool: str = ''
+    recovery_ms: int = 7_200_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlSettings:
-    """Settings of a control instance; durations are milliseconds."""
+    """Settings of a control instance; durations are milliseconds.
+
+    Without a ``data_folder`` it keeps no log and names the leader only.
+    ``member`` is its name in the group, else that of the instance. Where
+    ``tolerate`` is not 0, the group replaces lost members by itself so
+    that it can bear the loss of so many.
+    """
 
     listen: units.Address
     data_folder: str
     members: tuple[tuple[str, units.Address], ...]
     lease_ms: int
     join: bool = False
+    member: str = ''
+    tolerate: int = 0
+    compact_records: int = 1_000
+    kept_records: int = 200
 
 
 Role = EntrySettings | AgentSettings | ControlSettings
@@ -56,81 +72,3 @@
     grace_ms: int
     feeds: tuple[units.Address, ...]
     role: Role
-
-
-def from_model(
-    model: settings_model.Settings,
-    role: (
-        settings_model.EntrySettings
-        | settings_model.AgentSettings
-        | settings_model.ControlSettings
-    ),
-) -> Settings:
-    """Return checked values as data classes; ``role`` is the one given."""
-    return Settings(
-        instance=model.instance,
-        zone=model.zone,
-        key_file=model.key_file,
-        log_file=model.log_file,
-        log_level=str(model.log_level),
-        metrics=_optional_address(model.metrics),
-        grace_ms=_duration(model.grace),
-        feeds=tuple(units.host_port(item.root) for item in model.feeds or ()),
-        role=_role(role),
-    )
-
-
-def _role(
-    role: (
-        settings_model.EntrySettings
-        | settings_model.AgentSettings
-        | settings_model.ControlSettings
-    ),
-) -> Role:
-    match role:
-        case settings_model.EntrySettings():
-            return EntrySettings(units.host_port(role.listen.root))
-        case settings_model.AgentSettings():
-            return _agent(role)
-        case settings_model.ControlSettings():
-            return _control(role)
-
-
-def _agent(role: settings_model.AgentSettings) -> AgentSettings:
-    return AgentSettings(
-        listen=units.host_port(role.listen.root),
-        upstream_side=units.host_port(role.upstream_side.root),
-        upstream=units.host_port(role.upstream.root),
-        status=_optional_address(role.status),
-        fabric=units.host_port(role.fabric.root),
-        services=tuple(role.services),
-        slots=role.slots,
-        connections=role.connections,
-        weight=role.weight,
-        ramp_ms=_duration(role.ramp),
-    )
-
-
-def _control(role: settings_model.ControlSettings) -> ControlSettings:
-    members = tuple(
-        (member.instance, units.host_port(member.address.root))
-        for member in role.members or ()
-    )
-    return ControlSettings(
-        listen=units.host_port(role.listen.root),
-        data_folder=role.data_folder,
-        members=members,
-        lease_ms=_duration(role.lease),
-        join=bool(role.join),
-    )
-
-
-def _duration(value: settings_model.Duration | str) -> int:
-    text = value if isinstance(value, str) else value.root
-    return units.duration_ms(text)
-
-
-def _optional_address(
-    value: settings_model.HostPort | None,
-) -> units.Address | None:
-    return units.host_port(value.root) if value is not None else None
--- a/src/gentianspoke/config/settings_file.py
+++ b/src/gentianspoke/config/settings_file.py
@@ -1,6 +1,7 @@
 """Reading the settings file of one process."""
 
 from gentianspoke.config import checks
+from gentianspoke.config import from_model
 from gentianspoke.config import settings
 from gentianspoke.config import yaml_files
 from gentianspoke import errors
@@ -29,6 +30,6 @@
             path, 'feeds', 'missing; list the addresses of control instances'
         )
     checks.check_values(path, model)
-    cfg = settings.from_model(model, roles[0])
+    cfg = from_model.from_model(model, roles[0])
     checks.check_whole(path, cfg)
     return cfg
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -23,7 +23,8 @@
     ``target`` is the member that the frame is meant for. ``view`` is the
     sending entry's view, or in an offer the view in which ``decider``, the
     bucket's home, decided on the opening. ``logical`` is the sender's
-    logical clock.
+    logical clock. ``pool`` is the one whose members the frame goes along;
+    0 stands for the service's own.
     """
 
     service: int
@@ -39,13 +40,19 @@
     sender: int = ENTRY_SENDER
     decider: int = ENTRY_SENDER
     logical: int = 0
+    pool: int = 0
+
+    def __post_init__(self) -> None:
+        """Name the service's own pool where none is given."""
+        if not self.pool:
+            self.pool = self.service
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The sender's own counts for one service."""
+    """The sender's own counts for one pool, over all its services."""
 
-    service: int
+    pool: int
     sender: int
     open_flows: int
     running: int
@@ -53,4 +60,21 @@
     logical: int = 0
 
 
-Frame = Forward | LoadReport
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owned:
+    """Tells a member that did not know a flow that the sender owns it.
+
+    Later packets of the flow then come without a search. ``target`` is the
+    member that is told; ``key`` the flow, as in ``core.packets``.
+    """
+
+    service: int
+    pool: int
+    bucket: int
+    target: int
+    sender: int
+    key: bytes
+    logical: int = 0
+
+
+Frame = Forward | LoadReport | Owned
--- a/src/gentianspoke/core/packets.py
+++ b/src/gentianspoke/core/packets.py
@@ -40,7 +40,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Segment:
-    """One TCP segment; ``seq`` and ``ack`` are raw 32-bit numbers."""
+    """One TCP segment; ``seq`` and ``ack`` are raw 32-bit numbers.
+
+    ``copy`` counts the retransmissions of an opening, where the caller
+    tells. ``returned`` marks a segment of the caller that the upstream
+    sent back, since it cannot take the opening or lacks the flow.
+    """
 
     key: FlowKey
     flags: int
@@ -48,6 +53,8 @@
     ack: int
     payload_bytes: int
     raw: bytes
+    copy: int = 0
+    returned: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,5 +124,19 @@
     return segment.flags & (SYN | ACK) == SYN
 
 
+def copy_number(packet: Packet) -> int:
+    """Return which copy of an opening a packet is, 0 where unknown."""
+    match packet:
+        case Segment(copy=copy):
+            return copy
+        case Datagram():
+            return 0
+
+
+def is_repeated(packet: Packet) -> bool:
+    """Return whether a packet is known to be a copy of an opening."""
+    return copy_number(packet) > 0
+
+
 def _address_bytes(key: FlowKey) -> int:
     return (len(key) - 1 - 2 * PORT_BYTES) // 2
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -43,12 +43,31 @@
     retry_permille: int = 500
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """The part of a service's new flows that one pool of upstreams gets.
+
+    ``weight`` counts against the sum over the service's shares. ``name``
+    is what the upstreams of the pool announce themselves for.
+    """
+
+    pool: int
+    weight: int
+    name: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """One catalogue entry that was accepted.
 
     ``number`` is never used for another service, so that a packet in
-    flight cannot reach the next user of a reused address.
+    flight cannot reach the next user of a reused address. ``shares`` name
+    the pools that new flows go to; without any the service has a pool of
+    its own, of its own number. ``former`` are pools that still may hold
+    open flows. With ``handshake`` an upstream runs nothing before the
+    caller has acknowledged a random number of that upstream alone, so that
+    an opening may reach several upstreams and still runs at one at most.
+    ``priority`` orders services in an overload, 0 first.
     """
 
     number: int
@@ -61,10 +80,32 @@
     limits: Limits
     version: int
     retired: bool = False
+    shares: tuple[Share, ...] = ()
+    former: tuple[int, ...] = ()
+    handshake: bool = False
+    priority: int = 0
+
+
+def current_pools(service: Service) -> tuple[int, ...]:
+    """Return the pools that get new flows of the service."""
+    if not service.shares:
+        return (service.number,)
+    return tuple(share.pool for share in service.shares)
+
+
+def all_pools(service: Service) -> tuple[int, ...]:
+    """Return the pools that may hold flows, the current ones first."""
+    return current_pools(service) + service.former
 
 
 def needs_single_decider(service: Service) -> bool:
-    """Return whether work of the service must run at most once."""
+    """Return whether only one agent may decide on an opening at a time.
+
+    So it is for work that must run at most once, unless the upstreams see
+    to that by their handshake.
+    """
+    if service.handshake:
+        return False
     match service.traffic:
         case Board():
             return False
--- a/src/gentianspoke/decisions/actions.py
+++ b/src/gentianspoke/decisions/actions.py
@@ -64,4 +64,29 @@
     reason: str
 
 
-Action = Deliver | Answer | Pass | Refuse | ResetCaller | ResetUpstream | Drop
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """Do nothing yet: the packet is kept; ``reason`` is counted."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Tell:
+    """Tell another agent which flow this one owns."""
+
+    member: views.Member
+    owned: frames.Owned
+
+
+Action = (
+    Deliver
+    | Answer
+    | Pass
+    | Refuse
+    | ResetCaller
+    | ResetUpstream
+    | Drop
+    | Hold
+    | Tell
+)
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -30,11 +30,16 @@
     """
     if state.draining or service.retired:
         return Admission.NO
-    counts = state.counts[service.number]
+    pool = state.pool_of(service)
+    if pool not in services.current_pools(service):
+        return Admission.NO
+    counts = state.counts[pool]
     if counts.open_flows >= service.limits.connections:
         return Admission.NO
     if state.total_open >= state.capacity.connections:
         return Admission.NO
+    if service.handshake:
+        return _admit_request(state, service)
     if not services.takes_slot(service):
         return Admission.NOW
     if counts.queued == 0 and has_slot(state, service):
@@ -48,7 +53,7 @@
 
 def has_slot(state: agent_state.AgentState, service: services.Service) -> bool:
     """Return whether a slot is free for the service."""
-    running = state.counts[service.number].running
+    running = state.counts[state.pool_of(service)].running
     return (
         running < service.limits.slots
         and state.total_running < state.capacity.slots
@@ -63,11 +68,25 @@
     Source: the mean slot time seen so far and Little's law. A flow that
     cannot start in time is refused at once rather than after its wait.
     """
-    counts = state.counts[service.number]
+    counts = state.counts[state.pool_of(service)]
     slots = max(1, min(service.limits.slots, state.capacity.slots))
     return counts.hold_ms * counts.queued // slots
 
 
+def _admit_request(
+    state: agent_state.AgentState, service: services.Service
+) -> Admission:
+    # The upstream itself queues the requests of its flows, so what counts
+    # is how long the next one would wait there.
+    counts = state.counts[state.pool_of(service)]
+    slots = max(1, state.capacity.slots)
+    ahead = max(0, counts.running - slots + 1)
+    wait_ms = counts.hold_ms * ahead // slots
+    if wait_ms > service.limits.wait_ms:
+        return Admission.NO
+    return Admission.NOW
+
+
 def ramp_permille(state: agent_state.AgentState, now: int) -> int:
     """Return the share of its full load that a cold upstream may take.
 
@@ -115,7 +134,7 @@
     ]
 
     def used_share(service: services.Service) -> tuple[int, int]:
-        running = state.counts[service.number].running
+        running = state.counts[state.pool_of(service)].running
         oldest = state.queues[service.number][0]
         return (
             running * shares.PERMILLE // service.limits.slots,
--- a/src/gentianspoke/decisions/agent/adoption.py
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -69,7 +69,7 @@
     """Give up an adopted flow that the upstream does not know."""
     tables.forget_flow(state, flow, now)
     service = state.served.get(flow.service)
-    if service is None or flow.service not in state.rankings:
+    if service is None or forward.pool not in state.rankings:
         return actions.Drop('other-service')
     search = _disowned_here(state, forward)
     # The packet was a segment or a datagram; the search needs its key and
@@ -109,7 +109,7 @@
 def _next_recovering(
     state: State, service: services.Service, forward: frames.Forward
 ) -> views.Member | None:
-    for member in state.rankings[service.number].order(forward.bucket):
+    for member in state.rankings[forward.pool].order(forward.bucket):
         if (
             member.recovering
             and member.number != state.number
@@ -166,7 +166,7 @@
 ) -> None:
     known: tuple[tuple[str, str | int], ...] = (
         ('unknown_ms', unknown_ms),
-        ('view', placed.view_number(state, service.number)),
+        ('view', placed.view_number(state, forward.pool)),
         ('bucket', forward.bucket),
         ('disowned_by', len(forward.tried)),
     )
--- a/src/gentianspoke/decisions/agent/closing.py
+++ b/src/gentianspoke/decisions/agent/closing.py
@@ -8,6 +8,9 @@
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
+# How long an adopted flow may stay half closed and quiet: the other side's
+# FIN may have passed before the agent restarted.
+HALF_CLOSED_MS = 2_000
 # How far a reset may be ahead of what the upstream has acknowledged.
 RESET_WINDOW_BYTES = 1 << 20
 
@@ -64,6 +67,14 @@
 def _close_if_finished(state: State, flow: records.Flow, now: int) -> None:
     if flow.up.finished and flow.down.finished:
         tables.end_flow(state, flow, now)
+    elif flow.isn == records.NO_OPENING:
+        state.flow_schedule.add(flow, now + HALF_CLOSED_MS)
+
+
+def is_half_closed(flow: records.Flow) -> bool:
+    """Return whether an adopted flow may have been closed unseen."""
+    adopted = flow.isn == records.NO_OPENING
+    return adopted and (flow.up.finished or flow.down.finished)
 
 
 def _close_by_reset(
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -6,6 +6,7 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import established
+from gentianspoke.decisions.agent import finding
 from gentianspoke.decisions.agent import opening
 from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import placed
@@ -25,7 +26,7 @@
     if forward.target != state.number:
         return [actions.Drop('other-incarnation')]
     service = state.served.get(forward.service)
-    if service is None or forward.service not in state.rankings:
+    if service is None or forward.pool not in state.rankings:
         return [actions.Drop('other-service')]
     flow = state.flows.get(packet.key)
     if flow is None or flow.service != forward.service:
@@ -67,6 +68,19 @@
     diversion.take_report(state, report)
 
 
+def on_returned(state: State, segment: packets.Segment, now: int) -> Actions:
+    """Return what to do with a caller's packet that the upstream sent back.
+
+    Only upstreams with a handshake do so; see ``finding``.
+    """
+    return finding.take_returned(state, segment, now)
+
+
+def on_owned(state: State, owned: frames.Owned, now: int) -> None:
+    """Remember which member owns a flow that this agent was asked for."""
+    finding.take_owned(state, owned, now)
+
+
 def on_tick(state: State, now: int) -> Actions:
     """Return what time alone brings about; call it every 50 ms or so."""
     return timing.expire(state, now)
@@ -90,12 +104,12 @@
     )
 
 
-def oldest_flow_view(state: State, service: int) -> int:
+def oldest_flow_view(state: State, pool: int) -> int:
     """Return the view of the oldest flow outside the own buckets.
 
     0 where there is none; see :class:`gentianspoke.core.views.Member`.
     """
-    ranking = state.rankings.get(service)
+    ranking = state.rankings.get(pool)
     return placed.oldest_view(state, ranking) if ranking else 0
 
 
@@ -109,10 +123,10 @@
         return 'wrong-service'
     if forward.bucket != hashing.bucket_of(packet.key, service.number):
         return 'wrong-bucket'
-    if forward.purpose is not frames.Purpose.OFFER:
+    if forward.purpose is not frames.Purpose.OFFER or service.handshake:
         return None
     # A member that was removed lately may still pass on packets of flows
     # that are open, but makes no offers.
-    if state.member(forward.service, forward.sender) is None:
+    if state.member(forward.pool, forward.sender) is None:
         return 'unknown-sender'
     return None
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -32,20 +32,20 @@
 State = agent_state.AgentState
 
 
-def load_of(state: State, service: int, number: int) -> int:
+def load_of(state: State, pool: int, number: int) -> int:
     """Return the number of open flows that a member is taken to have."""
     if number == state.number:
-        return state.counts[service].open_flows
-    typical = _typical(state, service)
-    report = state.loads.get((service, number))
-    sent = state.sent.get((service, number), 0)
+        return state.counts[pool].open_flows
+    typical = _typical(state, pool)
+    report = state.loads.get((pool, number))
+    sent = state.sent.get((pool, number), 0)
     if report is None:
         return typical + sent
     least = typical // LEAST_DIVISOR
     most = typical * MOST_FACTOR + 1
-    then = state.own_then[(service, number)]
-    grown = max(0, state.counts[service].open_flows - then)
-    placed = sent * _deciders_alike(state, service)
+    then = state.own_then[(pool, number)]
+    grown = max(0, state.counts[pool].open_flows - then)
+    placed = sent * _deciders_alike(state, pool)
     return min(max(report.open_flows, least), most) + grown + placed
 
 
@@ -58,7 +58,7 @@
     """Return how many flows this upstream takes before others get them."""
     live = [member for member in ranking.view.members if member.is_live]
     total = sum(
-        load_of(state, service.number, member.number) for member in live
+        load_of(state, ranking.view.service, member.number) for member in live
     )
     weights = sum(member.weight for member in live)
     own = ranking.by_number[state.number].weight
@@ -70,7 +70,6 @@
 
 def choose_other(
     state: State,
-    service: services.Service,
     ranking: hashing.Ranking,
     bucket: int,
     tried: tuple[int, ...] = (),
@@ -91,28 +90,28 @@
             break
 
     def preference(member: views.Member) -> tuple[float, bool]:
-        load = load_of(state, service.number, member.number)
+        load = load_of(state, ranking.view.service, member.number)
         return (load / member.weight, member.zone != state.zone)
 
     return min(others, key=preference, default=None)
 
 
-def count_placed(state: State, service: int, number: int) -> None:
+def count_placed(state: State, pool: int, number: int) -> None:
     """Add a flow just placed to the last known load of a member."""
-    place = (service, number)
+    place = (pool, number)
     state.sent[place] = state.sent.get(place, 0) + 1
 
 
 def take_report(state: State, report: frames.LoadReport) -> None:
     """Take a member's report in place of its last one."""
-    place = (report.service, report.sender)
+    place = (report.pool, report.sender)
     if state.member(*place) is None or report.sender == state.number:
         return
     state.loads[place] = report
     state.sent.pop(place, None)
-    state.own_then[place] = state.counts[report.service].open_flows
+    state.own_then[place] = state.counts[report.pool].open_flows
     state.fresh_loads.add(place)
-    state.typical.pop(report.service, None)
+    state.typical.pop(report.pool, None)
 
 
 def expire_loads(state: State, now: int) -> None:
@@ -132,30 +131,30 @@
     state.typical.clear()
 
 
-def _deciders_alike(state: State, service: int) -> int:
+def _deciders_alike(state: State, pool: int) -> int:
     """Return how many deciders are taken to divert as this one does.
 
-    About half of a service's members are above their mean, and all of them
+    About half of a pool's members are above their mean, and all of them
     see the same reports. Without them in the count, they would all send
     their flows to the one member that was least loaded in the last report.
     """
-    ranking = state.rankings.get(service)
+    ranking = state.rankings.get(pool)
     others = ranking.live_count - 1 if ranking else 0
     return max(1, others // DECIDERS_DIVISOR)
 
 
-def _typical(state: State, service: int) -> int:
+def _typical(state: State, pool: int) -> int:
     """Return the median of the reported loads, the own load without any."""
-    typical = state.typical.get(service)
+    typical = state.typical.get(pool)
     if typical is not None:
         return typical
     loads = [
         report.open_flows
         for (reported, _), report in state.loads.items()
-        if reported == service
+        if reported == pool
     ]
     if not loads:
-        return state.counts[service].open_flows
+        return state.counts[pool].open_flows
     typical = int(statistics.median_low(loads))
-    state.typical[service] = typical
+    state.typical[pool] = typical
     return typical
--- a/src/gentianspoke/decisions/agent/diversion_table.py
+++ b/src/gentianspoke/decisions/agent/diversion_table.py
@@ -21,7 +21,7 @@
     remove(state, key)
     state.diversions[key] = diversion
     placed.count(
-        state, diversion.service, diversion.bucket, diversion.placed_view
+        state, diversion.pool, diversion.bucket, diversion.placed_view
     )
     due_ms = diversion.used_ms + min(CLOSING_MS, idle_ms(state, diversion))
     state.diversion_schedule.add((key, diversion), due_ms)
@@ -33,7 +33,7 @@
     if diversion is None:
         return
     placed.uncount(
-        state, diversion.service, diversion.bucket, diversion.placed_view
+        state, diversion.pool, diversion.bucket, diversion.placed_view
     )
 
 
--- a/src/gentianspoke/decisions/agent/established.py
+++ b/src/gentianspoke/decisions/agent/established.py
@@ -7,6 +7,7 @@
 from gentianspoke.decisions.agent import adoption
 from gentianspoke.decisions.agent import closing
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import finding
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import records
@@ -28,11 +29,15 @@
 ) -> list[actions.Action]:
     """Return what becomes of a segment that opens nothing."""
     flow = state.flows.get(segment.key)
+    if flow is not None and flow.by_request:
+        return finding.decide_known(state, flow, forward, segment, now)
     if flow is not None:
         return _decide_known(state, flow, segment, now)
+    if service.handshake:
+        return finding.find_owner(state, service, forward, segment, now)
     if forward.purpose is frames.Purpose.ADOPT:
         return [adoption.offer_adoption(state, service, forward, segment, now)]
-    passed = _pass_to_target(state, service, forward, segment, now)
+    passed = passing.pass_to_target(state, forward, segment, now)
     if passed is not None:
         return [passed]
     return [walk_trail(state, service, forward, segment, now)]
@@ -58,26 +63,6 @@
             return [actions.Drop('refused-before')]
 
 
-def _pass_to_target(
-    state: State,
-    service: services.Service,
-    forward: frames.Forward,
-    segment: packets.Segment,
-    now: int,
-) -> actions.Action | None:
-    diverted = state.diversions.get(segment.key)
-    if diverted is None or diverted.target in forward.tried:
-        return None
-    member = state.member(service.number, diverted.target)
-    if member is None:
-        return None
-    diverted.used_ms = now
-    if segment.flags & (packets.FIN | packets.RST):
-        diverted.closing = True
-    purpose = frames.Purpose.ROUTE
-    return passing.pass_to(state, member, forward, purpose)
-
-
 def walk_trail(
     state: State,
     service: services.Service,
@@ -86,7 +71,7 @@
     now: int,
 ) -> actions.Action:
     """Pass a packet of an unknown flow to the next member to ask."""
-    ranking = state.rankings[service.number]
+    ranking = state.rankings[forward.pool]
     order = ranking.order(forward.bucket)
     following = ownership.next_on_trail(order, forward.tried, state.number)
     if following is not None and len(forward.tried) < TRAIL_AT_MOST:
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -60,7 +60,7 @@
     reason: str,
 ) -> None:
     """Report an opening that was refused as not run."""
-    counts = state.counts[service]
+    counts = state.counts[state.own_pool or service]
     evidence: tuple[tuple[str, str | int], ...] = (
         ('open_flows', counts.open_flows),
         ('running', counts.running),
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/finding.py
@@ -0,0 +1,372 @@
+"""Flows whose upstreams show by themselves which packets are theirs.
+
+An upstream with a handshake sends back a packet of a flow that it lacks,
+and an opening that it cannot take. So an agent that restarted may hand a
+packet of an unknown flow to its upstream: what does not come back within
+``CONFIRM_MS`` was the upstream's own. Further packets of the flow wait
+meanwhile, so that at most one reaches a wrong upstream. A flow that nobody
+owns is not reset, since its owner may only be out of reach.
+"""
+
+import dataclasses
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import verdicts
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import budget
+from gentianspoke.decisions.agent import closing
+from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import diversion_table
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import ownership
+from gentianspoke.decisions.agent import passing
+from gentianspoke.decisions.agent import placed
+from gentianspoke.decisions.agent import placing
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import tables
+from gentianspoke.decisions import hashing
+from gentianspoke.decisions import routing
+
+# Members asked for an unknown flow.
+TRAIL_AT_MOST = 12
+# A packet that the upstream lacks comes back over the instance's loopback.
+CONFIRM_MS = 50
+# As many packets as a caller has in flight at most.
+WAITING_AT_MOST = 16
+# Least time between two notes to a home about one flow.
+TELL_MS = 1_000
+# How long a flow is not tried again at an upstream that sent it back.
+DISOWNED_MS = 60_000
+DISOWNED_AT_MOST = 10_000
+
+State = agent_state.AgentState
+Actions = list[actions.Action]
+
+
+def decide_known(
+    state: State,
+    flow: records.Flow,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    """Return what becomes of a caller's segment of a known flow."""
+    match flow.phase:
+        case records.Phase.OPEN:
+            return _decide_open(state, flow, forward, segment, now)
+        case records.Phase.CLOSED:
+            return [actions.Deliver(segment.raw)]
+        case _:
+            return [actions.Drop('refused-before')]
+
+
+def find_owner(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    """Return what becomes of a segment of a flow that is not known here."""
+    passed = passing.pass_to_target(state, forward, segment, now)
+    if passed is not None:
+        return [passed]
+    if _may_try_here(state, service, forward, segment.key):
+        return _try_here(state, service, forward, segment, now)
+    return [_pass_on(state, service, forward)]
+
+
+def decide_reply(
+    state: State, flow: records.Flow, segment: packets.Segment, now: int
+) -> Actions:
+    """Return what becomes of the upstream's segment of a known flow."""
+    state.answered_ms = now
+    decided = confirm(state, flow, now)
+    evidence.note_down(flow, segment, now)
+    flow.offer = None
+    if not segment.flags & packets.SYN:
+        flow.confirmed = True
+    if segment.payload_bytes:
+        tables.free_slot(state, flow, now)
+    if segment.flags & (packets.FIN | packets.RST):
+        closing.note_down(state, flow, segment, now)
+    decided.append(actions.Answer(segment.raw))
+    return decided
+
+
+def decide_unknown_reply(
+    state: State,
+    service: services.Service,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    """Return what becomes of the upstream's segment of an unknown flow.
+
+    The upstream's own word is always handed on.
+    """
+    begins_or_ends = segment.flags & (packets.SYN | packets.FIN | packets.RST)
+    if state.recovering and not begins_or_ends:
+        bucket = hashing.bucket_of(segment.key, service.number)
+        flow = tables.adopt_flow(state, service, segment.key, bucket, now)
+        return decide_reply(state, flow, segment, now)
+    return [actions.Answer(segment.raw)]
+
+
+def confirm(state: State, flow: records.Flow, now: int) -> Actions:
+    """Take an adopted flow as the upstream's own; deliver what waited."""
+    if flow.unconfirmed is None:
+        return []
+    flow.unconfirmed = None
+    waiting, flow.waiting = flow.waiting, []
+    decided: Actions = []
+    for item in waiting:
+        decided.extend(
+            _decide_open(state, flow, item.forward, item.packet, now)
+        )
+    return decided
+
+
+def take_returned(state: State, segment: packets.Segment, now: int) -> Actions:
+    """Return what becomes of a caller's segment that came back."""
+    service = state.endpoints.get(routing.endpoint_of(segment.key))
+    if service is None:
+        return [actions.Drop('other-service')]
+    if packets.is_opening(segment):
+        return [_take_opening_back(state, service, segment, now)]
+    return _take_back(state, service, segment, now)
+
+
+def take_owned(state: State, owned: frames.Owned, now: int) -> None:
+    """Remember the owner of a flow that this agent passed on."""
+    key = packets.FlowKey(owned.key)
+    if owned.target != state.number or key in state.flows:
+        return
+    if state.member(owned.pool, owned.sender) is None:
+        return
+    view = placed.view_number(state, owned.pool)
+    diverted = records.Diversion(
+        target=owned.sender,
+        isn=records.NO_OPENING,
+        service=owned.service,
+        bucket=owned.bucket,
+        view=view,
+        used_ms=now,
+        decider=state.number,
+        placed_view=view,
+        pool=owned.pool,
+    )
+    diversion_table.add(state, key, diverted)
+
+
+def expire_disowned(state: State, now: int) -> None:
+    """Forget flows that came back a while ago, the oldest first."""
+    while state.disowned:
+        key = next(iter(state.disowned))
+        if now - state.disowned[key] < DISOWNED_MS:
+            return
+        del state.disowned[key]
+
+
+def _decide_open(
+    state: State,
+    flow: records.Flow,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    decided: Actions = []
+    if flow.unconfirmed is not None:
+        if now - flow.opened_ms < CONFIRM_MS:
+            return [_hold(flow, forward, segment)]
+        decided.extend(confirm(state, flow, now))
+    if segment.payload_bytes and _is_new(flow, segment):
+        tables.take_slot(state, flow, now)
+    evidence.note_up(flow, segment, now)
+    decided.extend(_tell_first_asked(state, flow, forward, now))
+    decided.append(actions.Deliver(segment.raw))
+    if segment.flags & (packets.FIN | packets.RST):
+        closing.note_up(state, flow, segment, now)
+    return decided
+
+
+def _is_new(flow: records.Flow, segment: packets.Segment) -> bool:
+    if flow.up.end == records.NO_SEQ:
+        return True
+    end = evidence.segment_end(segment)
+    ahead = (end - flow.up.end) % evidence.SEQ_MODULUS
+    return 0 < ahead < evidence.SEQ_MODULUS // 2
+
+
+def _hold(
+    flow: records.Flow, forward: frames.Forward, segment: packets.Segment
+) -> actions.Action:
+    if len(flow.waiting) >= WAITING_AT_MOST:
+        return actions.Drop('unconfirmed-overflow')
+    flow.waiting.append(records.Unconfirmed(forward, segment))
+    return actions.Hold('unconfirmed')
+
+
+def _tell_first_asked(
+    state: State, flow: records.Flow, forward: frames.Forward, now: int
+) -> Actions:
+    if not forward.tried or now - flow.told_ms < TELL_MS:
+        return []
+    asked = state.member(forward.pool, forward.tried[0])
+    if asked is None or asked.number == state.number:
+        return []
+    flow.told_ms = now
+    owned = frames.Owned(
+        service=flow.service,
+        pool=flow.pool,
+        bucket=flow.bucket,
+        target=asked.number,
+        sender=state.number,
+        key=flow.key,
+    )
+    return [actions.Tell(asked, owned)]
+
+
+def _may_try_here(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    key: packets.FlowKey,
+) -> bool:
+    if not state.recovering or state.number in forward.tried:
+        return False
+    if state.pool_of(service) not in services.all_pools(service):
+        return False
+    return key not in state.disowned
+
+
+def _try_here(
+    state: State,
+    service: services.Service,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    flow = tables.adopt_flow(state, service, segment.key, forward.bucket, now)
+    decided = _decide_open(state, flow, forward, segment, now)
+    if flow.phase is records.Phase.OPEN:
+        flow.unconfirmed = forward
+        state.flow_schedule.add(flow, now + CONFIRM_MS)
+    return decided
+
+
+def _pass_on(
+    state: State, service: services.Service, forward: frames.Forward
+) -> actions.Action:
+    following = _next_to_ask(state, service, forward)
+    if following is None:
+        return actions.Drop('no-owner')
+    return passing.pass_to(state, following, forward, frames.Purpose.ROUTE)
+
+
+def _next_to_ask(
+    state: State, service: services.Service, forward: frames.Forward
+) -> views.Member | None:
+    if len(forward.tried) >= TRAIL_AT_MOST:
+        return None
+    order: list[views.Member] = []
+    for pool in services.all_pools(service):
+        ranking = state.rankings.get(pool)
+        if ranking is not None:
+            order.extend(ranking.order(forward.bucket))
+    return ownership.next_on_trail(tuple(order), forward.tried, state.number)
+
+
+def _take_back(
+    state: State,
+    service: services.Service,
+    segment: packets.Segment,
+    now: int,
+) -> Actions:
+    _disown(state, segment.key, now)
+    flow = state.flows.get(segment.key)
+    forward = _new_search(state, service, segment)
+    waiting: list[records.Unconfirmed] = []
+    if flow is not None:
+        if flow.confirmed:
+            return [_end_lost(state, flow, segment, now)]
+        forward = flow.unconfirmed or forward
+        waiting, flow.waiting = flow.waiting, []
+        tables.forget_flow(state, flow, now)
+    again = dataclasses.replace(forward, packet=segment.raw)
+    decided = [_pass_on(state, service, again)]
+    for item in waiting:
+        decided.append(_pass_on(state, service, item.forward))
+    return decided
+
+
+def _disown(state: State, key: packets.FlowKey, now: int) -> None:
+    if len(state.disowned) < DISOWNED_AT_MOST:
+        state.disowned[key] = now
+
+
+def _end_lost(
+    state: State,
+    flow: records.Flow,
+    segment: packets.Segment,
+    now: int,
+) -> actions.Action:
+    # The upstream has answered on this flow before, so it has lost it.
+    if flow.phase is records.Phase.OPEN:
+        evidence.report_flow(
+            state,
+            flow,
+            verdicts.Outcome.UNKNOWN,
+            verdicts.Fault.UPSTREAM,
+            'the upstream has lost the flow',
+            now,
+        )
+    tables.forget_flow(state, flow, now)
+    return actions.ResetCaller(
+        flow.key,
+        seq=segment.ack,
+        ack=evidence.segment_end(segment),
+        reason='upstream-lost-flow',
+    )
+
+
+def _new_search(
+    state: State, service: services.Service, segment: packets.Segment
+) -> frames.Forward:
+    pool = state.pool_of(service)
+    return frames.Forward(
+        service=service.number,
+        view=placed.view_number(state, pool),
+        bucket=hashing.bucket_of(segment.key, service.number),
+        target=state.number,
+        packet=segment.raw,
+        hops_left=routing.HOPS_AT_MOST,
+        offers_left=routing.OFFERS_AT_MOST,
+        pool=pool,
+    )
+
+
+def _take_opening_back(
+    state: State,
+    service: services.Service,
+    segment: packets.Segment,
+    now: int,
+) -> actions.Action:
+    flow = state.flows.get(segment.key)
+    forward = _new_search(state, service, segment)
+    if flow is not None and flow.isn == segment.seq:
+        forward = flow.offer or forward
+        tables.forget_flow(state, flow, now)
+    forward = dataclasses.replace(forward, packet=segment.raw)
+    ranking = state.rankings.get(forward.pool)
+    if ranking is None:
+        return actions.Drop('no-view')
+    if forward.offers_left > 0 and budget.spend(state, service):
+        tried = (*forward.tried, state.number)
+        other = diversion.choose_other(state, ranking, forward.bucket, tried)
+        if other is not None:
+            return placing.divert(state, other, forward, segment, now)
+    return placing.refuse(state, service, forward, segment, now)
--- a/src/gentianspoke/decisions/agent/known.py
+++ b/src/gentianspoke/decisions/agent/known.py
@@ -86,7 +86,7 @@
         return None
     if _must_ask_again(state, service, diverted):
         return None
-    member = state.member(diverted.service, diverted.target)
+    member = state.member(diverted.pool, diverted.target)
     if member is None:
         return on_lost_target(state, service, diverted, packet)
     diverted.used_ms = now
@@ -112,7 +112,7 @@
     A target that joined after the offer was made does not know since when
     the decider has been the home, and takes only offers of newer views.
     """
-    ranking = state.rankings[diverted.service]
+    ranking = state.rankings[diverted.pool]
     home = ranking.home(diverted.bucket)
     if home is None:
         return
@@ -139,7 +139,7 @@
     """
     if not services.needs_single_decider(service):
         return False
-    ranking = state.rankings[diverted.service]
+    ranking = state.rankings[diverted.pool]
     home = ranking.home(diverted.bucket)
     if home is None or home.number != state.number:
         return False
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -34,7 +34,7 @@
     answer = known.decide_known(state, forward, packet, now)
     if answer is not None:
         return answer
-    ranking = state.rankings[service.number]
+    ranking = state.rankings[forward.pool]
     match forward.purpose:
         case frames.Purpose.OFFER:
             return _decide_offer(state, service, ranking, forward, packet, now)
@@ -133,6 +133,8 @@
     packet: packets.Packet,
 ) -> list[views.Member]:
     bucket = forward.bucket
+    if service.handshake:
+        return []
     match packet:
         case packets.Segment() if not services.needs_single_decider(service):
             return ownership.earlier_homes(ranking.order(bucket), state.number)
@@ -147,6 +149,8 @@
     if services.needs_single_decider(service):
         # A member that closed may have placed a copy of this opening.
         return actions.Drop('no-live-upstream')
+    if packets.is_repeated(packet):
+        return actions.Drop('no-live-upstream')
     return actions.Refuse(packet, 'no-live-upstream')
 
 
--- a/src/gentianspoke/decisions/agent/parking.py
+++ b/src/gentianspoke/decisions/agent/parking.py
@@ -60,7 +60,7 @@
 def _decide(state: State, parked: records.Parked, now: int) -> actions.Action:
     forward = parked.forward
     service = state.served.get(forward.service)
-    if service is None or forward.service not in state.rankings:
+    if service is None or forward.pool not in state.rankings:
         return actions.Drop('other-service')
     waited_ms = now - parked.since_ms
     wait_left_ms = max(0, forward.wait_left_ms - waited_ms)
--- a/src/gentianspoke/decisions/agent/passing.py
+++ b/src/gentianspoke/decisions/agent/passing.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from gentianspoke.core import frames
+from gentianspoke.core import packets
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import state as agent_state
@@ -41,6 +42,7 @@
         offers_left=forward.offers_left,
         sender=state.number,
         decider=forward.decider,
+        pool=forward.pool,
     )
     return actions.Pass(member, onward)
 
@@ -60,3 +62,26 @@
         offers_left=max(0, forward.offers_left - 1),
     )
     return pass_to(state, member, offer, frames.Purpose.OFFER)
+
+
+def pass_to_target(
+    state: agent_state.AgentState,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
+) -> actions.Action | None:
+    """Pass a packet to the member that its flow was diverted to.
+
+    Return ``None`` where the flow was not diverted, or its target does not
+    know it.
+    """
+    diverted = state.diversions.get(segment.key)
+    if diverted is None or diverted.target in forward.tried:
+        return None
+    member = state.member(diverted.pool, diverted.target)
+    if member is None:
+        return None
+    diverted.used_ms = now
+    if segment.flags & (packets.FIN | packets.RST):
+        diverted.closing = True
+    return pass_to(state, member, forward, frames.Purpose.ROUTE)
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -41,19 +41,20 @@
         if renewed is not None:
             return renewed
     budget.earn(state, service)
-    own = state.counts[service.number].open_flows
+    pool = ranking.view.service
+    own = state.counts[pool].open_flows
     limit = diversion.load_limit(state, service, ranking, now)
     verdict = admission.admit(state, service, wait_left_ms=0)
     if own < limit and verdict is admission.Admission.NOW:
         return _accept(state, service, forward, packet, now)
-    other = diversion.choose_other(state, service, ranking, forward.bucket)
+    other = diversion.choose_other(state, ranking, forward.bucket)
     if other is not None:
-        load = diversion.load_of(state, service.number, other.number)
+        load = diversion.load_of(state, pool, other.number)
         if load < own or verdict is not admission.Admission.NOW:
             decided = dataclasses.replace(
                 forward, decider=state.number, view=ranking.view.number
             )
-            return _divert(state, other, decided, packet, now)
+            return divert(state, other, decided, packet, now)
     return _admit_here(state, service, forward, packet, now)
 
 
@@ -72,10 +73,10 @@
         return _accept(state, service, forward, packet, now)
     if forward.offers_left > 0:
         other = diversion.choose_other(
-            state, service, ranking, forward.bucket, forward.tried
+            state, ranking, forward.bucket, forward.tried
         )
         if other is not None and budget.spend(state, service):
-            return _divert(state, other, forward, packet, now)
+            return divert(state, other, forward, packet, now)
     return _admit_here(state, service, forward, packet, now)
 
 
@@ -101,13 +102,14 @@
     )
 
 
-def _divert(
+def divert(
     state: State,
     member: views.Member,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
 ) -> actions.Action:
+    """Return the offer of an opening to a member, and remember it."""
     offered = records.Diversion(
         target=member.number,
         isn=known.opening_number(packet),
@@ -116,10 +118,11 @@
         view=forward.view,
         used_ms=now,
         decider=forward.decider,
-        placed_view=placed.placed_view(state, forward.service, forward.view),
+        placed_view=placed.placed_view(state, forward.pool, forward.view),
+        pool=forward.pool,
     )
     diversion_table.add(state, packet.key, offered)
-    diversion.count_placed(state, forward.service, member.number)
+    diversion.count_placed(state, forward.pool, member.number)
     return passing.offer_to(
         state, member, forward, forward.decider, forward.view
     )
@@ -145,7 +148,7 @@
             )
             return actions.Drop('queued')
         case _:
-            return _refuse(state, service, forward, packet, now)
+            return refuse(state, service, forward, packet, now)
 
 
 def _accept(
@@ -160,6 +163,8 @@
     flow = tables.open_flow(
         state, service, packet.key, bucket, isn, now, decided
     )
+    if flow.by_request:
+        flow.offer = forward
     match packet:
         case packets.Segment():
             evidence.note_up(flow, packet, now)
@@ -174,13 +179,17 @@
             return None
 
 
-def _refuse(
+def refuse(
     state: State,
     service: services.Service,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
 ) -> actions.Action:
+    """Return the refusal of an opening as not run."""
+    if packets.is_repeated(packet):
+        # Another copy of the opening may have been accepted elsewhere.
+        return actions.Drop('repeated-opening')
     reason = 'draining' if state.draining else 'no-capacity'
     isn = known.opening_number(packet)
     if services.needs_single_decider(service):
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -41,6 +41,14 @@
     finished: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """A packet that waits until the upstream has shown a flow its own."""
+
+    forward: frames.Forward
+    packet: packets.Segment
+
+
 @dataclasses.dataclass(slots=True)
 class Flow:
     """One flow of the agent's own upstream.
@@ -49,7 +57,8 @@
     ``NO_OPENING`` where none was seen; ``newer_isn`` is that of another
     opening on the same five-tuple, delivered while this flow was open.
     ``view`` is the view in which the
-    flow was placed. Times are milliseconds of the agent's clock; ``up``
+    flow was placed. ``told_ms`` is when a home was last told of the owner.
+    Times are milliseconds of the agent's clock; ``up``
     is the direction from the caller to the upstream, ``down`` the other.
     """
 
@@ -63,6 +72,17 @@
     up_ms: int
     down_ms: int
     newer_isn: int = NO_OPENING
+    # The pool in which the flow is counted.
+    pool: int = 0
+    # Whether a slot is held for each request rather than for the flow.
+    by_request: bool = False
+    # Packets that came while the flow was not confirmed.
+    waiting: list[Unconfirmed] = dataclasses.field(default_factory=list)
+    told_ms: int = 0
+    # The frame of an opening, until the upstream has answered it.
+    offer: frames.Forward | None = None
+    # Whether the upstream has sent anything but its handshake.
+    confirmed: bool = False
     holds_slot: bool = False
     slot_ms: int = 0
     answered: bool = False
@@ -82,6 +102,7 @@
     ``decider`` and ``view`` name the home that decided on the opening and
     the view in which it did. ``placed_view`` is this agent's own view at
     that time. ``closing`` is set once the caller has closed or reset.
+    ``pool`` is the target's; 0 stands for the service's own.
     """
 
     target: int
@@ -93,6 +114,12 @@
     decider: int = frames.ENTRY_SENDER
     placed_view: int = 0
     closing: bool = False
+    pool: int = 0
+
+    def __post_init__(self) -> None:
+        """Name the service's own pool where none is given."""
+        if not self.pool:
+            self.pool = self.service
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -6,11 +6,13 @@
 from gentianspoke.decisions.agent import adoption
 from gentianspoke.decisions.agent import closing
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import finding
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import silence
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import routing
 
 SYN_ACK = packets.SYN | packets.ACK
 CLOSES = packets.FIN | packets.RST
@@ -25,6 +27,9 @@
     flow = state.flows.get(packet.key)
     if flow is None:
         return _decide_unknown(state, packet, now)
+    match packet:
+        case packets.Segment() if flow.by_request:
+            return finding.decide_reply(state, flow, packet, now)
     match flow.phase:
         case records.Phase.QUEUED | records.Phase.REFUSED:
             return [actions.Drop('late-answer')]
@@ -110,12 +115,10 @@
 def _decide_unknown(
     state: State, packet: packets.Packet, now: int
 ) -> list[actions.Action]:
-    endpoint = (
-        packets.key_protocol(packet.key),
-        packets.service_address(packet.key),
-        packets.service_port(packet.key),
-    )
-    service = state.endpoints.get(endpoint)
+    service = state.endpoints.get(routing.endpoint_of(packet.key))
+    match packet:
+        case packets.Segment() if service is not None and service.handshake:
+            return finding.decide_unknown_reply(state, service, packet, now)
     if not state.recovering or service is None or _is_reset(packet):
         return [actions.Drop('late-answer')]
     match packet:
@@ -124,8 +127,12 @@
             # answered: another upstream may have been given it.
             return [actions.Drop('late-answer')]
     bucket = hashing.bucket_of(packet.key, service.number)
-    tables.adopt_flow(state, service, packet.key, bucket, now)
-    return [actions.Answer(packet.raw)]
+    flow = tables.adopt_flow(state, service, packet.key, bucket, now)
+    match packet:
+        case packets.Segment():
+            return _decide_segment(state, flow, packet, now)
+        case packets.Datagram():
+            return [actions.Answer(packet.raw)]
 
 
 def _is_reset(packet: packets.Packet) -> bool:
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -20,6 +20,8 @@
 # joined, decided, lost its lease and been removed unseen. It is less than
 # the shortest lease.
 CONTINUITY_MS = 2_000
+# How long a restarted agent adopts flows, where flows last for hours.
+RECOVERY_MS = 7_200_000
 # Queue waits kept between two ticks.
 WAITS_AT_MOST = 1_000
 
@@ -69,6 +71,11 @@
     recovering: bool = False
     draining: bool = False
     joining: bool = False
+    # The pool whose services this agent's upstream takes; 0 where each
+    # service has a pool of its own.
+    own_pool: int = 0
+    # How long a restarted agent adopts flows that it does not know.
+    recovery_ms: int = RECOVERY_MS
     lease_until_ms: int = 0
     confirmed_ms: int = 0
     views_missed: bool = False
@@ -135,6 +142,10 @@
     retried_ms: int = 0
     # Thousandths of a further offer that each service has saved up.
     budgets: dict[int, int] = dataclasses.field(default_factory=dict)
+    # When the upstream last sent back a packet of a flow, by flow.
+    disowned: dict[packets.FlowKey, int] = dataclasses.field(
+        default_factory=dict
+    )
     # When any flow's packet last came from the upstream, and from a caller.
     answered_ms: int = 0
     heard_ms: int = 0
@@ -150,6 +161,10 @@
         self.served = {entry.number: entry for entry in entries}
         self.endpoints = routing.index_services(entries)
 
+    def pool_of(self, service: services.Service) -> int:
+        """Return the pool in which this agent serves a service."""
+        return self.own_pool or service.number
+
     def set_view(self, view: views.View) -> bool:
         """Take a newer view of a service; return whether it was newer."""
         known = self.rankings.get(view.service)
@@ -176,14 +191,18 @@
 
     def is_shown_not_live(self) -> bool:
         """Return whether all views show that this agent is not live."""
-        own = [self.member(service, self.number) for service in self.served]
+        own = [self.member(pool, self.number) for pool in self.own_pools()]
         return bool(own) and not any(
             member is None or member.is_live for member in own
         )
 
-    def member(self, service: int, number: int) -> views.Member | None:
-        """Return a member of the service's view, ``None`` if unknown."""
-        ranking = self.rankings.get(service)
+    def own_pools(self) -> list[int]:
+        """Return the pools that this agent's upstream belongs to."""
+        return [self.own_pool] if self.own_pool else list(self.served)
+
+    def member(self, pool: int, number: int) -> views.Member | None:
+        """Return a member of the pool's view, ``None`` if unknown."""
+        ranking = self.rankings.get(pool)
         return ranking.by_number.get(number) if ranking else None
 
     def open_flows(self) -> int:
--- a/src/gentianspoke/decisions/agent/tables.py
+++ b/src/gentianspoke/decisions/agent/tables.py
@@ -10,6 +10,8 @@
 LINGER_MS = 10_000
 # How long an opening may stay unanswered by the upstream.
 HALF_OPEN_MS = 30_000
+# The same where the caller may have been answered by another upstream.
+HANDSHAKE_MS = 3_000
 # Ended flows that are remembered at most before refusals go without.
 ENDED_AT_MOST = 50_000
 # Weight of one more slot time in the mean, as a divisor.
@@ -32,8 +34,8 @@
     ``decided_view`` is the view in which a decider offered the opening.
     """
     flow = _add_flow(state, service, key, bucket, isn, now, decided_view)
-    if services.takes_slot(service):
-        _take_slot(state, flow, now)
+    if services.takes_slot(service) and not flow.by_request:
+        take_slot(state, flow, now)
     return flow
 
 
@@ -67,7 +69,7 @@
     flow.phase = records.Phase.QUEUED
     flow.held = opening
     flow.queued_until_ms = now + wait_left_ms
-    state.counts[service.number].queued += 1
+    state.counts[flow.pool].queued += 1
     state.queues[service.number].append(flow)
     return flow
 
@@ -78,7 +80,7 @@
     flow.phase = records.Phase.OPEN
     flow.up_ms = now
     flow.down_ms = now
-    _take_slot(state, flow, now)
+    take_slot(state, flow, now)
 
 
 def end_flow(
@@ -94,8 +96,8 @@
         case records.Phase.QUEUED:
             _leave_queue(state, flow)
         case records.Phase.OPEN:
-            _free_slot(state, flow, now)
-    state.counts[flow.service].open_flows -= 1
+            free_slot(state, flow, now)
+    state.counts[flow.pool].open_flows -= 1
     state.total_open -= 1
     state.total_ended += 1
     flow.phase = phase
@@ -112,7 +114,7 @@
     if state.flows.get(flow.key) is flow:
         del state.flows[flow.key]
         state.total_ended -= 1
-        placed.uncount(state, flow.service, flow.bucket, flow.view)
+        placed.uncount(state, flow.pool, flow.bucket, flow.view)
 
 
 def refuse_flow(
@@ -135,6 +137,11 @@
     end_flow(state, flow, now, records.Phase.REFUSED)
 
 
+def half_open_ms(flow: records.Flow) -> int:
+    """Return how long an opening of the flow may stay unanswered."""
+    return HANDSHAKE_MS if flow.by_request else HALF_OPEN_MS
+
+
 def idle_ms(state: State, service: int) -> int:
     """Return after how long without a packet a flow is forgotten."""
     entry = state.served.get(service)
@@ -150,43 +157,50 @@
     now: int,
     decided_view: int | None,
 ) -> records.Flow:
+    pool = state.pool_of(service)
     flow = records.Flow(
         key=key,
         service=service.number,
         bucket=bucket,
         isn=isn,
-        view=placed.placed_view(state, service.number, decided_view),
+        view=placed.placed_view(state, pool, decided_view),
         phase=records.Phase.OPEN,
         opened_ms=now,
         up_ms=now,
         down_ms=now,
+        pool=pool,
+        by_request=service.handshake,
     )
     state.flows[key] = flow
     state.orphans.pop(key, None)
-    state.counts[service.number].open_flows += 1
+    state.counts[pool].open_flows += 1
     state.total_open += 1
-    placed.count(state, flow.service, bucket, flow.view)
-    state.flow_schedule.add(flow, now + HALF_OPEN_MS)
+    placed.count(state, pool, bucket, flow.view)
+    state.flow_schedule.add(flow, now + half_open_ms(flow))
     return flow
 
 
 def _leave_queue(state: State, flow: records.Flow) -> None:
     state.queues[flow.service].remove(flow)
-    state.counts[flow.service].queued -= 1
+    state.counts[flow.pool].queued -= 1
 
 
-def _take_slot(state: State, flow: records.Flow, now: int) -> None:
+def take_slot(state: State, flow: records.Flow, now: int) -> None:
+    """Count a slot as occupied by a flow, unless it has one."""
+    if flow.holds_slot:
+        return
     flow.holds_slot = True
     flow.slot_ms = now
-    state.counts[flow.service].running += 1
+    state.counts[flow.pool].running += 1
     state.total_running += 1
 
 
-def _free_slot(state: State, flow: records.Flow, now: int) -> None:
+def free_slot(state: State, flow: records.Flow, now: int) -> None:
+    """Count the slot of a flow as free, if it has one."""
     if not flow.holds_slot:
         return
     flow.holds_slot = False
-    counts = state.counts[flow.service]
+    counts = state.counts[flow.pool]
     counts.running -= 1
     state.total_running -= 1
     held_ms = now - flow.slot_ms
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -5,9 +5,11 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import adoption
+from gentianspoke.decisions.agent import closing
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import finding
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import records
@@ -19,8 +21,6 @@
 CHECK_AT_MOST_MS = 300_000
 # How long a packet of an unknown flow is remembered.
 ORPHAN_MS = 30_000
-# How long a restarted agent adopts flows that it does not know.
-RECOVERY_MS = 7_200_000
 
 State = agent_state.AgentState
 
@@ -36,8 +36,9 @@
         if state.diversions.get(key) is diverted:
             _check_diversion(state, (key, diverted), now)
     _expire_orphans(state, now)
+    finding.expire_disowned(state, now)
     diversion.expire_loads(state, now)
-    if state.recovering and now - state.started_ms >= RECOVERY_MS:
+    if state.recovering and now - state.started_ms >= state.recovery_ms:
         state.recovering = False
     return result
 
@@ -94,12 +95,17 @@
     if state.flows.get(flow.key) is not flow:
         return []
     forward = flow.unconfirmed
+    if flow.by_request and forward is not None:
+        state.flow_schedule.add(flow, now + tables.half_open_ms(flow))
+        return finding.confirm(state, flow, now)
     if forward is not None:
         return [adoption.disown(state, flow, forward, now)]
     quiet_since_ms = max(flow.up_ms, flow.down_ms)
     due_ms = quiet_since_ms + _quiet_at_most_ms(state, flow)
     if now < due_ms:
         state.flow_schedule.add(flow, min(due_ms, now + CHECK_AT_MOST_MS))
+    elif flow.phase is records.Phase.OPEN and closing.is_half_closed(flow):
+        tables.end_flow(state, flow, now)
     elif flow.phase is records.Phase.QUEUED:
         # Its wait ends it, or its start does.
         state.flow_schedule.add(flow, now + tables.HALF_OPEN_MS)
@@ -115,7 +121,9 @@
         case records.Phase.QUEUED:
             return tables.HALF_OPEN_MS
         case records.Phase.OPEN if not flow.answered:
-            return tables.HALF_OPEN_MS
+            return tables.half_open_ms(flow)
+        case records.Phase.OPEN if closing.is_half_closed(flow):
+            return closing.HALF_CLOSED_MS
         case _:
             return tables.idle_ms(state, flow.service)
 
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from gentianspoke.core import services
+from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control import endpoints
 
 ANSWERS_KEPT = 10_000
@@ -37,13 +38,28 @@
     change: Put | Retire
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A whole catalogue under the operator's own version.
+
+    ``text`` is what the operator sent, to be read back unchanged. The
+    pools of the entries' shares are given by name; numbers are assigned
+    here. Of two documents the one with the higher version holds.
+    """
+
+    version: int
+    text: bytes
+    entries: tuple[services.Service, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """Edits that are accepted together or not at all."""
+    """Edits that are accepted together or not at all, or a document."""
 
     idempotency_key: str
     operator: str
     edits: tuple[Edit, ...]
+    document: Document | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,15 +98,28 @@
     answer: Answer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolNumber:
+    """The number of a pool, which is never used for another one."""
+
+    name: str
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CatalogueState:
-    """All of a catalogue, for a snapshot; history and answers oldest first."""
+    """All of a catalogue, for a snapshot; history and answers oldest first.
+
+    ``document`` is the newest whole catalogue, without its entries.
+    """
 
     version: int = 0
     last_number: int = 0
     entries: tuple[services.Service, ...] = ()
     history: tuple[HistoryItem, ...] = ()
     answers: tuple[KeptAnswer, ...] = ()
+    document: Document | None = None
+    pools: tuple[PoolNumber, ...] = ()
 
 
 class Catalogue:
@@ -104,6 +133,8 @@
         self.answers: collections.OrderedDict[str, Answer] = (
             collections.OrderedDict()
         )
+        self.document: Document | None = None
+        self.pools: dict[str, int] = {}
         self._last_number = 0
         self._owners = endpoints.Owners()
 
@@ -117,6 +148,10 @@
             answers=tuple(
                 KeptAnswer(key, answer) for key, answer in self.answers.items()
             ),
+            document=self.document,
+            pools=tuple(
+                PoolNumber(name, number) for name, number in self.pools.items()
+            ),
         )
 
     def restore(self, state: CatalogueState) -> None:
@@ -127,6 +162,8 @@
         self.answers.clear()
         for kept in state.answers:
             self.answers[kept.idempotency_key] = kept.answer
+        self.document = state.document
+        self.pools = {item.name: item.number for item in state.pools}
         self._last_number = state.last_number
         self._owners.replace_all(state.entries)
 
@@ -136,6 +173,8 @@
 
     def apply(self, request: Request) -> Answer:
         """Apply a request and return its answer, the first one if repeated."""
+        if request.document is not None:
+            return self._apply_document(request.document)
         known = self.known_answer(request.idempotency_key)
         if known is not None:
             return known
@@ -154,6 +193,42 @@
         """Return all entries, retired ones included, by name."""
         return [self.entries[name] for name in sorted(self.entries)]
 
+    def pool_number(self, name: str) -> int | None:
+        """Return the number of the pool that upstreams name, or ``None``."""
+        number = self.pools.get(name)
+        if number is None and name in self.entries:
+            number = self.entries[name].number
+        return number
+
+    def _apply_document(self, document: Document) -> Answer:
+        # Resends, races and older documents change nothing and are
+        # accepted all the same: the newest one is in force.
+        if self.document is not None:
+            if document.version <= self.document.version:
+                return Answer(True, self.version)
+        self.version += 1
+        numbered = [self._with_numbers(item) for item in document.entries]
+        self.entries = documents.replace_entries(
+            self.entries, numbered, self.version
+        )
+        self.document = dataclasses.replace(document, entries=())
+        self._owners.replace_all(self.entry_list())
+        return Answer(True, self.version)
+
+    def _with_numbers(self, entry: services.Service) -> services.Service:
+        shares = tuple(
+            dataclasses.replace(item, pool=self._number_pool(item.name))
+            for item in entry.shares
+        )
+        known = self.entries.get(entry.name)
+        number = known.number if known else self._next_number()
+        return dataclasses.replace(entry, number=number, shares=shares)
+
+    def _number_pool(self, name: str) -> int:
+        if name not in self.pools:
+            self.pools[name] = self._next_number()
+        return self.pools[name]
+
     def _conflicts(self, request: Request) -> tuple[Conflict, ...]:
         found: list[Conflict] = []
         names: set[str] = set()
--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -129,6 +129,7 @@
     state.leader = state.number
     state.elected_ms = now
     state.progress = {}
+    state.gone = set()
     commits.track_members(state)
     found = _role_changed(state)
     # The first record of all writes the first members down, so that all
--- a/src/gentianspoke/decisions/control/replica/members.py
+++ b/src/gentianspoke/decisions/control/replica/members.py
@@ -31,7 +31,7 @@
     if known is not None:
         # The operator sent the change again after losing the answer.
         return []
-    fault = _fault(state, now)
+    fault = find_fault(state, now)
     if state.group.find_instance(member.instance):
         fault = fault or (
             f'{member.instance} is a member with another data folder; give'
@@ -45,13 +45,13 @@
     if fault:
         return [effects.Refused(fault)]
     learner = dataclasses.replace(member, voter=False)
-    return _set(state, (*state.group.members, learner))
+    return set_members(state, (*state.group.members, learner))
 
 
 def remove(state: states.State, instance: str, now: int) -> Effects:
     """Remove a member."""
     member = state.group.find_instance(instance)
-    fault = _fault(state, now)
+    fault = find_fault(state, now)
     if member is None:
         fault = fault or (
             f'{instance} is no member; see "gentianspoke control-group'
@@ -65,13 +65,13 @@
         )
     if fault:
         return [effects.Refused(fault)]
-    return _set(state, rest)
+    return set_members(state, rest)
 
 
 def promote_ready(state: states.State, number: int, now: int) -> Effects:
     """Let a learner vote once it has all that is committed."""
     member = state.group.find(number)
-    if member is None or member.voter or _fault(state, now):
+    if member is None or member.voter or find_fault(state, now):
         return []
     if state.progress[number].match_index < state.commit_index:
         return []
@@ -80,7 +80,7 @@
         voter if item.number == number else item
         for item in state.group.members
     )
-    return _set(state, changed)
+    return set_members(state, changed)
 
 
 def take(
@@ -96,7 +96,8 @@
             return remove(state, instance, now)
 
 
-def _fault(state: states.State, now: int) -> str:
+def find_fault(state: states.State, now: int) -> str:
+    """Return why no change may be made now, empty where one may."""
     if not state.leads(now):
         return 'this control instance does not lead; ask the leader'
     if state.log.group_index > state.commit_index:
@@ -107,6 +108,9 @@
     return ''
 
 
-def _set(state: states.State, members: tuple[groups.Member, ...]) -> Effects:
+def set_members(
+    state: states.State, members: tuple[groups.Member, ...]
+) -> Effects:
+    """Append the change to these members; it is in force at once."""
     change = records.SetGroup(groups.Group(members))
     return commits.append_own(state, (change,))
--- a/src/gentianspoke/decisions/control/replica/records.py
+++ b/src/gentianspoke/decisions/control/replica/records.py
@@ -145,6 +145,8 @@
 
 def _weight(record: Record) -> int:
     match record.payload:
+        case Command(request=request) if request.document is not None:
+            return BATCH_WEIGHT
         case Command(request=request):
             return sum(_edit_weight(edit) for edit in request.edits)
         case _:
--- a/src/gentianspoke/decisions/control/replica/replica.py
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -12,6 +12,7 @@
 from gentianspoke.decisions.control.replica import replication
 from gentianspoke.decisions.control.replica import roles
 from gentianspoke.decisions.control.replica import state as states
+from gentianspoke.decisions.control.replica import succession
 
 NOT_LEADING = 'this control instance does not lead; ask the leader'
 
@@ -35,7 +36,8 @@
         state = self.state
         match event:
             case messages.Tick():
-                return elections.tick(state, now)
+                found = elections.tick(state, now)
+                return found + succession.tick(state, now)
             case messages.Asked(request=request):
                 return self._take_request(request, now)
             case messages.Answered(request=request, reply=reply):
@@ -94,6 +96,10 @@
                 return replication.take_append_reply(
                     state, request, reply, now
                 )
+            case _, messages.WrongFolder():
+                if request.term == state.term:
+                    state.gone.add(request.to)
+                return []
             case _:
                 return []
 
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -36,15 +36,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Sizes in records: when to compact, and what stays behind it."""
+    """Sizes in records: when to compact, and what stays behind it.
+
+    ``tolerate`` counts members.
+    """
 
     compact_records: int = 1000
     kept_records: int = 200
+    # Members whose loss the group makes good by itself; 0 for operators
+    # who see to it.
+    tolerate: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Progress:
-    """What the leader knows of one other member; times of its clock."""
+    """What the leader knows of one other member; times of its clock.
+
+    ``since_ms`` is when the leader began to count it as a member.
+    """
 
     next_index: int
     match_index: int = 0
@@ -52,6 +61,7 @@
     sent_ms: int = LONG_AGO_MS
     echo_ms: int = 0
     commit_sent: int = 0
+    since_ms: int = LONG_AGO_MS
 
 
 class State:
@@ -92,6 +102,8 @@
         self.answered: set[int] = set()
         self.votes: set[int] = set()
         self.progress: dict[int, Progress] = {}
+        # Members in whose place another folder answered this leader.
+        self.gone: set[int] = set()
         self.reset_election(now)
 
     @property
--- a/src/gentianspoke/decisions/hashing.py
+++ b/src/gentianspoke/decisions/hashing.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from gentianspoke.core import packets
+from gentianspoke.core import services
 from gentianspoke.core import views
 
 BUCKETS_PER_SERVICE = 1024
@@ -42,6 +43,23 @@
     return -weight / math.log((digest + 0.5) / HASH_RANGE)
 
 
+def choose_share(
+    key: packets.FlowKey, shares: tuple[services.Share, ...]
+) -> services.Share | None:
+    """Return the share that a new flow falls to, by weight.
+
+    No weight is 0. A change of weights moves no more flows than it has to.
+    """
+    if len(shares) < 2:
+        return next(iter(shares), None)
+
+    def rank(share: services.Share) -> float:
+        digest = xxhash.xxh3_64_intdigest(key, share.pool)
+        return -share.weight / math.log((digest + 0.5) / HASH_RANGE)
+
+    return max(shares, key=rank)
+
+
 class Ranking:
     """The members of one view, ordered for each bucket when asked.
 
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -61,22 +61,28 @@
     return index
 
 
-def route(table: RouteTable, packet: packets.Packet) -> actions.Action:
-    """Return where an entry sends a packet that the fabric handed to it."""
-    key = packet.key
-    endpoint = (
+def endpoint_of(key: packets.FlowKey) -> Endpoint:
+    """Return protocol, address and port that a flow is addressed to."""
+    return (
         packets.key_protocol(key),
         packets.service_address(key),
         packets.service_port(key),
     )
-    service = table.by_endpoint.get(endpoint)
+
+
+def route(table: RouteTable, packet: packets.Packet) -> actions.Action:
+    """Return where an entry sends a packet that the fabric handed to it."""
+    key = packet.key
+    service = table.by_endpoint.get(endpoint_of(key))
     if service is None:
         return actions.Drop('no-service')
-    ranking = table.rankings.get(service.number)
+    if service.handshake and service.retired and _opens(packet):
+        return _answer_without_members(service, packet)
+    ranking = _choose_ranking(table, service, key)
     if ranking is None:
         return actions.Drop('no-view')
     bucket = hashing.bucket_of(key, service.number)
-    member = ranking.home(bucket) or next(iter(ranking.order(bucket)), None)
+    member, purpose = _choose_member(service, ranking, bucket, packet)
     if member is None:
         return _answer_without_members(service, packet)
     forward = frames.Forward(
@@ -85,19 +91,69 @@
         bucket=bucket,
         target=member.number,
         packet=packet.raw,
+        purpose=purpose,
         hops_left=HOPS_AT_MOST,
         wait_left_ms=service.limits.wait_ms,
         offers_left=OFFERS_AT_MOST,
+        pool=ranking.view.service,
     )
     return actions.Pass(member, forward)
 
 
+def _opens(packet: packets.Packet) -> bool:
+    match packet:
+        case packets.Segment():
+            return packets.is_opening(packet)
+        case packets.Datagram():
+            return False
+
+
+def _choose_ranking(
+    table: RouteTable, service: services.Service, key: packets.FlowKey
+) -> hashing.Ranking | None:
+    if not service.shares:
+        return table.rankings.get(service.number)
+    known = [
+        share
+        for share in service.shares
+        if share.weight and share.pool in table.rankings
+    ]
+    live = [item for item in known if table.rankings[item.pool].live_count]
+    share = hashing.choose_share(key, tuple(live or known))
+    return table.rankings[share.pool] if share else None
+
+
+def _choose_member(
+    service: services.Service,
+    ranking: hashing.Ranking,
+    bucket: int,
+    packet: packets.Packet,
+) -> tuple[views.Member | None, frames.Purpose]:
+    """Return the home, or for a repeated opening one of the next members.
+
+    The home may be gone. Where the upstreams see to it that work runs
+    once, a copy of an opening may go elsewhere meanwhile.
+    """
+    if service.handshake and packets.is_repeated(packet):
+        live = [item for item in ranking.order(bucket) if item.is_live]
+        if len(live) > 1:
+            member = live[packets.copy_number(packet) % len(live)]
+            return member, frames.Purpose.OFFER
+    home = ranking.home(bucket)
+    if home is None:
+        home = next(iter(ranking.order(bucket)), None)
+    return home, frames.Purpose.ROUTE
+
+
 def _answer_without_members(
     service: services.Service, packet: packets.Packet
 ) -> actions.Action:
     if services.needs_single_decider(service):
         # Another entry may have sent a copy to a member of a newer view.
         return actions.Drop('no-upstream')
+    if packets.is_repeated(packet):
+        # An earlier copy may have been accepted.
+        return actions.Drop('no-upstream')
     match packet:
         case packets.Segment() if packets.is_opening(packet):
             return actions.Refuse(packet, 'no-upstream')
--- /dev/null
+++ b/src/gentianspoke/net/http.py
@@ -0,0 +1,167 @@
+"""A small HTTP/1.1 server (RFC 9112) on h11, one task a connection."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import http
+
+import h11
+import loguru
+
+from gentianspoke.config import units
+
+READ_BYTES = 16_384
+LARGEST_BODY_BYTES = 4 * 1024 * 1024
+# How long a connection may stay without a request, or a request unfinished.
+IDLE_TIMEOUT_S = 30.0
+REQUEST_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request; ``path`` is without its query."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole reply; ``location`` is set for a redirection."""
+
+    status: int
+    body: bytes = b''
+    kind: str = 'application/json'
+    location: str = ''
+
+
+Handle = collections.abc.Callable[[Request], collections.abc.Awaitable[Reply]]
+
+
+@contextlib.asynccontextmanager
+async def serve_http(
+    address: units.Address, handle: Handle
+) -> collections.abc.AsyncIterator[None]:
+    """Answer requests at an address by ``handle`` during the context."""
+
+    async def on_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            with contextlib.suppress(OSError, TimeoutError):
+                await _Connection(reader, writer, handle).serve()
+
+    server = await asyncio.start_server(on_connection, *address)
+    async with server:
+        yield
+
+
+class _TooLarge(Exception):
+    """A body that is larger than any request needs."""
+
+
+class _Connection:
+    """One connection and the requests that come on it in turn."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handle: Handle,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handle = handle
+        self._http = h11.Connection(h11.SERVER)
+
+    async def serve(self) -> None:
+        while True:
+            try:
+                request = await self._read_request()
+            except h11.RemoteProtocolError as exc:
+                await self._refuse(exc.error_status_hint)
+                return
+            except _TooLarge:
+                await self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                return
+            if request is None:
+                return
+            await self._send(await self._answer(request))
+            if self._http.our_state is not h11.DONE:
+                return
+            if self._http.their_state is not h11.DONE:
+                return
+            self._http.start_next_cycle()
+
+    async def _answer(self, request: Request) -> Reply:
+        try:
+            return await self._handle(request)
+        except Exception:
+            loguru.logger.exception('a request was not handled')
+            return Reply(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+
+    async def _read_request(self) -> Request | None:
+        async with asyncio.timeout(IDLE_TIMEOUT_S):
+            head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        body = bytearray()
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            if self._http.they_are_waiting_for_100_continue:
+                await self._send_continue()
+            while isinstance(event := await self._next_event(), h11.Data):
+                body += event.data
+                if len(body) > LARGEST_BODY_BYTES:
+                    raise _TooLarge
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        target = head.target.decode('ascii', 'replace')
+        path = target.partition('?')[0]
+        return Request(head.method.decode('ascii'), path, bytes(body))
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._reader.read(READ_BYTES))
+
+    async def _send_continue(self) -> None:
+        await self._write(
+            h11.InformationalResponse(
+                status_code=http.HTTPStatus.CONTINUE, headers=[]
+            )
+        )
+
+    async def _send(self, reply: Reply) -> None:
+        headers = [
+            ('content-type', reply.kind),
+            ('content-length', str(len(reply.body))),
+        ]
+        if reply.location:
+            headers.append(('location', reply.location))
+        await self._write(
+            h11.Response(status_code=reply.status, headers=headers),
+            h11.Data(data=reply.body),
+            h11.EndOfMessage(),
+        )
+
+    async def _refuse(self, status: int) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        await self._write(
+            h11.Response(
+                status_code=status,
+                headers=[('connection', 'close'), ('content-length', '0')],
+            ),
+            h11.EndOfMessage(),
+        )
+
+    async def _write(self, *events: h11.Event) -> None:
+        for event in events:
+            self._writer.write(self._http.send(event) or b'')
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await self._writer.drain()
--- a/src/gentianspoke/net/pages.py
+++ b/src/gentianspoke/net/pages.py
@@ -7,6 +7,7 @@
 import h11
 
 from gentianspoke.config import units
+from gentianspoke.net import http
 
 READ_BYTES = 16_384
 LARGEST_PAGE_BYTES = 4 * 1024 * 1024
@@ -22,18 +23,11 @@
 ) -> collections.abc.AsyncIterator[None]:
     """Serve pages; ``render`` gets the path, returns status, body, type."""
 
-    async def on_connection(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.closing(writer):
-            with contextlib.suppress(
-                OSError, TimeoutError, h11.RemoteProtocolError
-            ):
-                async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                    await _answer_one(reader, writer, render)
-
-    server = await asyncio.start_server(on_connection, *address)
-    async with server:
+    async def handle(request: http.Request) -> http.Reply:
+        status, body, kind = render(request.path)
+        return http.Reply(status, body, kind)
+
+    async with http.serve_http(address, handle):
         yield
 
 
@@ -48,30 +42,6 @@
             return await _request(reader, writer, path)
 
 
-async def _answer_one(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    render: Render,
-) -> None:
-    connection = h11.Connection(h11.SERVER)
-    request = await _next_event(connection, reader)
-    if not isinstance(request, h11.Request):
-        return
-    status, body, kind = render(request.target.decode('ascii', 'replace'))
-    headers = [
-        ('content-type', kind),
-        ('content-length', str(len(body))),
-        ('connection', 'close'),
-    ]
-    writer.write(
-        connection.send(h11.Response(status_code=status, headers=headers))
-        or b''
-    )
-    writer.write(connection.send(h11.Data(data=body)) or b'')
-    writer.write(connection.send(h11.EndOfMessage()) or b'')
-    await writer.drain()
-
-
 async def _request(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: str
 ) -> tuple[int, bytes]:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -1,13 +1,14 @@
 """The tasks of an agent around its state."""
 
 import asyncio
+import dataclasses
 import time
 
 import loguru
 import xxhash
 
 from gentianspoke.codec import frame
-from gentianspoke.codec import ip
+from gentianspoke.codec import wire
 from gentianspoke.config import settings
 from gentianspoke.core import frames
 from gentianspoke.core import packets
@@ -27,6 +28,8 @@
 TICK_S = 0.05
 STATUS_POLL_S = 0.5
 NS_PER_S = 1_000_000_000
+# Number of a member whose upstream has not told its incarnation yet.
+UNKNOWN = frames.ENTRY_SENDER
 
 
 class Agent:
@@ -36,31 +39,41 @@
         self,
         proc: process.Process,
         cfg: settings.AgentSettings,
+        codec: wire.Wire,
         peers: datagrams.DatagramSocket,
         upstream: datagrams.DatagramSocket,
         incarnation: str,
         recovering: bool,
     ) -> None:
-        """Begin beside the upstream of the given incarnation."""
+        """Begin beside the upstream of the given incarnation.
+
+        An empty one is not known yet: the agent announces nothing and
+        admits nothing until :meth:`take_status` tells it.
+        """
         self._proc = proc
         self._cfg = cfg
+        self._codec = codec
         self._peers = peers
         self._upstream = upstream
-        self._effects = effects.Effects(proc, cfg, peers, upstream)
+        self._effects = effects.Effects(proc, cfg, codec, peers, upstream)
         self._entries: dict[str, services.Service] = {}
         self._version = 0
         self._incarnation = incarnation
         self.state = agent_state.AgentState(
-            number=member_number(proc.cfg.instance, incarnation),
+            number=_number(proc.cfg.instance, incarnation),
             zone=proc.cfg.zone,
             capacity=agent_state.Capacity(
                 cfg.slots, cfg.connections, cfg.ramp_ms
             ),
             started_ms=proc.clock.now(),
             recovering=recovering,
+            recovery_ms=cfg.recovery_ms,
             joining=True,
+            draining=not incarnation,
         )
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
+        if incarnation:
+            self.heartbeat.known.set()
         proc.metrics.on_render(
             lambda: gauges.set_gauges(proc, self.state, (peers, upstream))
         )
@@ -104,14 +117,21 @@
     def handle_reply(self, raw: bytes) -> None:
         """Carry out what is decided on an upstream's packet."""
         try:
-            packet = ip.parse(raw, reply=True)
-            decided = core.on_reply(self.state, packet, self._proc.clock.now())
-            self._effects.carry_out(decided)
+            packet = self._codec.parse(raw, reply=True)
+            self._effects.carry_out(self._decide_reply(packet))
         except errors.PacketError as exc:
             self._proc.metrics.counts.dropped[exc.reason] += 1
         except Exception:
             self._count_fault('a reply was not handled')
 
+    def _decide_reply(self, packet: packets.Packet) -> core.Actions:
+        now = self._proc.clock.now()
+        match packet:
+            case packets.Segment(returned=True):
+                return core.on_returned(self.state, packet, now)
+            case _:
+                return core.on_reply(self.state, packet, now)
+
     async def tick(self) -> None:
         """Carry out what time alone brings about, until cancelled."""
         while True:
@@ -128,16 +148,21 @@
             await asyncio.sleep(STATUS_POLL_S)
             found = await status.read_status(self._cfg)
             if found is not None:
-                self._take_status(found)
+                self.take_status(found)
 
     def drain(self) -> None:
         """Take no new flow from now on, and tell control at once."""
         self.state.draining = True
         self.heartbeat.announce_now()
 
-    def _take_status(self, found: status.UpstreamStatus) -> None:
+    def take_status(self, found: status.UpstreamStatus) -> None:
+        """Take what the upstream says of itself; it holds on return."""
         if found.incarnation and found.incarnation != self._incarnation:
-            self._take_incarnation(found.incarnation)
+            self._take_incarnation(found)
+        if found.slots:
+            self.state.capacity = dataclasses.replace(
+                self.state.capacity, slots=found.slots
+            )
         if found.draining == self.state.draining or self._proc.stop.is_set():
             return
         self.state.draining = found.draining
@@ -145,9 +170,29 @@
         if found.draining:
             self._proc.events.write('upstream-draining')
 
-    def _take_incarnation(self, incarnation: str) -> None:
+    def leave(self) -> None:
+        """Take no new flow: the upstream has gone for good."""
+        self.heartbeat.leaving = True
+        self.drain()
+
+    def _take_incarnation(self, found: status.UpstreamStatus) -> None:
+        incarnation = found.incarnation
         number = member_number(self._proc.cfg.instance, incarnation)
+        was_known = bool(self._incarnation)
         self._incarnation = incarnation
+        self.heartbeat.leaving = False
+        self.heartbeat.known.set()
+        self._proc.events.write(
+            'upstream-known',
+            incarnation=f'{number:016x}',
+            is_young=found.is_young,
+        )
+        if not was_known and self.state.number in (UNKNOWN, number):
+            # Others may have called this agent by its number already.
+            self.state.number = number
+            self.state.recovering = not found.is_young
+            self.heartbeat.announce_now()
+            return
         now = self._proc.clock.now()
         decided = core.on_incarnation(self.state, number, now)
         self._effects.carry_out(decided)
@@ -171,28 +216,43 @@
             self._entries.clear()
         self._entries.update((item.name, item) for item in update.entries)
         self._version = update.version
-        served = [
-            self._entries[name]
-            for name in self._cfg.services
-            if name in self._entries
-        ]
-        self.state.set_catalogue(served)
+        self.state.set_catalogue(self._served())
         self._proc.events.write('catalogue-in-force', version=update.version)
 
+    def _served(self) -> list[services.Service]:
+        if not self._cfg.pool:
+            return [
+                self._entries[name]
+                for name in self._cfg.services
+                if name in self._entries
+            ]
+        entries = list(self._entries.values())
+        for entry in entries:
+            for share in entry.shares:
+                if share.name == self._cfg.pool:
+                    self.state.own_pool = share.pool
+        return entries
+
     def _on_frame(self, data: bytes) -> None:
         now = self._proc.clock.now()
         match frame.decode(data, self._proc.ring):
             case frames.Forward() as forward:
                 self._proc.events.observe(forward.logical)
-                packet = ip.parse(forward.packet)
+                packet = self._codec.parse(forward.packet)
                 self._on_forward(forward, packet, now)
             case frames.LoadReport() as report:
                 self._proc.events.observe(report.logical)
                 core.on_load(self.state, report)
+            case frames.Owned() as owned:
+                self._proc.events.observe(owned.logical)
+                core.on_owned(self.state, owned, now)
 
     def _on_forward(
         self, forward: frames.Forward, packet: packets.Packet, now: int
     ) -> None:
+        if self.state.number == UNKNOWN and forward.target != UNKNOWN:
+            # Until its upstream has told, the agent is who it is called.
+            self.state.number = forward.target
         opened = self.state.total_open
         begun_ns = time.perf_counter_ns()
         decided = core.on_forward(self.state, forward, packet, now)
@@ -208,6 +268,10 @@
         self._proc.metrics.counts.dropped['internal-error'] += 1
 
 
+def _number(instance: str, incarnation: str) -> int:
+    return member_number(instance, incarnation) if incarnation else UNKNOWN
+
+
 def member_number(instance: str, incarnation: str) -> int:
     """Return the 64-bit number of one incarnation of an upstream."""
     return xxhash.xxh3_64_intdigest(f'{instance}/{incarnation}'.encode()) or 1
--- a/src/gentianspoke/shells/agent/effects.py
+++ b/src/gentianspoke/shells/agent/effects.py
@@ -2,7 +2,7 @@
 
 from gentianspoke import clock
 from gentianspoke.codec import frame
-from gentianspoke.codec import ip
+from gentianspoke.codec import wire
 from gentianspoke.config import settings
 from gentianspoke.core import packets
 from gentianspoke.decisions import actions
@@ -19,12 +19,14 @@
         self,
         proc: process.Process,
         cfg: settings.AgentSettings,
+        codec: wire.Wire,
         peers: datagrams.DatagramSocket,
         upstream: datagrams.DatagramSocket,
     ) -> None:
         """Send to peers and the fabric by one socket, upstream by another."""
         self._proc = proc
         self._cfg = cfg
+        self._codec = codec
         self._peers = peers
         self._upstream = upstream
 
@@ -64,29 +66,40 @@
                 self._upstream.send(raw, self._cfg.upstream)
                 counts.packets['delivered'] += 1
             case actions.Answer(raw=raw):
-                self._peers.send(raw, self._cfg.fabric)
+                self._send_to_caller(raw)
                 counts.packets['answered'] += 1
             case actions.Pass(member=member, forward=forward):
                 forward.logical = self._proc.events.logical
                 data = frame.encode(forward, self._proc.ring)
                 self._peers.send(data, (member.host, member.port))
                 counts.packets['passed'] += 1
+            case actions.Tell(member=member, owned=owned):
+                self._peers.send(
+                    frame.encode(owned, self._proc.ring),
+                    (member.host, member.port),
+                )
             case actions.Drop(reason=reason):
                 counts.dropped[reason] += 1
+            case actions.Hold(reason=reason):
+                counts.packets[reason] += 1
             case actions.Refuse(packet=packet, reason=reason):
-                self._peers.send(ip.reset_for(packet), self._cfg.fabric)
+                self._send_to_caller(self._codec.reset_for(packet))
                 counts.refused[reason] += 1
                 self._write_flow('flow-refused', packet.key, reason)
             case actions.ResetCaller(key=key, seq=seq, ack=ack):
-                raw = ip.reset_to_caller(key, seq, ack)
-                self._peers.send(raw, self._cfg.fabric)
+                raw = self._codec.reset_to_caller(key, seq, ack)
+                self._send_to_caller(raw)
                 counts.resets[action.reason] += 1
                 self._write_flow('flow-reset', key, action.reason)
             case actions.ResetUpstream(key=key, seq=seq, ack=ack):
-                raw = ip.reset_to_upstream(key, seq, ack)
+                raw = self._codec.reset_to_upstream(key, seq, ack)
                 self._upstream.send(raw, self._cfg.upstream)
                 counts.resets[action.reason] += 1
 
+    def _send_to_caller(self, raw: bytes) -> None:
+        address = self._codec.destination(raw) or self._cfg.fabric
+        self._peers.send(raw, address)
+
     def _write_flow(
         self, event: str, key: packets.FlowKey, reason: str
     ) -> None:
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -41,7 +41,11 @@
         self._cfg = cfg
         self._state = state
         self._changed = asyncio.Event()
+        # Whether the upstream has gone for good.
+        self.leaving = False
         self._avoided: dict[units.Address, int] = {}
+        # Set while the upstream is known, without which nothing can be said.
+        self.known = asyncio.Event()
         # Set once control has taken a heartbeat that says "draining".
         self.drain_accepted = asyncio.Event()
 
@@ -55,7 +59,8 @@
         One that does not lead names the leader, which is asked next.
         """
         while True:
-            for address in self._proc.cfg.feeds:
+            for address in self._proc.sources.addresses():
+                await self.known.wait()
                 leader = await self._announce_to(address)
                 await asyncio.sleep(LEAST_PAUSE_S)
                 if leader:
@@ -122,12 +127,13 @@
         host, port = self._cfg.listen
         reports = tuple(
             membership.ServiceReport(
-                service,
-                ranking.view.number,
-                core.oldest_flow_view(state, service),
-                state.counts[service].open_flows,
+                pool,
+                state.rankings[pool].view.number,
+                core.oldest_flow_view(state, pool),
+                state.counts[pool].open_flows,
             )
-            for service, ranking in state.rankings.items()
+            for pool in state.own_pools()
+            if pool in state.rankings
         )
         closed = state.draining or state.joining
         return membership.Announcement(
@@ -141,4 +147,5 @@
             recovering=state.recovering,
             services=(),
             reports=reports,
+            leaving=self.leaving,
         )
--- a/src/gentianspoke/shells/agent/loads.py
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -26,8 +26,8 @@
         await asyncio.sleep(LOAD_REPORT_S)
         receivers = _receivers(state)
         for offset in range(min(REPORTS_AT_MOST, len(receivers))):
-            service, member = receivers[(turn + offset) % len(receivers)]
-            report = _report(state, service, proc.events.logical)
+            pool, member = receivers[(turn + offset) % len(receivers)]
+            report = _report(state, pool, proc.events.logical)
             data = frame.encode(report, proc.ring)
             peers.send(data, (member.host, member.port))
         turn += REPORTS_AT_MOST
@@ -37,19 +37,20 @@
     state: agent_state.AgentState,
 ) -> list[tuple[int, views.Member]]:
     return [
-        (service, member)
-        for service, ranking in state.rankings.items()
-        for member in ranking.view.members
+        (pool, member)
+        for pool in state.own_pools()
+        if pool in state.rankings
+        for member in state.rankings[pool].view.members
         if member.number != state.number
     ]
 
 
 def _report(
-    state: agent_state.AgentState, service: int, logical: int
+    state: agent_state.AgentState, pool: int, logical: int
 ) -> frames.LoadReport:
-    counts = state.counts[service]
+    counts = state.counts[pool]
     return frames.LoadReport(
-        service,
+        pool,
         state.number,
         counts.open_flows,
         counts.running,
--- a/src/gentianspoke/shells/agent/main.py
+++ b/src/gentianspoke/shells/agent/main.py
@@ -10,42 +10,66 @@
 from gentianspoke.shells.agent import status
 from gentianspoke.shells.agent import stopping
 from gentianspoke.shells import feed_client
+from gentianspoke.shells import front_end
 from gentianspoke.shells import process
 
 # Exit status of a planned stop whose grace ended before its flows did.
 EXIT_FLOWS_LEFT = 3
 
 
-async def run(cfg: settings.Settings) -> int:
+async def run(
+    cfg: settings.Settings,
+    front: front_end.FrontEnd[agent_shell.Agent] | None = None,
+) -> int:
     """Run an agent until a planned stop; return its exit status."""
+    front = front or front_end.own()
     match cfg.role:
         case settings.AgentSettings() as role:
             pass
         case _:
             raise errors.SettingsError('settings', 'agent', 'missing; add it')
-    found = await status.read_status(role)
-    # Without a status page the agent cannot tell whether the upstream was
-    # there before it, so it takes the older incarnation as gone.
-    known = found.incarnation if found is not None else ''
-    incarnation = known or secrets.token_hex(8)
+    incarnation, recovering = await _find_upstream(role, front)
     async with process.run_process(cfg, 'agent') as proc:
         with (
             datagrams.open_datagrams(role.listen) as peers,
             datagrams.open_datagrams(role.upstream_side) as upstream,
         ):
             agent = agent_shell.Agent(
-                proc, role, peers, upstream, incarnation, bool(known)
+                proc,
+                role,
+                front.codec,
+                peers,
+                upstream,
+                incarnation,
+                recovering,
             )
-            async with process.run_tasks(
-                agent.read_peers(),
-                agent.read_upstream(),
-                agent.tick(),
-                loads.report_load(proc, agent.state, peers),
-                agent.heartbeat.run(),
-                agent.poll_status(),
-                feed_client.follow_feeds(proc, 'agent', agent.take),
+            async with (
+                process.run_tasks(
+                    agent.read_peers(),
+                    agent.read_upstream(),
+                    agent.tick(),
+                    loads.report_load(proc, agent.state, peers),
+                    agent.heartbeat.run(),
+                    agent.poll_status(),
+                    feed_client.follow_feeds(proc, 'agent', agent.take),
+                ),
+                front.serve(proc, agent),
             ):
                 await proc.stop.wait()
                 proc.life.advance('stop')
                 left = await stopping.finish(proc, agent)
     return EXIT_FLOWS_LEFT if left.running or left.queued else 0
+
+
+async def _find_upstream(
+    role: settings.AgentSettings,
+    front: front_end.FrontEnd[agent_shell.Agent],
+) -> tuple[str, bool]:
+    """Return the upstream's incarnation and whether it was there before."""
+    if front.tells_upstream:
+        return '', True
+    found = await status.read_status(role)
+    # Without a status page the agent cannot tell whether the upstream was
+    # there before it, so it takes the older incarnation as gone.
+    known = found.incarnation if found is not None else ''
+    return known or secrets.token_hex(8), bool(known)
--- a/src/gentianspoke/shells/agent/status.py
+++ b/src/gentianspoke/shells/agent/status.py
@@ -13,10 +13,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamStatus:
-    """What the status page said; ``incarnation`` is empty if unknown."""
+    """What an upstream says of itself.
+
+    ``incarnation`` is empty if unknown and ``slots`` 0. ``is_young`` tells
+    that it cannot have flows from before this agent started.
+    """
 
     incarnation: str = ''
     draining: bool = False
+    slots: int = 0
+    is_young: bool = False
 
 
 async def read_status(cfg: settings.AgentSettings) -> UpstreamStatus | None:
--- a/src/gentianspoke/shells/channel_auth.py
+++ b/src/gentianspoke/shells/channel_auth.py
@@ -55,6 +55,12 @@
     call at a time.
     """
     channel = grpclib.client.Channel(*address)
+    if not ring().keys:
+        try:
+            yield channel
+        finally:
+            channel.close()
+        return
     caller = _Caller(ring, instance, time or clock.Clock())
     grpclib.events.listen(
         channel, grpclib.events.SendRequest, caller.send_request
@@ -83,6 +89,8 @@
 
     ``on_refused`` gets the method and the reason of each refused call.
     """
+    if not ring().keys:
+        return
     guard = _Guard(ring, time or clock.Clock(), on_refused)
     grpclib.events.listen(
         server, grpclib.events.RecvRequest, guard.receive_request
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -54,11 +54,10 @@
         """Take an agent's heartbeat and grant its lease."""
         message = await calls.receive(stream)
         self._proc.events.observe(message.logical)
-        entries = self._log.catalogue.entries
         numbers = {
-            name: entries[name].number
+            name: number
             for name in message.service_names
-            if name in entries
+            if (number := self._log.catalogue.pool_number(name)) is not None
         }
         announcement = feed_codec.decode_announcement(message, numbers)
         try:
@@ -170,6 +169,8 @@
             digest=item.digest(),
             logical=self._proc.events.logical,
             complete=views_ms is not None,
+            sources=self._log.addresses(),
+            leader=self._log.leader,
         )
         return feed_pb2.FollowReply(confirmation=confirmation)
 
--- a/src/gentianspoke/shells/control/forming.py
+++ b/src/gentianspoke/shells/control/forming.py
@@ -87,7 +87,8 @@
 ) -> tuple[forming.FirstMember, ...]:
     if not role.members:
         address = units.format_address(role.listen)
-        return (forming.FirstMember(proc.cfg.instance, address),)
+        name = role.member or proc.cfg.instance
+        return (forming.FirstMember(name, address),)
     return tuple(
         forming.FirstMember(instance, units.format_address(address))
         for instance, address in role.members
--- /dev/null
+++ b/src/gentianspoke/shells/control/joining.py
@@ -0,0 +1,84 @@
+"""A control instance asks to be added while no group counts it in."""
+
+import asyncio
+
+from gentianspoke.config import settings
+from gentianspoke.config import units
+from gentianspoke.generated import replica_grpc
+from gentianspoke.generated import replica_pb2
+from gentianspoke.shells import channel_auth
+from gentianspoke.shells.control import peers
+from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import process
+
+PAUSE_S = 0.25
+ASK_TIMEOUT_S = 1.0
+# A member that was not confirmed for so long may have been removed.
+UNCONFIRMED_MS = 2_500
+
+
+async def stay_member(
+    proc: process.Process,
+    log: replicated_log.ReplicatedLog,
+    role: settings.ControlSettings,
+) -> None:
+    """Ask one instance after the other to be added, whenever it is due.
+
+    Return at once where operators see to the members.
+    """
+    own = units.format_address(role.listen)
+    while role.tolerate:
+        await asyncio.sleep(PAUSE_S)
+        members = [units.host_port(item) for item in log.addresses()]
+        for address in dict.fromkeys((*proc.sources.addresses(), *members)):
+            if address != role.listen and _is_due(log, role):
+                await _ask(proc, address, own)
+                await asyncio.sleep(PAUSE_S)
+
+
+def _is_due(
+    log: replicated_log.ReplicatedLog, role: settings.ControlSettings
+) -> bool:
+    if not log.group.members and not role.join:
+        # The first members find each other; see ``forming``.
+        return False
+    return log.confirmed_age_ms() >= UNCONFIRMED_MS
+
+
+async def _ask(
+    proc: process.Process, address: units.Address, own: str
+) -> None:
+    asked: set[units.Address] = set()
+    following: units.Address | None = address
+    while following is not None and following not in asked:
+        asked.add(following)
+        following = await _ask_one(proc, following, own)
+
+
+async def _ask_one(
+    proc: process.Process, address: units.Address, own: str
+) -> units.Address | None:
+    """Return whom to ask next, ``None`` where the question was answered."""
+    request = replica_pb2.AddMemberRequest(address=own)
+    try:
+        async with channel_auth.open_channel(
+            address, proc.current_ring, proc.cfg.instance
+        ) as channel:
+            stub = replica_grpc.ControlMembersStub(channel)
+            reply = await stub.Add(request, timeout=ASK_TIMEOUT_S)
+    except peers.PEER_ERRORS as exc:
+        proc.events.write(
+            'join-unanswered',
+            source=units.format_address(address),
+            reason=repr(exc),
+        )
+        return None
+    if reply.leader:
+        return units.host_port(reply.leader)
+    proc.events.write(
+        'join-answered',
+        source=units.format_address(address),
+        accepted=reply.accepted,
+        reason=reply.reason,
+    )
+    return None
--- a/src/gentianspoke/shells/control/log.py
+++ b/src/gentianspoke/shells/control/log.py
@@ -27,6 +27,9 @@
     def leader(self) -> str:
         """Address of the leader, empty where none is known."""
 
+    def addresses(self) -> list[str]:
+        """Return the addresses of all members as "host:port"."""
+
     async def submit(self, request: edits.Request) -> edits.Answer:
         """Return the answer to a request once a majority has synced it.
 
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -8,9 +8,11 @@
 from gentianspoke import errors
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
+from gentianspoke.shells.control import documents
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
+from gentianspoke.shells.control import joining
 from gentianspoke.shells.control import leadership
 from gentianspoke.shells.control import members_service
 from gentianspoke.shells.control import monitor
@@ -19,11 +21,17 @@
 from gentianspoke.shells.control import relay
 from gentianspoke.shells.control import replica_service
 from gentianspoke.shells.control import replicated_log
+from gentianspoke.shells import feed_client
+from gentianspoke.shells import front_end
 from gentianspoke.shells import process
 
 
-async def run(cfg: settings.Settings) -> None:
+async def run(
+    cfg: settings.Settings,
+    front: front_end.FrontEnd[documents.Documents] | None = None,
+) -> None:
     """Run a control instance until a planned stop."""
+    front = front or front_end.own()
     match cfg.role:
         case settings.ControlSettings() as role:
             pass
@@ -32,14 +40,43 @@
                 'settings', 'control', 'missing; add it'
             )
     async with process.run_process(cfg, 'control') as proc:
-        with open_log.open_log(proc, role.data_folder) as log:
-            await _run(proc, log, role)
+        if not role.data_folder:
+            await _run_without_log(proc, front)
+            return
+        with open_log.open_log(proc, role) as log:
+            await _run(proc, log, role, front)
+
+
+async def _run_without_log(
+    proc: process.Process, front: front_end.FrontEnd[documents.Documents]
+) -> None:
+    async with (
+        process.run_tasks(
+            feed_client.follow_feeds(
+                proc, 'observer', lambda update: _take_leader(proc, update)
+            ),
+        ),
+        front.serve(proc, documents.Documents(proc, None)),
+    ):
+        await proc.stop.wait()
+        proc.life.advance('stop')
+
+
+def _take_leader(proc: process.Process, update: feed_client.Update) -> int:
+    match update:
+        case feed_client.Confirmed(catalogue_version=version):
+            if proc.life.state == 'syncing':
+                proc.life.advance('serve')
+            return version
+        case _:
+            return 0
 
 
 async def _run(
     proc: process.Process,
     log: replicated_log.ReplicatedLog,
     role: settings.ControlSettings,
+    front: front_end.FrontEnd[documents.Documents],
 ) -> None:
     consumers = hub.Hub(log, proc.clock)
     lead = leadership.Leadership(proc, log, consumers, role.lease_ms)
@@ -55,17 +92,21 @@
         server, proc.current_ring, on_refused=proc.write_refused_call
     )
     await server.start(*role.listen)
-    async with process.run_tasks(
-        log.run(),
-        log.tick(),
-        log.propose(),
-        peers.Peers(proc, log).run(),
-        forming.find_group(proc, log, role),
-        lead.tick(),
-        relayed.follow_leader(),
-        consumers.watch_catalogue(),
-        monitor.watch(proc, log),
-        _serve_in_group(proc, log),
+    async with (
+        process.run_tasks(
+            log.run(),
+            log.tick(),
+            log.propose(),
+            peers.Peers(proc, log).run(),
+            forming.find_group(proc, log, role),
+            lead.tick(),
+            relayed.follow_leader(),
+            consumers.watch_catalogue(),
+            monitor.watch(proc, log),
+            joining.stay_member(proc, log, role),
+            _serve_in_group(proc, log),
+        ),
+        front.serve(proc, documents.Documents(proc, log)),
     ):
         await proc.stop.wait()
         proc.life.advance('stop')
--- a/src/gentianspoke/shells/control/members_service.py
+++ b/src/gentianspoke/shells/control/members_service.py
@@ -5,6 +5,7 @@
 from gentianspoke.codec import replica as codec
 from gentianspoke.config import units
 from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import forming as replica_forming
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke.generated import replica_grpc
@@ -71,7 +72,7 @@
         member = groups.Member(
             found.number, found.instance, request.address, False
         )
-        is_grouped = bool(found.group.members)
+        is_grouped = self._is_of_another_group(found)
         await self._change(stream, messages.AddLearner(member, is_grouped))
 
     async def Remove(  # noqa: N802
@@ -85,6 +86,13 @@
         request = await calls.receive(stream)
         await self._change(stream, messages.RemoveMember(request.instance))
 
+    def _is_of_another_group(self, found: replica_forming.Identity) -> bool:
+        # A member that was removed while it was away keeps its old group,
+        # which shares members with this one.
+        own = {item.number for item in self._log.group.members}
+        others = {item.number for item in found.group.members}
+        return bool(others) and not own & others
+
     async def _change(
         self,
         stream: (
--- a/src/gentianspoke/shells/control/open_log.py
+++ b/src/gentianspoke/shells/control/open_log.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 
+from gentianspoke.config import settings
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import state as states
 from gentianspoke import errors
@@ -20,7 +21,7 @@
 
 @contextlib.contextmanager
 def open_log(
-    proc: process.Process, data_folder: str
+    proc: process.Process, role: settings.ControlSettings
 ) -> collections.abc.Iterator[replicated_log.ReplicatedLog]:
     """Lock the data folder and open the log in it, new or not.
 
@@ -28,29 +29,32 @@
     :class:`gentianspoke.errors.IdentityError` for another's folder.
     """
     with (
-        folders.open_folder(data_folder) as folder,
+        folders.open_folder(role.data_folder) as folder,
         concurrent.futures.ThreadPoolExecutor(1) as executor,
     ):
         store = replica_store.ReplicaStore(journals.Journal(folder))
-        own = _load(proc, store, data_folder)
+        own = _load(proc, store, role)
         yield replicated_log.ReplicatedLog(
             own, store, executor, proc.clock, proc.events
         )
 
 
 def _load(
-    proc: process.Process, store: replica_store.ReplicaStore, path: str
+    proc: process.Process,
+    store: replica_store.ReplicaStore,
+    role: settings.ControlSettings,
 ) -> replica.Replica:
+    name = role.member or proc.cfg.instance
     loaded = store.load()
     if loaded is None:
         number = secrets.randbits(NUMBER_BITS) | 1
-        stored = states.fresh(number, proc.cfg.instance)
+        stored = states.fresh(number, name)
     else:
         stored = loaded.stored
-    if stored.instance != proc.cfg.instance:
+    if stored.instance != name:
         raise errors.IdentityError(
-            f'{path}: this data folder belongs to {stored.instance}; give'
-            f' {proc.cfg.instance} a folder of its own'
+            f'{role.data_folder}: this data folder belongs to'
+            f' {stored.instance}; give {name} a folder of its own'
         )
     # All of it is written anew, so that what was read lasts, even if it
     # was only in the system's memory when a sync failed.
@@ -65,7 +69,7 @@
     return replica.Replica(
         stored,
         states.Timing(),
-        states.Limits(),
+        states.Limits(role.compact_records, role.kept_records, role.tolerate),
         random.Random(stored.number ^ proc.clock.now()),
         proc.clock.now(),
     )
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import dataclasses
 import typing
 
@@ -25,6 +26,8 @@
 
 TICK_S = 0.05
 SUBMIT_TIMEOUT_S = 4.0
+CONFIRM_TIMEOUT_S = 0.8
+CONFIRM_POLL_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +110,10 @@
         member = self.group.find(state.leader)
         return member.address if member else ''
 
+    def addresses(self) -> list[str]:
+        """Return the addresses of all members as "host:port"."""
+        return [member.address for member in self.group.members]
+
     def confirmed_age_ms(self) -> int:
         """Return how long ago a majority confirmed this instance."""
         return self.replica.state.confirmed_age_ms(self._clock.now())
@@ -130,6 +137,23 @@
         except TimeoutError as exc:
             raise errors.OutcomeUnknownError() from exc
 
+    async def confirm(self) -> bool:
+        """Return whether a majority confirms this leader after the call.
+
+        What was accepted before the call is applied then.
+        """
+        begun_ms = self._clock.now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                while self.is_leader:
+                    state = self.replica.state
+                    if state.majority_contact_ms(self._clock.now()) >= (
+                        begun_ms
+                    ):
+                        return True
+                    await asyncio.sleep(CONFIRM_POLL_S)
+        return False
+
     async def wait_applied(self, version: int) -> None:
         """Return once the catalogue is newer than ``version``."""
         async with self._applied:
--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -5,7 +5,7 @@
 import loguru
 
 from gentianspoke.codec import frame
-from gentianspoke.codec import ip
+from gentianspoke.codec import wire
 from gentianspoke.config import settings
 from gentianspoke.config import units
 from gentianspoke.core import packets
@@ -16,6 +16,7 @@
 from gentianspoke import errors
 from gentianspoke.net import datagrams
 from gentianspoke.shells import feed_client
+from gentianspoke.shells import front_end
 from gentianspoke.shells import process
 
 # Time between a planned stop, when /ready turns 503, and the last packet.
@@ -26,12 +27,17 @@
     """The shell around the route table of one entry."""
 
     def __init__(
-        self, proc: process.Process, sock: datagrams.DatagramSocket
+        self,
+        proc: process.Process,
+        sock: datagrams.DatagramSocket,
+        codec: wire.Wire,
     ) -> None:
         """Begin without a catalogue; nothing is forwarded until it came."""
         self._proc = proc
+        self._codec = codec
         self._sock = sock
         self._entries: dict[str, services.Service] = {}
+        self._is_confirmed = False
         self.table = routing.RouteTable()
         proc.metrics.on_render(self._set_gauges)
 
@@ -43,6 +49,7 @@
             case views.View():
                 self.table.set_view(update)
             case feed_client.Confirmed():
+                self._is_confirmed = True
                 if self._proc.life.state == 'syncing':
                     self._proc.life.advance('serve')
         return self.table.catalogue_version
@@ -77,14 +84,21 @@
 
     def _forward(self, raw: bytes, sender: units.Address) -> None:
         counts = self._proc.metrics.counts
-        match routing.route(self.table, ip.parse(raw)):
+        if not self._is_confirmed:
+            # What the first source told may be older than what a majority
+            # has accepted.
+            counts.dropped['not-confirmed'] += 1
+            return
+        match routing.route(self.table, self._codec.parse(raw)):
             case actions.Pass(member=member, forward=forward):
                 forward.logical = self._proc.events.logical
                 data = frame.encode(forward, self._proc.ring)
                 self._sock.send(data, (member.host, member.port))
                 counts.packets['forwarded'] += 1
             case actions.Refuse(packet=refused, reason=reason):
-                self._sock.send(ip.reset_for(refused), sender)
+                reset = self._codec.reset_for(refused)
+                address = self._codec.destination(reset) or sender
+                self._sock.send(reset, address)
                 counts.refused[reason] += 1
                 flow = packets.describe_key(refused.key)
                 self._proc.events.write(
@@ -99,8 +113,12 @@
         gauges('unsent', self._sock.unsent)
 
 
-async def run(cfg: settings.Settings) -> None:
+async def run(
+    cfg: settings.Settings,
+    front: front_end.FrontEnd[Entry] | None = None,
+) -> None:
     """Run an entry until a planned stop."""
+    front = front or front_end.own()
     match cfg.role:
         case settings.EntrySettings(listen=listen):
             pass
@@ -108,10 +126,13 @@
             raise errors.SettingsError('settings', 'entry', 'missing; add it')
     async with process.run_process(cfg, 'entry') as proc:
         with datagrams.open_datagrams(listen) as sock:
-            entry = Entry(proc, sock)
-            async with process.run_tasks(
-                entry.forward_packets(),
-                feed_client.follow_feeds(proc, 'entry', entry.take),
+            entry = Entry(proc, sock, front.codec)
+            async with (
+                process.run_tasks(
+                    entry.forward_packets(),
+                    feed_client.follow_feeds(proc, 'entry', entry.take),
+                ),
+                front.serve(proc, entry),
             ):
                 await proc.stop.wait()
                 proc.life.advance('stop')
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -26,7 +26,7 @@
 from gentianspoke.shells import process
 
 # A source is left when it is silent or unconfirmed for this long.
-STALE_MS = 3_000
+STALE_MS = 2_000
 # A source answers at once, if it can.
 FIRST_ANSWER_MS = 1_000
 # A source is left when it has had no leader's views for this long.
@@ -193,6 +193,7 @@
 
     def _on_confirmation(self, message: feed_pb2.Confirmation) -> None:
         self._proc.events.observe(message.logical)
+        self._proc.sources.learn(message.sources, message.leader)
         if message.age_ms >= STALE_MS:
             raise errors.ControlError(
                 f'no majority has confirmed it for {message.age_ms} ms'
@@ -259,10 +260,10 @@
     feed = Feed(proc, role, take, _names(proc.cfg))
     pause_s = SHORTEST_PAUSE_S
     rng = random.Random(proc.cfg.instance)
-    sources = list(proc.cfg.feeds)
-    rng.shuffle(sources)
     while True:
-        for address in sources:
+        addresses = proc.sources.addresses()
+        rng.shuffle(addresses)
+        for address in addresses:
             await feed.follow(address)
             pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
             if feed.confirmed:
@@ -272,7 +273,10 @@
 
 def _names(cfg: settings.Settings) -> tuple[str, ...]:
     match cfg.role:
-        case settings.AgentSettings(services=names):
+        case settings.AgentSettings(services=names, pool=''):
             return names
+        case settings.ControlSettings():
+            # Only what is told with each confirmation is wanted.
+            return ('',)
         case _:
             return ()
--- /dev/null
+++ b/src/gentianspoke/shells/front_end.py
@@ -0,0 +1,41 @@
+"""What another front end brings to the processes of the system."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import typing
+
+from gentianspoke.codec import wire
+from gentianspoke.shells import process
+
+Inner = typing.TypeVar('Inner')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FrontEnd(typing.Generic[Inner]):
+    """An encoding of callers' packets, and services of the process.
+
+    ``serve`` opens the services around what the process does, and closes
+    them at the end of the context. ``tells_upstream`` says that the
+    upstream's state comes through them rather than from a status page.
+    """
+
+    codec: wire.Wire
+    serve: collections.abc.Callable[
+        [process.Process, Inner], contextlib.AbstractAsyncContextManager[None]
+    ]
+    tells_upstream: bool = False
+
+
+def own() -> FrontEnd[typing.Any]:
+    """Return the project's own front end: IP packets, no further service."""
+    from gentianspoke.codec import ip
+
+    return FrontEnd(typing.cast(wire.Wire, ip), _serve_nothing)
+
+
+@contextlib.asynccontextmanager
+async def _serve_nothing(
+    proc: process.Process, inner: object
+) -> collections.abc.AsyncIterator[None]:
+    yield
--- a/src/gentianspoke/shells/process.py
+++ b/src/gentianspoke/shells/process.py
@@ -8,11 +8,11 @@
 
 from gentianspoke import clock
 from gentianspoke.codec import keys
-from gentianspoke.config import key_file
 from gentianspoke.config import settings
 from gentianspoke.decisions import lifecycle
 from gentianspoke import errors
 from gentianspoke.net import pages
+from gentianspoke.shells import control_sources
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
 
@@ -31,15 +31,31 @@
     metrics: metrics.Metrics
     life: lifecycle.Lifecycle
     stop: asyncio.Event
+    sources: control_sources.Sources = dataclasses.field(init=False)
+    on_reload: list[collections.abc.Callable[[], None]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def __post_init__(self) -> None:
+        """Begin with the control instances that the settings name."""
+        self.sources = control_sources.Sources(self.cfg.feeds)
 
     def current_ring(self) -> keys.KeyRing:
         """Return the keys in force; a rotation changes them."""
         return self.ring
 
+    def reload(self) -> None:
+        """Take what has changed in files that the settings name."""
+        self.events.write('process-reloads')
+        if self.cfg.key_file:
+            self.reload_keys()
+        for take in self.on_reload:
+            take()
+
     def reload_keys(self) -> None:
         """Read the key file again; keep the keys where it is not valid."""
         try:
-            self.ring = key_file.load(self.cfg.key_file)
+            self.ring = load_ring(self.cfg)
         except errors.KeyFileError as exc:
             self.events.write('keys-not-read', reason=str(exc))
         else:
@@ -66,6 +82,20 @@
                 return 404, b'see /metrics or /ready', 'text/plain'
 
 
+def load_ring(cfg: settings.Settings) -> keys.KeyRing:
+    """Return the keys of the key file, none where no file is named.
+
+    Raises :class:`gentianspoke.errors.KeyFileError`.
+    """
+    if not cfg.key_file:
+        return keys.NO_KEYS
+    # Reading the file takes libraries that cost more memory than all else
+    # in a process without keys.
+    from gentianspoke.config import key_file
+
+    return key_file.load(cfg.key_file)
+
+
 @contextlib.asynccontextmanager
 async def run_process(
     cfg: settings.Settings, role: str
@@ -79,12 +109,14 @@
     process = Process(
         cfg=cfg,
         clock=own_clock,
-        ring=key_file.load(cfg.key_file),
+        ring=load_ring(cfg),
         events=events,
         metrics=metrics.Metrics(cfg.instance, role),
         life=life,
         stop=asyncio.Event(),
     )
+    if not process.ring.keys:
+        events.write('frames-unsigned')
     async with contextlib.AsyncExitStack() as stack:
         stack.enter_context(_stop_on_signal(process.stop))
         stack.enter_context(_reload_on_signal(process))
@@ -118,7 +150,7 @@
     process: Process,
 ) -> collections.abc.Iterator[None]:
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(RELOAD_SIGNAL, process.reload_keys)
+    loop.add_signal_handler(RELOAD_SIGNAL, process.reload)
     try:
         yield
     finally:
--- a/src/gentianspoke/telemetry/logs.py
+++ b/src/gentianspoke/telemetry/logs.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import logging
+import os
 import pathlib
 import sys
 import traceback
@@ -37,16 +38,43 @@
 
 
 def configure(log_file: str | None, level: str) -> None:
-    """Send the logs of this process as JSON lines to a file or stderr."""
+    """Send the logs of this process as JSON lines to a file or stdout."""
     loguru.logger.remove()
+    sink: typing.Any = StandardOutput()
     if log_file is not None:
         _end_last_line(log_file)
-    loguru.logger.add(log_file or sys.stderr, level=level, format=_format_line)
+        sink = log_file
+    loguru.logger.add(sink, level=level, format=_format_line)
     logging.basicConfig(
         handlers=[_ToLoguru()], level=_library_level(level), force=True
     )
 
 
+class StandardOutput:
+    """Writes lines to standard output and never waits for its reader.
+
+    Lines that the reader is too slow for are lost, and counted in the next
+    line that is written.
+    """
+
+    def __init__(self) -> None:
+        """Switch standard output to writes that do not wait."""
+        self._fd = sys.stdout.fileno()
+        self._lost = 0
+        os.set_blocking(self._fd, False)
+
+    def write(self, message: str) -> None:
+        """Write one line, or count it as lost."""
+        if self._lost:
+            message = f'{{"log_lines_lost":{self._lost}}}\n{message}'
+        try:
+            os.write(self._fd, message.encode())
+        except BlockingIOError:
+            self._lost += 1
+        else:
+            self._lost = 0
+
+
 def _library_level(level: str) -> str:
     # What a library tells at INFO, such as each step of a state machine,
     # would bury the process's own lines.
--- a/tests/agent/test_limits.py
+++ b/tests/agent/test_limits.py
@@ -99,7 +99,7 @@
     state.set_catalogue(entries)
     flow = state.queues[1].pop()
     state.counts[1].queued -= 1
-    flow.service = 2
+    flow.service = flow.pool = 2
     state.queues[2].append(flow)
     state.counts[2].queued += 1
     wire = fakes.Wire(state)
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -75,7 +75,9 @@
         datagrams.open_datagrams((HOST, 0)) as upstream,
     ):
         proc = make_process()
-        agent = agent_shell.Agent(proc, ROLE, peers, upstream, 'first', True)
+        agent = agent_shell.Agent(
+            proc, ROLE, ip, peers, upstream, 'first', True
+        )
         entry = builders.service(services.Booking(False))
         update = feed_client.CatalogueUpdate(True, 1, [entry])
         agent.take(update)
@@ -158,9 +160,9 @@
     with running_agent() as (agent, _, _):
         agent.take(own_view(agent, views.State.DRAINING))
         before = agent.state.number
-        agent._take_status(status.UpstreamStatus('first'))
+        agent.take_status(status.UpstreamStatus('first'))
         assert agent.state.number == before
-        agent._take_status(status.UpstreamStatus('second', draining=True))
+        agent.take_status(status.UpstreamStatus('second', draining=True))
         assert agent.state.number != before
         assert agent.state.joining and agent.state.draining
 
--- a/tests/local_log.py
+++ b/tests/local_log.py
@@ -33,3 +33,7 @@
     def confirmed_age_ms(self) -> int:
         """Return 0, since there is no majority to ask."""
         return 0
+
+    def addresses(self) -> list[str]:
+        """Return no address, since there is no other member."""
+        return []
--- a/tests/telemetry/test_entry_refusals.py
+++ b/tests/telemetry/test_entry_refusals.py
@@ -9,8 +9,10 @@
 
 from demo import segments
 from gentianspoke import clock
+from gentianspoke.codec import ip
 from gentianspoke.core import services
 from gentianspoke.shells import entry
+from gentianspoke.shells import feed_client
 from gentianspoke.telemetry import event_files
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
@@ -43,13 +45,15 @@
     proc = types.SimpleNamespace(
         events=logs.EventLog('entry-0', 'entry', clock.ManualClock()),
         metrics=metrics.Metrics('entry-0', 'entry'),
+        life=types.SimpleNamespace(state='serving'),
     )
     key = builders.flow_key()
     sock = OneBurst(segments.build(key, 2, 100, 0))
-    shell = entry.Entry(proc, sock)
+    shell = entry.Entry(proc, sock, ip)
     board = builders.service(services.Board())
     shell.table.set_catalogue(1, [board])
     shell.table.set_view(builders.view())
+    shell.take(feed_client.Confirmed(0, 1))
     with pytest.raises(asyncio.CancelledError):
         await shell.forward_packets()
     loguru.logger.remove()
