--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -42,7 +42,8 @@
     Without a ``data_folder`` it keeps no log and names the leader only.
     ``member`` is its name in the group, else that of the instance. Where
     ``tolerate`` is not 0, the group replaces lost members by itself so
-    that it can bear the loss of so many.
+    that it can bear the loss of so many. A leader that is not heard for
+    ``election_ms`` is missed.
     """
 
     listen: units.Address
@@ -52,6 +53,7 @@
     join: bool = False
     member: str = ''
     tolerate: int = 0
+    election_ms: int = 1_000
     compact_records: int = 1_000
     kept_records: int = 200
 
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -87,6 +87,11 @@
     now: int,
 ) -> actions.Action:
     home = ranking.home(forward.bucket)
+    if home is None and service.handshake:
+        # Nothing but the view speaks against this agent's own upstream.
+        return placing.take_offer(
+            state, service, ranking, forward, packet, now
+        )
     if home is None:
         return _answer_without_home(service, packet)
     if home.number != state.number:
--- a/src/gentianspoke/decisions/control/membership.py
+++ b/src/gentianspoke/decisions/control/membership.py
@@ -27,6 +27,9 @@
 # A longer pause between two ticks means that this process stood still and
 # could not take heartbeats.
 STALL_MS = 1_000
+# How long a leader gathers heartbeats before it issues views, where no
+# lease of an earlier leader matters.
+SETTLE_MS = 400
 # Members of a service without a live one stay listed this long: their
 # silence may be the leader's own isolation.
 KEEP_LAST_MS = 60_000
@@ -73,6 +76,8 @@
         self.term = term
         self.limits = limits
         self.started_ms = now
+        # Whether agents may act on leases that an earlier leader granted.
+        self.leases_matter = True
         self._ticked_ms = now
         self._sequence = 0
         self._services: dict[int, service_members.ServiceMembers] = {}
@@ -85,13 +90,14 @@
 
         They keep their flows in reach until they announce themselves or
         their leases have run out; also a service whose members have all
-        gone gets a view of this term.
+        gone gets a view of this term. Where no lease matters they keep
+        their state: nothing is known against them yet.
         """
         for view in known:
             record = self._record(view.service)
             for member in view.members:
                 if member.number not in record.listings:
-                    record.adopt(member, now)
+                    record.adopt(member, now, as_suspect=self.leases_matter)
             self._changed.add(view.service)
 
     def announce(
@@ -133,7 +139,10 @@
 
     def is_complete(self, now: int) -> bool:
         """Return whether the grace is over and views may be issued."""
-        return now - self.started_ms >= self.limits.removal_ms
+        grace_ms = SETTLE_MS
+        if self.leases_matter:
+            grace_ms = self.limits.removal_ms
+        return now - self.started_ms >= grace_ms
 
     def take_changed(self, now: int) -> list[views.View]:
         """Return the views that changed since the last call.
--- a/src/gentianspoke/decisions/control/service_members.py
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -73,12 +73,13 @@
         )
         return views.View(self.service, self.number, members, self.revision)
 
-    def adopt(self, member: views.Member, now: int) -> None:
-        """List a member of an earlier term's view as suspect."""
-        suspect = dataclasses.replace(
-            member, state=views.State.SUSPECT, acked_view=0
-        )
-        self._list(suspect, now)
+    def adopt(
+        self, member: views.Member, now: int, *, as_suspect: bool = True
+    ) -> None:
+        """List a member of an earlier term's view, suspect or as it was."""
+        state = views.State.SUSPECT if as_suspect else member.state
+        adopted = dataclasses.replace(member, state=state, acked_view=0)
+        self._list(adopted, now)
 
     def announce(
         self, announcement: Announcement, report: ServiceReport, now: int
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -143,14 +143,17 @@
         item: subscriber.Subscriber,
     ) -> None:
         confirm_ms = self._proc.clock.now()
+        was_complete = False
         while True:
             item.wake.clear()
             for reply in item.take_due():
                 await stream.send_message(reply)
             now = self._proc.clock.now()
-            if now >= confirm_ms:
+            is_complete = self._views_age_ms() is not None
+            if now >= confirm_ms or is_complete != was_complete:
                 await stream.send_message(self._confirmation(item))
                 confirm_ms = now + CONFIRMATION_MS
+                was_complete = is_complete
             await asyncio.sleep(COALESCE_S)
             left_s = (
                 max(0, confirm_ms - self._proc.clock.now()) / clock.MS_PER_S
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentianspoke.core import services
 from gentianspoke.core import shares
 from gentianspoke.decisions.control import membership
 from gentianspoke import errors
@@ -60,13 +61,23 @@
         while True:
             await asyncio.sleep(TICK_S)
             members = self._current()
-            self._hub.complete = self.is_complete()
+            self._note_complete()
             if members is None:
                 continue
             now = self._proc.clock.now()
             members.tick(now, self._log.confirmed_age_ms())
             self._hub.publish(members.take_changed(now))
 
+    def _note_complete(self) -> None:
+        complete = self.is_complete()
+        if complete != self._hub.complete:
+            self._hub.complete = complete
+            self._hub.wake()
+
+    def _leases_matter(self) -> bool:
+        entries = self._log.catalogue.entries.values()
+        return any(services.needs_single_decider(item) for item in entries)
+
     def _current(self) -> membership.Membership | None:
         if not self._log.is_leader:
             return None
@@ -74,6 +85,7 @@
         if self._members is None or self._members.term != term:
             now = self._proc.clock.now()
             self._members = membership.Membership(term, self._limits, now)
+            self._members.leases_matter = self._leases_matter()
             self._members.adopt(self._hub.source.views.values(), now)
             self._proc.events.write('membership-begun', term=term)
         return self._members
--- a/src/gentianspoke/shells/control/open_log.py
+++ b/src/gentianspoke/shells/control/open_log.py
@@ -7,6 +7,7 @@
 import secrets
 
 from gentianspoke.config import settings
+from gentianspoke.core import shares
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import state as states
 from gentianspoke import errors
@@ -17,6 +18,8 @@
 from gentianspoke.storage import replica_store
 
 NUMBER_BITS = 63
+# The leader's heartbeats, as a part of the time after which it is missed.
+HEARTBEAT_PERMILLE = 150
 
 
 @contextlib.contextmanager
@@ -68,8 +71,16 @@
     )
     return replica.Replica(
         stored,
-        states.Timing(),
+        _timing(role.election_ms),
         states.Limits(role.compact_records, role.kept_records, role.tolerate),
         random.Random(stored.number ^ proc.clock.now()),
         proc.clock.now(),
     )
+
+
+def _timing(election_ms: int) -> states.Timing:
+    return states.Timing(
+        heartbeat_ms=election_ms * HEARTBEAT_PERMILLE // shares.PERMILLE,
+        election_min_ms=election_ms,
+        election_max_ms=2 * election_ms,
+    )
--- a/src/gentianspoke/shells/control/relay.py
+++ b/src/gentianspoke/shells/control/relay.py
@@ -68,6 +68,8 @@
             case views.View():
                 self._hub.publish([update])
             case feed_client.Confirmed(age_ms=age_ms):
+                if self._confirmed_ms is None:
+                    self._hub.wake()
                 self._confirmed_ms = self._proc.clock.now() - age_ms
         return self._log.catalogue.version
 
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -34,7 +34,7 @@
 # Pause before the next source, doubled up to the longest one while none
 # gives a confirmation, and drawn at random up to that.
 SHORTEST_PAUSE_S = 0.25
-LONGEST_PAUSE_S = 2.0
+LONGEST_PAUSE_S = 0.75
 
 CHANNEL_ERRORS = (
     grpclib.GRPCError,
--- a/tests/membership/test_views.py
+++ b/tests/membership/test_views.py
@@ -175,3 +175,26 @@
         orders += [view.order for view in members.take_changed(now)]
     assert len(orders) > 20
     assert all(old < new for old, new in zip(orders, orders[1:]))
+
+
+def test_without_leases_views_are_issued_once_the_heartbeats_are_in():
+    members = started()
+    members.leases_matter = False
+    members.announce(heartbeat(1), 0)
+    assert members.take_changed(membership.SETTLE_MS - 1) == []
+    (view,) = members.take_changed(membership.SETTLE_MS)
+    assert [member.number for member in view.members] == [1]
+
+
+@pytest.mark.parametrize(
+    ('leases_matter', 'state'), [(True, SUSPECT), (False, LIVE)]
+)
+def test_a_member_of_an_earlier_term_is_suspect_where_its_lease_matters(
+    leases_matter, state
+):
+    before = started()
+    before.announce(heartbeat(1), 0)
+    after = started(term=2)
+    after.leases_matter = leases_matter
+    after.adopt([before.view(1)], 0)
+    assert only(after).state is state
