--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-RUN = PYTHONPATH=src:. $(BIN)/python
-SOURCES = src tests tools benchmarks demo specs
+RUN = PYTHONPATH=src:platform:. $(BIN)/python
+SOURCES = src platform tests tools benchmarks demo specs
 
 .PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
@@ -38,6 +38,7 @@
 
 layers: $(VENV)/.ready
 	$(RUN) tools/check_layers.py
+	$(RUN) tools/check_names.py
 
 unit: $(VENV)/.ready
 	$(RUN) -m pytest
--- /dev/null
+++ b/tests/net/test_http.py
@@ -0,0 +1,106 @@
+"""The HTTP server takes what the protocol allows and refuses the rest."""
+
+import asyncio
+import socket
+
+import pytest
+
+from gentianspoke.net import http
+
+HOST = '127.0.0.1'
+PATIENCE_S = 5.0
+
+
+async def echo(request):
+    """Return method, path and body."""
+    text = f'{request.method} {request.path} '.encode() + request.body
+    return http.Reply(200, text)
+
+
+async def exchange(*parts, handle=echo):
+    """Send parts one after the other and return all that came back."""
+    port = free_port()
+    async with http.serve_http((HOST, port), handle):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write_eof()
+        async with asyncio.timeout(PATIENCE_S):
+            answer = await reader.read()
+        writer.close()
+    return answer
+
+
+def free_port():
+    """Return a port that is free a moment before it is used."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+GET = b'GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n'
+POST = b'POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc'
+CHUNKED = (
+    b'POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'1\r\na\r\n2\r\nbc\r\n0\r\n\r\n'
+)
+EXPECT = (
+    b'POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n'
+    b'Expect: 100-continue\r\n\r\n'
+)
+LARGE = b'POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n' % (
+    http.LARGEST_BODY_BYTES + 1
+)
+
+
+@pytest.mark.parametrize(
+    ('parts', 'expected'),
+    [
+        pytest.param([GET], [b'200', b'GET /a '], id='without its query'),
+        pytest.param([POST], [b'200', b'POST /p abc'], id='with a body'),
+        pytest.param([CHUNKED], [b'POST /p abc'], id='in chunks'),
+        pytest.param(
+            [POST[:20], POST[20:-1], POST[-1:]], [b'POST /p abc'], id='slow'
+        ),
+        pytest.param(
+            [POST + GET], [b'POST /p abc', b'GET /a '], id='pipelined'
+        ),
+        pytest.param([EXPECT, b'abc'], [b'100', b'POST /p abc'], id='expects'),
+        pytest.param([b'nonsense\r\n\r\n'], [b'400'], id='no HTTP'),
+        pytest.param(
+            [LARGE, bytes(http.LARGEST_BODY_BYTES + 1)], [b'413'], id='large'
+        ),
+    ],
+)
+async def test_a_connection_is_answered(parts, expected):
+    answer = await exchange(*parts)
+    for part in expected:
+        assert part in answer
+
+
+async def test_a_request_that_is_cut_short_is_not_handled():
+    handled = []
+
+    async def handle(request):
+        handled.append(request)
+        return http.Reply(200)
+
+    answer = await exchange(POST[:-1], handle=handle)
+    assert handled == [] and b'200' not in answer
+
+
+async def test_a_fault_of_the_handler_is_answered_as_one():
+    async def fail(request):
+        raise RuntimeError('broken')
+
+    assert b'500' in await exchange(GET, handle=fail)
+
+
+async def test_a_redirection_names_its_place():
+    async def redirect(request):
+        return http.Reply(307, location='http://10.0.0.1/x')
+
+    answer = await exchange(GET, handle=redirect)
+    assert b'307' in answer and b'location: http://10.0.0.1/x' in answer
--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,125 @@
+"""The platform's settings become the project's, or name what is wrong."""
+
+from gentianspoke_platform import boot
+from gentianspoke_platform import start
+import pytest
+
+from gentianspoke import errors
+
+FRONT = '''
+node = "front-a-1"
+class = "front"
+serves = ["front", "control"]
+ip = "10.1.0.10"
+zone = "a"
+internal_port_range = [7720, 7735]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+bootstrap = true
+data_dir = "/data/x"
+unknown = 1
+[listen]
+data_addr = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+[tolerate]
+machines = 1
+[bounds]
+grace_s = 6
+flow_ttl_s = 60
+'''
+SIDE = '''
+node = "side-a-1"
+class = "side"
+serves = ["side"]
+ip = "10.1.0.13"
+zone = "a"
+internal_port_range = [7720, 7735]
+seeds = ["10.1.0.10:8166"]
+app = "10.1.0.13:8165"
+service = "pricing"
+[listen]
+data_addr = "10.1.0.13:8172"
+outbound = "10.1.0.13:8162"
+ready = "10.1.0.13:8167"
+control = "10.1.0.13:8166"
+[tolerate]
+[bounds]
+'''
+
+
+def read(tmp_path, text):
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    return boot.read(str(path))
+
+
+def test_seeds_become_the_first_members(tmp_path):
+    cfg = boot.control_settings(read(tmp_path, FRONT))
+    assert cfg.feeds == (('10.1.0.10', 7_720), ('10.2.0.40', 7_720))
+    assert [name for name, _ in cfg.role.members] == [
+        '10.1.0.10:7720',
+        '10.2.0.40:7720',
+    ]
+    assert (cfg.role.member, cfg.role.join) == ('10.1.0.10:7720', False)
+    assert cfg.grace_ms == 6_000 - boot.STOP_MARGIN_MS
+
+
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        ('bootstrap = true', 'bootstrap = false'),
+        ('ip = "10.1.0.10"', 'ip = "10.1.0.99"'),
+    ],
+)
+def test_who_is_no_seed_of_a_first_start_joins(tmp_path, old, new):
+    cfg = boot.control_settings(read(tmp_path, FRONT.replace(old, new)))
+    assert cfg.role.join and cfg.role.members == ()
+
+
+def test_an_agent_serves_the_pool_of_its_upstream(tmp_path):
+    cfg = boot.agent_settings(read(tmp_path, SIDE))
+    assert (cfg.role.pool, cfg.role.services) == ('pricing', ('pricing',))
+    assert cfg.role.upstream == ('10.1.0.13', 8_165)
+    assert cfg.role.upstream_side == ('10.1.0.13', 8_162)
+
+
+@pytest.mark.parametrize(
+    ('text', 'old', 'new', 'key'),
+    [
+        (FRONT, 'ip = "10.1.0.10"', '', 'ip'),
+        (FRONT, '[7720, 7735]', '7720', 'internal_port_range'),
+        (FRONT, '"10.2.0.40:8166"', '"nowhere"', 'seeds.1'),
+        (FRONT, 'data_addr = "10.1.0.10:8172"', '', 'listen.data_addr'),
+        (FRONT, ':8167"', ':0"', 'listen.ready'),
+        (FRONT, 'machines = 1', 'machines = "1"', 'tolerate.machines'),
+        (SIDE, 'app = "10.1.0.13:8165"', '', 'app'),
+        (SIDE, 'outbound = "10.1.0.13:8162"', '', 'listen.outbound'),
+    ],
+)
+def test_a_fault_names_file_key_and_remedy(tmp_path, text, old, new, key):
+    assert old in text
+    with pytest.raises(errors.SettingsError) as caught:
+        read(tmp_path, text.replace(old, new, 1))
+    assert caught.value.key in (key, 'settings')
+    assert key.rpartition('.')[2] in str(caught.value)
+    assert caught.value.file.endswith('boot.toml')
+
+
+def test_a_file_that_is_no_toml_is_refused(tmp_path):
+    with pytest.raises(errors.SettingsError):
+        read(tmp_path, 'node = ')
+    with pytest.raises(errors.SettingsError):
+        boot.read(str(tmp_path / 'none.toml'))
+
+
+@pytest.mark.parametrize(('text', 'status'), [(FRONT, 0), ('x = ', 2)])
+def test_the_command_checks_a_file(tmp_path, capsys, text, status):
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    assert start.run(['check', str(path)]) == status
+    assert str(path) in ''.join(capsys.readouterr())
+
+
+def test_unknown_words_give_the_usage(capsys):
+    assert start.run(['dance']) == start.EXIT_BAD_INPUT
+    assert 'usage' in capsys.readouterr().err
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,104 @@
+"""A configuration becomes a document, or one line says why it cannot."""
+
+import copy
+import json
+
+from gentianspoke_platform import configuration
+import pytest
+
+from gentianspoke.core import services
+from gentianspoke import errors
+
+VALID = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': '198.18.0.1',
+            'path_prefix': '/8443/',
+            'kind': 'safe',
+            'timeout_ms': 1_500,
+            'latency_target_ms': 276,
+            'priority': 2,
+            'backends': [
+                {'service': 'a', 'weight': 90},
+                {'service': 'b', 'weight': 10},
+            ],
+            'max_attempts': 2,
+        },
+        {
+            'name': 'r-2',
+            'host': '198.18.0.1',
+            'path_prefix': '/8080/',
+            'kind': 'unsafe',
+            'timeout_ms': 2_000,
+            'service': 'a',
+        },
+    ],
+    'services': [{'name': 'a', 'max_conns': 20}, {'name': 'b'}],
+    'limits': {'idle_timeout_ms': 15_000},
+}
+
+
+def changed(**changes):
+    """Return the valid configuration with keys of its first route changed."""
+    content = copy.deepcopy(VALID)
+    content['routes'][0].update(changes)
+    return json.dumps(content).encode()
+
+
+def test_routes_become_entries_with_shares():
+    body = json.dumps(VALID).encode()
+    document = configuration.decode(body)
+    board, booking = document.entries
+    assert (document.version, document.text) == (7, body)
+    assert board.shares == (
+        services.Share(0, 90, 'a'),
+        services.Share(0, 10, 'b'),
+    )
+    assert (board.address, board.ports) == (bytes((198, 18, 0, 1)), (8_443,))
+    assert board.traffic == services.Board()
+    assert booking.traffic == services.Booking(idempotent=False)
+    assert booking.shares == (services.Share(0, 1, 'a'),)
+    assert board.handshake and not services.needs_single_decider(booking)
+    assert (board.limits.wait_ms, booking.limits.wait_ms) == (69, 500)
+    assert (board.priority, board.limits.connections) == (2, 20)
+
+
+@pytest.mark.parametrize(
+    ('body', 'part'),
+    [
+        pytest.param(b'', 'not valid', id='empty'),
+        pytest.param(changed()[:-3], 'not valid', id='cut short'),
+        pytest.param(b'\xff\xfe', 'not valid', id='no text'),
+        pytest.param(b'{}', 'version', id='nothing in it'),
+        pytest.param(changed(timeout_ms=0), 'timeout_ms', id='no time-out'),
+        pytest.param(changed(timeout_ms='5'), 'timeout_ms', id='a text'),
+        pytest.param(changed(kind='odd'), 'kind', id='unknown kind'),
+        pytest.param(changed(host='here'), 'here', id='no address'),
+        pytest.param(changed(path_prefix='/x/'), '/x/', id='no port'),
+        pytest.param(changed(path_prefix='/0/'), '/0/', id='port 0'),
+        pytest.param(changed(path_prefix='/70000/'), '70000', id='large port'),
+        pytest.param(
+            changed(path_prefix='/8080/'), 'r-2', id='same place twice'
+        ),
+        pytest.param(changed(name='r-2'), 'r-2', id='same name twice'),
+        pytest.param(changed(service='c'), 'c', id='unknown pool'),
+        pytest.param(changed(backends=[]), 'no pool', id='no pool'),
+        pytest.param(
+            changed(backends=[{'service': 'a', 'weight': 0}]),
+            'weights',
+            id='no weight',
+        ),
+        pytest.param(
+            changed(backends=[{'service': 'c', 'weight': 1}]),
+            'c',
+            id='unknown pool by weight',
+        ),
+    ],
+)
+def test_an_invalid_configuration_is_refused_with_one_line(body, part):
+    with pytest.raises(errors.ControlError) as caught:
+        configuration.decode(body)
+    assert part in str(caught.value)
+    assert '\n' not in str(caught.value)
--- /dev/null
+++ b/tests/platform/test_heads.py
@@ -0,0 +1,109 @@
+"""Packets of the platform are read, returned and reset as published."""
+
+from gentianspoke_platform import heads
+import pytest
+
+from gentianspoke.core import packets
+from gentianspoke import errors
+
+PORT = 8_172
+CODEC = heads.Heads(PORT)
+CALLER = bytes((100, 64, 0, 7))
+SERVICE = bytes((198, 18, 0, 1))
+KEY = packets.make_key(packets.TCP, CALLER, SERVICE, 40_001, 443)
+OPENING = bytes.fromhex(
+    'd5c3b2a1 bb01 07004064 010012c6 419c 00000000 44332211 00000000'
+    ' 0000 40 000000'
+)
+RESET = bytes.fromhex(
+    '00000000 419c 0100 12c6 0700 4064 bb01 00000000 00000000 00000000'
+    ' 0000 10 000000'
+)
+
+
+def head(flags=heads.ACK, seq=1, ack=2, data=b'', length=None, reply=False):
+    """Return a packet of the caller, or with ``reply`` of the upstream."""
+    ends = (443, heads.swap(CALLER), heads.swap(SERVICE), 40_001)
+    if reply:
+        ends = (40_001, heads.swap(SERVICE), heads.swap(CALLER), 443)
+    length = len(data) if length is None else length
+    fixed = heads.HEAD.pack(7, *ends, 0, seq, ack, length, flags, heads.PAD)
+    return fixed + data
+
+
+def test_the_published_opening_is_read():
+    packet = CODEC.parse(OPENING)
+    assert packet == packets.Segment(
+        KEY, packets.SYN, 0x11223344, 0, 0, OPENING
+    )
+
+
+def test_a_refusal_is_the_published_reset():
+    assert CODEC.reset_for(CODEC.parse(OPENING)) == RESET
+
+
+@pytest.mark.parametrize(
+    ('theirs', 'ours'),
+    [
+        (heads.SYN, packets.SYN),
+        (heads.SYN | heads.ACK, packets.SYN | packets.ACK),
+        (heads.ACK, packets.ACK),
+        (heads.FIN | heads.ACK, packets.FIN | packets.ACK),
+        (heads.RST, packets.RST),
+    ],
+)
+def test_flags_are_translated(theirs, ours):
+    assert CODEC.parse(head(theirs)).flags == ours
+
+
+@pytest.mark.parametrize(
+    ('flags', 'copy'), [(heads.SYN, 2), (heads.ACK, 0), (heads.RST, 0)]
+)
+def test_only_an_opening_tells_which_copy_it_is(flags, copy):
+    assert CODEC.parse(head(flags, ack=2)).copy == copy
+
+
+def test_a_reply_is_turned_to_the_callers_point_of_view():
+    packet = CODEC.parse(head(data=b'abc', reply=True), reply=True)
+    assert (packet.key, packet.payload_bytes) == (KEY, 3)
+
+
+def test_a_returned_packet_is_the_callers_own_again():
+    sent = head(data=b'abc')
+    back = bytearray(sent)
+    back[heads.FLAGS_OFFSET] |= heads.BOUNCED
+    packet = CODEC.parse(bytes(back), reply=True)
+    assert (packet.key, packet.returned, packet.raw) == (KEY, True, sent)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'reason'),
+    [
+        pytest.param(b'', 'truncated', id='empty'),
+        pytest.param(head()[:-1], 'truncated', id='short head'),
+        pytest.param(head(length=1), 'bad-length', id='too little data'),
+        pytest.param(
+            head(data=b'ab', length=1), 'bad-length', id='too much data'
+        ),
+        pytest.param(
+            head(data=bytes(1_201)), 'bad-length', id='more than allowed'
+        ),
+        pytest.param(head(flags=1), 'unknown-flags', id='unknown flag'),
+        pytest.param(
+            head(flags=heads.ACK | heads.BOUNCED),
+            'unknown-flags',
+            id='a caller marks a packet as returned',
+        ),
+    ],
+)
+def test_what_is_no_packet_is_named(raw, reason):
+    with pytest.raises(errors.PacketError) as caught:
+        CODEC.parse(raw)
+    assert caught.value.reason == reason
+
+
+def test_a_reset_goes_to_the_callers_own_address():
+    raw = CODEC.reset_to_caller(KEY, 5, 6)
+    assert CODEC.destination(raw) == ('100.64.0.7', PORT)
+    reset = CODEC.parse(raw, reply=True)
+    assert (reset.key, reset.flags, reset.seq) == (KEY, packets.RST, 5)
--- /dev/null
+++ b/tests/platform/test_operator.py
@@ -0,0 +1,84 @@
+"""The operator's calls are answered by what became of the document."""
+
+import json
+
+from gentianspoke_platform import control
+import pytest
+
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.net import http
+from gentianspoke.shells.control import documents
+
+BODY = json.dumps(
+    {
+        'version': 3,
+        'routes': [],
+        'services': [],
+        'limits': {'idle_timeout_ms': 1},
+    }
+).encode()
+DOCUMENT = catalogue.Document(3, BODY)
+
+
+class FakeDocuments:
+    """Answers every call with one outcome."""
+
+    def __init__(self, outcome):
+        """Answer with ``outcome``."""
+        self.outcome = outcome
+        self.put_documents = []
+
+    async def put(self, document):
+        """Keep the document."""
+        self.put_documents.append(document)
+        return self.outcome
+
+    async def read(self):
+        """Return the outcome."""
+        return self.outcome
+
+
+@pytest.mark.parametrize(
+    ('call', 'outcome', 'status', 'body', 'location'),
+    [
+        (control.PUT, documents.Accepted(3), 200, b'{}', ''),
+        (
+            control.PUT,
+            documents.AskLeader('10.0.0.4'),
+            307,
+            b'',
+            'http://10.0.0.4:8080/v1/config/put',
+        ),
+        (control.PUT, documents.Unavailable('later'), 503, b'later', ''),
+        (control.GET, documents.Found(DOCUMENT), 200, BODY, ''),
+        (
+            control.GET,
+            documents.AskLeader('10.0.0.4'),
+            307,
+            b'',
+            'http://10.0.0.4:8080/v1/config/get',
+        ),
+        (control.GET, documents.Unavailable('later'), 503, b'later', ''),
+    ],
+)
+async def test_outcomes_become_replies(call, outcome, status, body, location):
+    operator = control.Operator(FakeDocuments(outcome), 8_080)
+    reply = await operator.handle(http.Request(*call, BODY))
+    assert (reply.status, reply.body, reply.location) == (
+        status,
+        body,
+        location,
+    )
+
+
+async def test_an_invalid_configuration_reaches_no_log():
+    inner = FakeDocuments(documents.Accepted(3))
+    operator = control.Operator(inner, 8_080)
+    reply = await operator.handle(http.Request(*control.PUT, b'{'))
+    assert (reply.status, inner.put_documents) == (400, [])
+
+
+async def test_another_call_is_not_found():
+    operator = control.Operator(FakeDocuments(documents.Accepted(3)), 8_080)
+    reply = await operator.handle(http.Request('GET', '/', b''))
+    assert reply.status == 404
