--- a/src/gentianspoke/decisions/agent/adoption.py
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -14,6 +14,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import closing
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import placed
@@ -103,6 +104,8 @@
     match packet:
         case packets.Segment():
             evidence.note_up(flow, packet, now)
+            if packet.flags & packets.FIN:
+                closing.note_up(state, flow, packet, now)
     return actions.Deliver(packet.raw)
 
 
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -8,6 +8,8 @@
 
 NO_OPENING = -1
 NO_SEQ = -1
+# A moment before any other.
+NEVER_MS = -(10**12)
 
 
 class Phase(enum.Enum):
@@ -78,7 +80,7 @@
     by_request: bool = False
     # Packets that came while the flow was not confirmed.
     waiting: list[Unconfirmed] = dataclasses.field(default_factory=list)
-    told_ms: int = 0
+    told_ms: int = NEVER_MS
     # The frame of an opening, until the upstream has answered it.
     offer: frames.Forward | None = None
     # Whether the upstream has sent anything but its handshake.
--- /dev/null
+++ b/tests/agent/test_finding.py
@@ -0,0 +1,270 @@
+"""Flows of upstreams with a handshake find their owner, or nobody."""
+
+import dataclasses
+
+import builders
+import fakes
+import pytest
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.core import views
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import finding
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import tables
+
+ACK = packets.ACK
+SYN_ACK = packets.SYN | packets.ACK
+FIN = packets.FIN | packets.ACK
+POOL = 7
+ENTRY = dataclasses.replace(
+    builders.service(services.Booking(False), wait_ms=50),
+    handshake=True,
+    shares=(services.Share(POOL, 1, 'pool'),),
+)
+
+
+def view(*members, number=1):
+    found = members or [builders.member(n + 1) for n in range(3)]
+    return views.View(POOL, number, tuple(found))
+
+
+def agent(number=1, entry=ENTRY, held=None, **fields):
+    state = fakes.agent(number, entry, held or view(), own_pool=POOL, **fields)
+    state.lease_until_ms = 0
+    return state
+
+
+def packet(flags=ACK, seq=101, ack=501, payload=0, **fields):
+    return packets.Segment(
+        builders.flow_key(), flags, seq, ack, payload, b'raw', **fields
+    )
+
+
+SYN = packet(packets.SYN, 100, 0)
+DATA = packet(payload=900)
+
+
+def frame(target, purpose=frames.Purpose.ROUTE, **fields):
+    made = fakes.forward(target, DATA, purpose, **fields)
+    return dataclasses.replace(made, pool=POOL)
+
+
+def home_and_others():
+    """Return the members in the order of the flow's bucket."""
+    ranking = agent().rankings[POOL]
+    bucket = frame(1).bucket
+    return [member.number for member in ranking.order(bucket)]
+
+
+HOME, SECOND, THIRD = home_and_others()
+
+
+def send(state, segment, now=0, **fields):
+    """Let an entry or agent send a packet; return what was decided."""
+    made = dataclasses.replace(
+        frame(state.number, **fields), packet=segment.raw
+    )
+    return core.on_forward(state, made, segment, now)
+
+
+def opened(number=HOME, **fields):
+    """Return an agent with the flow open and answered."""
+    state = agent(number, **fields)
+    send(state, SYN, purpose=frames.Purpose.OFFER)
+    core.on_reply(state, packet(SYN_ACK, 500, 101), 1)
+    return state
+
+
+def kinds(decided):
+    return [type(action) for action in decided]
+
+
+def test_an_opening_is_delivered_without_a_lease():
+    state = agent(HOME)
+    assert kinds(send(state, SYN)) == [actions.Deliver]
+
+
+@pytest.mark.parametrize('number', [SECOND, THIRD])
+def test_a_copy_that_an_entry_offers_elsewhere_is_taken(number):
+    state = agent(number)
+    copy = dataclasses.replace(SYN, copy=1)
+    decided = send(state, copy, purpose=frames.Purpose.OFFER)
+    assert kinds(decided) == [actions.Deliver]
+
+
+def test_a_slot_is_held_from_request_to_answer():
+    state = opened()
+    send(state, DATA, 2)
+    send(state, DATA, 3)
+    assert state.running() == 1
+    core.on_reply(state, packet(seq=501, payload=600), 9)
+    assert state.running() == 0
+    send(state, DATA, 10)
+    assert state.running() == 0
+
+
+@pytest.mark.parametrize(
+    ('running', 'hold_ms', 'is_taken'),
+    [(3, 500, True), (4, 100, True), (4, 500, False), (9, 40, False)],
+)
+def test_an_opening_goes_elsewhere_where_it_would_wait_too_long(
+    running, hold_ms, is_taken
+):
+    state = agent(HOME)
+    state.total_running = state.counts[POOL].running = running
+    state.counts[POOL].hold_ms = hold_ms
+    expected = actions.Deliver if is_taken else actions.Pass
+    assert kinds(send(state, SYN)) == [expected]
+
+
+def test_an_opening_that_comes_back_is_offered_to_another():
+    state = agent(HOME)
+    send(state, SYN)
+    back = dataclasses.replace(SYN, returned=True)
+    (offer,) = core.on_returned(state, back, 1)
+    assert offer.forward.purpose is frames.Purpose.OFFER
+    assert offer.member.number in (SECOND, THIRD)
+    assert state.open_flows() == 0
+
+
+@pytest.mark.parametrize(
+    ('copy', 'kind'), [(0, actions.Refuse), (1, actions.Drop)]
+)
+def test_only_a_first_opening_is_refused(copy, kind):
+    alone = view(builders.member(HOME))
+    state = agent(HOME, held=alone)
+    opening = dataclasses.replace(SYN, copy=copy)
+    send(state, opening)
+    back = dataclasses.replace(opening, returned=True)
+    assert kinds(core.on_returned(state, back, 1)) == [kind]
+
+
+def test_an_unknown_flow_is_searched_and_never_reset():
+    state = agent(HOME)
+    found = []
+    for now in range(0, 60_000, 1_000):
+        found += kinds(send(state, DATA, now))
+    assert set(found) == {actions.Pass}
+    last = frame(HOME, tried=(SECOND, THIRD))
+    assert core.on_forward(state, last, DATA, 0) == [actions.Drop('no-owner')]
+
+
+def test_the_member_that_was_asked_first_learns_the_owner():
+    owner = opened(SECOND)
+    sought = frame(SECOND, tried=(HOME, THIRD))
+    tell, deliver = core.on_forward(owner, sought, DATA, 5)
+    assert (tell.member.number, type(deliver)) == (HOME, actions.Deliver)
+    home = agent(HOME)
+    core.on_owned(home, tell.owned, 6)
+    (passed,) = send(home, DATA, 7)
+    assert passed.member.number == SECOND
+    again = core.on_forward(owner, sought, DATA, 8)
+    assert kinds(again) == [actions.Deliver]
+
+
+class TestAfterARestart:
+    """An agent that restarted beside its upstream."""
+
+    @pytest.fixture
+    def state(self):
+        """Return the agent, which knows no flow."""
+        return agent(HOME, recovering=True)
+
+    def test_a_packet_is_tried_and_those_after_it_wait(self, state):
+        assert kinds(send(state, DATA)) == [actions.Deliver]
+        assert kinds(send(state, DATA, 1)) == [actions.Hold]
+
+    @pytest.mark.parametrize(
+        'confirm',
+        [
+            pytest.param(
+                lambda state: core.on_reply(state, packet(seq=501), 2),
+                id='by an answer',
+            ),
+            pytest.param(
+                lambda state: core.on_tick(state, 1_000), id='by time'
+            ),
+            pytest.param(
+                lambda state: send(state, DATA, finding.CONFIRM_MS),
+                id='by the next packet',
+            ),
+        ],
+    )
+    def test_what_waited_is_delivered_once_confirmed(self, state, confirm):
+        send(state, DATA)
+        send(state, DATA, 1)
+        assert actions.Deliver in kinds(confirm(state))
+        assert not state.flows[DATA.key].waiting
+
+    def test_what_comes_back_is_searched_elsewhere_and_not_tried_again(
+        self, state
+    ):
+        send(state, DATA)
+        send(state, DATA, 1)
+        back = dataclasses.replace(DATA, returned=True)
+        decided = core.on_returned(state, back, 2)
+        assert kinds(decided) == [actions.Pass, actions.Pass]
+        assert kinds(send(state, DATA, 3)) == [actions.Pass]
+
+    def test_the_upstreams_own_packets_are_handed_on(self, state):
+        for flags in (ACK, FIN, packets.RST, SYN_ACK):
+            decided = core.on_reply(state, packet(flags), 1)
+            assert kinds(decided) == [actions.Answer]
+
+
+def test_a_flow_that_its_upstream_has_lost_is_reset():
+    state = opened()
+    send(state, DATA, 2)
+    core.on_reply(state, packet(seq=501), 3)
+    back = dataclasses.replace(DATA, returned=True)
+    (reset,) = core.on_returned(state, back, 4)
+    assert (type(reset), reset.seq) == (actions.ResetCaller, DATA.ack)
+
+
+def test_a_flow_that_only_this_upstream_answered_is_searched_elsewhere():
+    state = opened()
+    back = dataclasses.replace(DATA, returned=True)
+    send(state, DATA, 2)
+    assert kinds(core.on_returned(state, back, 3)) == [actions.Pass]
+    assert DATA.key not in state.flows
+
+
+@pytest.mark.parametrize('drains', [False, True])
+def test_without_a_live_member_an_agent_serves_by_itself(drains):
+    suspects = [
+        builders.member(n + 1, views.State.SUSPECT, closed_view=1)
+        for n in range(3)
+    ]
+    state = agent(HOME, held=view(*suspects), draining=drains)
+    expected = actions.Refuse if drains else actions.Deliver
+    assert kinds(send(state, SYN)) == [expected]
+
+
+def test_an_opening_that_nobody_answers_is_forgotten_soon():
+    state = agent(HOME)
+    send(state, SYN)
+    core.on_tick(state, tables.HANDSHAKE_MS + 500)
+    assert state.open_flows() == 0
+
+
+@pytest.mark.parametrize('first', ['up', 'down'])
+def test_an_adopted_flow_that_was_closing_frees_its_slot(first):
+    entry = builders.service(services.Booking(False))
+    state = fakes.agent(1, entry, builders.view(builders.member(1)))
+    state.recovering = True
+    segment = packets.Segment(builders.flow_key(), FIN, 7, 9, 0, b'raw')
+    if first == 'up':
+        made = fakes.forward(1, segment)
+        core.on_forward(state, made, segment, 0)
+        core.on_reply(state, dataclasses.replace(segment, flags=ACK), 1)
+    else:
+        core.on_reply(state, segment, 0)
+    assert state.running() == 1
+    for now in range(0, 4_000, 50):
+        core.on_tick(state, now)
+    assert not state.in_progress()
+    assert state.flows[segment.key].phase is records.Phase.CLOSED
--- /dev/null
+++ b/tests/decisions/test_documents.py
@@ -0,0 +1,128 @@
+"""Whole catalogues: the highest version wins, and only changes travel."""
+
+import dataclasses
+import itertools
+
+import builders
+import pytest
+
+from gentianspoke.codec import catalogue as codec
+from gentianspoke.codec import replica as replica_codec
+from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import documents
+from gentianspoke.decisions.control.replica import records
+
+
+def entry(name='a', pool='p', port=443, **fields):
+    shares = (services.Share(0, 1, pool),)
+    found = builders.service(services.Board())
+    return dataclasses.replace(
+        found,
+        name=name,
+        number=0,
+        version=0,
+        ports=(port,),
+        shares=shares,
+        handshake=True,
+        **fields,
+    )
+
+
+def document(version, *entries, text=b''):
+    made = catalogue.Document(version, text or b'%d' % version, entries)
+    return catalogue.Request(f'document/{version}', '', (), made)
+
+
+def applied(*requests):
+    state = catalogue.Catalogue()
+    answers = [state.apply(request) for request in requests]
+    assert all(answer.accepted for answer in answers)
+    return state
+
+
+VERSIONS = (document(3, entry()), document(7, entry('b')), document(5))
+
+
+@pytest.mark.parametrize('order', list(itertools.permutations(VERSIONS)))
+def test_the_highest_version_wins_in_any_order(order):
+    state = applied(*order, *order)
+    assert state.document == catalogue.Document(7, b'7')
+    live = [item.name for item in state.entry_list() if not item.retired]
+    assert live == ['b']
+
+
+def test_other_content_under_the_version_held_changes_nothing():
+    state = applied(document(3, entry()), document(3, text=b'other'))
+    assert state.document.text == b'3'
+
+
+def test_an_entry_keeps_its_number_and_version_until_it_changes():
+    state = applied(document(1, entry('a'), entry('b', port=8)))
+    before = dict(state.entries)
+    state.apply(document(2, entry('a'), entry('b', port=9)))
+    assert state.entries['a'] == before['a']
+    assert state.entries['b'].number == before['b'].number
+    assert state.entries['b'].version == state.version == 2
+
+
+def test_an_entry_that_is_missing_is_retired_and_can_come_back():
+    state = applied(document(1, entry()), document(2))
+    assert state.entries['a'].retired and state.entries['a'].version == 2
+    state.apply(document(3, entry()))
+    assert not state.entries['a'].retired
+
+
+def test_pools_get_numbers_of_their_own_that_last():
+    state = applied(document(1, entry(pool='p')), document(2))
+    number = state.pool_number('p')
+    state.apply(document(3, entry(pool='p'), entry('b', 'q', 8)))
+    assert state.pool_number('p') == number != state.pool_number('q')
+    assert state.entries['a'].shares[0].pool == number
+    assert state.pool_number('none') is None
+
+
+def test_a_pool_that_a_service_leaves_is_remembered():
+    state = applied(document(1, entry(pool='p')), document(2, entry(pool='q')))
+    found = state.entries['a']
+    assert found.former == (state.pool_number('p'),)
+    assert services.all_pools(found) == (
+        state.pool_number('q'),
+        state.pool_number('p'),
+    )
+
+
+def test_a_snapshot_and_a_record_hold_a_document():
+    request = document(1, entry())
+    state = applied(request)
+    copy = catalogue.Catalogue()
+    snapshot = records.Snapshot(1, 1, records.Base().group, state.export())
+    encoded = replica_codec.encode_snapshot(snapshot)
+    copy.restore(replica_codec.decode_snapshot(encoded).state)
+    assert copy.export() == state.export()
+    assert codec.decode_request(codec.encode_request(request)) == request
+
+
+@pytest.mark.parametrize(
+    ('entries', 'word'),
+    [
+        ([entry()], ''),
+        ([entry(), entry()], 'twice'),
+        ([entry(), entry('b')], 'port 443'),
+        ([entry(), entry('b', port=8)], ''),
+        ([entry(pool='none')], 'none'),
+        ([dataclasses.replace(entry(), shares=())], 'no pool'),
+        (
+            [
+                dataclasses.replace(
+                    entry(), shares=(services.Share(0, 0, 'p'),)
+                )
+            ],
+            'weights',
+        ),
+    ],
+)
+def test_a_document_that_cannot_hold_is_named(entries, word):
+    fault = documents.find_fault(entries, {'p'})
+    assert bool(fault) is bool(word)
+    assert word in fault
--- /dev/null
+++ b/tests/replica/test_succession.py
@@ -0,0 +1,114 @@
+"""Lost members are replaced without an operator, never below a majority."""
+
+import pytest
+import replica_network
+
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import state as states
+from gentianspoke.decisions.control.replica import succession
+
+LIMITS = states.Limits(tolerate=1)
+NEW = 9
+
+
+def group_of(net, number):
+    """Return the numbers of the voters that a member knows."""
+    return {item.number for item in net.replicas[number].state.group.voters}
+
+
+def join(net, leader, number=NEW):
+    """Let the leader add a new member, as it asks for."""
+    item = replica_network.member(number, voter=False)
+    net.step(leader, messages.AddLearner(item))
+
+
+def others(leader):
+    return [number for number in (1, 2, 3) if number != leader]
+
+
+def test_a_member_that_lost_its_folder_is_replaced_by_what_took_its_place():
+    net = replica_network.Network(limits=LIMITS)
+    leader = net.await_leader()
+    lost, kept = others(leader)
+    net.propose(leader, replica_network.request('a'))
+    net.run(300)
+    net.wipe(lost, NEW)
+    net.run(1_000)
+    assert group_of(net, leader) == {leader, kept}
+    join(net, leader)
+    net.run(1_000)
+    assert group_of(net, leader) == {leader, kept, NEW}
+    assert net.replicas[NEW].state.catalogue.version == 1
+
+
+def test_without_the_setting_operators_see_to_the_members():
+    net = replica_network.Network()
+    leader = net.await_leader()
+    net.wipe(others(leader)[0], NEW)
+    net.run(5_000)
+    assert group_of(net, leader) == {1, 2, 3}
+
+
+@pytest.mark.parametrize(
+    ('joins', 'wait_ms', 'is_removed'),
+    [
+        pytest.param(False, 10_000, False, id='nobody to take its place'),
+        pytest.param(True, 1_000, False, id='silent for a moment'),
+        pytest.param(True, 5_000, True, id='silent, and another votes'),
+    ],
+)
+def test_a_silent_member_is_removed_only_where_enough_others_vote(
+    joins, wait_ms, is_removed
+):
+    net = replica_network.Network(limits=LIMITS)
+    leader = net.await_leader()
+    lost, kept = others(leader)
+    net.stop(lost)
+    if joins:
+        net.create(NEW)
+        join(net, leader)
+    net.run(wait_ms)
+    assert (lost not in group_of(net, leader)) is is_removed
+    assert {leader, kept} <= group_of(net, leader)
+
+
+def test_a_removed_member_that_comes_back_is_added_again():
+    net = replica_network.Network(limits=LIMITS)
+    leader = net.await_leader()
+    lost, kept = others(leader)
+    net.stop(lost)
+    net.create(NEW)
+    join(net, leader)
+    net.run(5_000)
+    net.start(lost)
+    join(net, leader, lost)
+    net.run(1_000)
+    assert group_of(net, leader) == {leader, kept, lost, NEW}
+
+
+def test_a_minority_that_missed_changes_stalls_beside_a_lost_folder():
+    net = replica_network.Network(limits=LIMITS)
+    leader = net.await_leader()
+    wiped, behind = others(leader)
+    net.isolate(behind)
+    net.propose(leader, replica_network.request('a'))
+    net.run(100)
+    net.stop(leader)
+    net.wipe(wiped, NEW)
+    net.lost.clear()
+    net.run(10_000)
+    assert net.leader() is None
+    net.start(leader)
+    second = net.await_leader()
+    net.run(300)
+    assert net.replicas[second].state.catalogue.version == 1
+
+
+def test_a_learner_that_stays_silent_is_removed():
+    net = replica_network.Network(limits=LIMITS)
+    leader = net.await_leader()
+    net.create(NEW)
+    net.isolate(NEW)
+    join(net, leader)
+    net.run(succession.LEARNER_SILENT_MS + 1_000)
+    assert net.replicas[leader].state.group.find(NEW) is None
--- a/tests/replica_network.py
+++ b/tests/replica_network.py
@@ -79,6 +79,8 @@
         self.rng = random.Random(seed)
         self.limits = limits
         self.lost = set()
+        # Members with a new folder at the address of one that lost its own.
+        self.in_place_of = {}
         self.loss = 0.0
         self.answers = {}
         self.leaders = {}
@@ -124,6 +126,12 @@
         """Stop a member at once."""
         del self.replicas[number]
 
+    def wipe(self, number, successor):
+        """Let a member lose its folder and come back under a new number."""
+        del self.replicas[number]
+        self.create(successor)
+        self.in_place_of[number] = successor
+
     def isolate(self, number):
         """Lose everything from and to a member."""
         for other in self.stores:
@@ -222,10 +230,11 @@
                     self._finish(content, sender, messages.Unanswered(content))
 
     def _ask(self, wanted, sender):
-        target = self.replicas.get(wanted.to)
+        asked = self.in_place_of.get(wanted.to, wanted.to)
+        target = self.replicas.get(asked)
         if target is None or self._loses(wanted.sender, wanted.to):
             return
-        for effect in self.step(wanted.to, messages.Asked(wanted)):
+        for effect in self.step(asked, messages.Asked(wanted)):
             match effect:
                 case effects.Respond(reply=reply):
                     if not self._loses(wanted.to, wanted.sender):
--- a/tests/routing/test_route.py
+++ b/tests/routing/test_route.py
@@ -1,5 +1,7 @@
 """The entry's answer for packets, with and without members."""
 
+import dataclasses
+
 import builders
 import pytest
 
@@ -56,3 +58,62 @@
 def test_an_unknown_address_is_dropped():
     table = routing.RouteTable()
     assert routing.route(table, SYN) == actions.Drop('no-service')
+
+
+SHARED = dataclasses.replace(
+    builders.service(ONCE),
+    handshake=True,
+    shares=(services.Share(7, 90, 'a'), services.Share(8, 10, 'b')),
+)
+
+
+def shared_route(packet, *pools, **changes):
+    """Route by a service of two pools, of which some have members."""
+    table = routing.RouteTable()
+    table.set_catalogue(1, [dataclasses.replace(SHARED, **changes)])
+    for pool, members in pools:
+        table.set_view(views.View(pool, 1, tuple(members)))
+    return routing.route(table, packet)
+
+
+def openings(count=400):
+    return [builders.segment(sport=5_000 + number) for number in range(count)]
+
+
+def test_new_flows_are_shared_by_weight():
+    pools = ((7, [LIVE]), (8, [builders.member(3)]))
+    chosen = [shared_route(item, *pools).forward.pool for item in openings()]
+    assert 0.8 < chosen.count(7) / len(chosen) < 0.97
+
+
+def test_a_pool_without_a_live_member_gets_no_new_flow():
+    pools = ((7, [DRAINING]), (8, [builders.member(3)]))
+    chosen = {shared_route(item, *pools).forward.pool for item in openings()}
+    assert chosen == {8}
+
+
+def test_a_pool_of_weight_0_gets_no_new_flow():
+    shares = (services.Share(7, 0, 'a'), services.Share(8, 1, 'b'))
+    action = shared_route(SYN, (7, [LIVE]), shares=shares)
+    assert action == actions.Drop('no-view')
+
+
+@pytest.mark.parametrize('copy', [0, 1, 2, 3])
+def test_a_copy_of_an_opening_goes_to_another_member(copy):
+    members = [builders.member(number) for number in (1, 2, 3)]
+    packet = dataclasses.replace(SYN, copy=copy)
+    pools = ((7, members), (8, members))
+    first = shared_route(SYN, *pools).member
+    action = shared_route(packet, *pools)
+    assert (action.member == first) is (copy % 3 == 0)
+
+
+@pytest.mark.parametrize(
+    ('copy', 'kind'), [(0, actions.Refuse), (1, actions.Drop)]
+)
+def test_a_retired_service_refuses_first_openings_only(copy, kind):
+    packet = dataclasses.replace(SYN, copy=copy)
+    action = shared_route(packet, (7, [LIVE]), retired=True)
+    assert type(action) is kind
+    open_flow = shared_route(ACK, (7, [LIVE]), retired=True)
+    assert type(open_flow) is actions.Pass
