Let the leader learn that a member lost its folder

Ruled out: the join, which was refused only because the old member was still listed. The test of the peer's task fails on the code before.

--- a/src/gentianspoke/shells/control/peers.py
+++ b/src/gentianspoke/shells/control/peers.py
@@ -109,13 +109,13 @@
             except PEER_ERRORS:
                 await self._log.step(messages.Unanswered(request))
                 raise
+            await self._log.step(messages.Answered(request, reply))
             match reply:
                 case messages.WrongFolder():
                     raise errors.ControlError(
                         f'{member.instance} has another data folder than'
                         ' the member; replace it under a new name'
                     )
-            await self._log.step(messages.Answered(request, reply))
 
     async def _pause(self, wake: asyncio.Event) -> None:
         if self._log.role == roles.FOLLOWER:
--- /dev/null
+++ b/tests/control/test_peers.py
@@ -0,0 +1,64 @@
+"""What a peer answers reaches the replica, whatever the channel does."""
+
+import asyncio
+import types
+
+import pytest
+import replica_network
+
+from gentianspoke.decisions.control.replica import messages
+from gentianspoke import errors
+from gentianspoke.shells.control import peers
+
+ASKED = messages.AppendRequest(1, 2, 1, 0, 0, (), 0)
+
+
+class FakeLog:
+    """Has one request to send, and keeps the events."""
+
+    def __init__(self):
+        """Begin without an event."""
+        self.events = []
+
+    async def next_request(self, peer):
+        """Return the request."""
+        return ASKED
+
+    async def step(self, event):
+        """Keep an event."""
+        self.events.append(event)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'event'),
+    [
+        pytest.param(
+            messages.WrongFolder(9),
+            messages.Answered(ASKED, messages.WrongFolder(9)),
+            id='another folder',
+        ),
+        pytest.param(
+            errors.ControlError('damaged'),
+            messages.Unanswered(ASKED),
+            id='no reply',
+        ),
+    ],
+)
+async def test_the_replica_learns_of_what_ends_a_channel(
+    monkeypatch, reply, event
+):
+    async def send(self, channel, request):
+        match reply:
+            case Exception():
+                raise reply
+            case _:
+                return reply
+
+    monkeypatch.setattr(peers.Peers, '_send', send)
+    log = FakeLog()
+    member = replica_network.member(2)
+    with pytest.raises(errors.ControlError):
+        await peers.Peers(types.SimpleNamespace(), log)._serve(
+            None, member, asyncio.Event()
+        )
+    assert log.events == [event]
