--- a/src/gentianspoke/decisions/control/replica/replication.py
+++ b/src/gentianspoke/decisions/control/replica/replication.py
@@ -61,6 +61,7 @@
     committed = min(request.commit_index, match_index)
     if committed > state.commit_index:
         found.extend(commits.commit(state, committed))
+    _confirm(state, request, now)
     return [*found, _reply(state, True, match_index, now)]
 
 
@@ -126,16 +127,23 @@
     found = elections.follow(state, request.term, request.sender, now)
     state.heard_ms = now
     state.reset_election(now)
-    match request:
-        case messages.AppendRequest(echo_ms=echo_ms, confirmed_age_ms=age_ms):
-            # The echo proves that the leader got a reply sent at that
-            # time, so neither direction is cut, and delay only ages it.
-            if state.started_ms <= echo_ms <= now:
-                confirmed_ms = echo_ms - age_ms
-                state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
     return found
 
 
+def _confirm(
+    state: states.State, request: messages.AppendRequest, now: int
+) -> None:
+    """Note when a majority confirmed what this member has applied."""
+    if state.commit_index < request.commit_index:
+        # It is still catching up: what it has applied is not the newest.
+        return
+    # The echo proves that the leader got a reply sent at that time, so
+    # neither direction is cut, and delay only ages it.
+    if state.started_ms <= request.echo_ms <= now:
+        confirmed_ms = request.echo_ms - request.confirmed_age_ms
+        state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
+
+
 def _mismatch(
     state: states.State, request: messages.AppendRequest
 ) -> int | None:
--- a/tests/replica/test_isolation.py
+++ b/tests/replica/test_isolation.py
@@ -1,5 +1,7 @@
 """A member that is cut off notices, one way as both ways."""
 
+import dataclasses
+
 import pytest
 import replica_network
 
@@ -103,3 +105,29 @@
     net.lost.add((other, first))
     net.run(500)
     assert net.age_ms(other) > 10**6
+
+
+def test_a_member_that_is_catching_up_does_not_call_itself_confirmed():
+    net = replica_network.Network()
+    leader = net.await_leader()
+    net.run(1_000)
+    behind = next(number for number in net.stores if number != leader)
+    own = net.replicas[behind].state
+    confirmed_ms = own.confirmed_ms
+    heartbeat = messages.AppendRequest(
+        sender=leader,
+        to=behind,
+        term=own.term,
+        previous_index=own.log.last_index,
+        previous_term=own.log.last_term,
+        records=(),
+        commit_index=own.commit_index + 1,
+        echo_ms=net.now(behind),
+    )
+    net.step(behind, messages.Asked(heartbeat))
+    assert own.confirmed_ms == confirmed_ms
+    mismatch = dataclasses.replace(
+        heartbeat, previous_index=own.log.last_index + 5, commit_index=0
+    )
+    net.step(behind, messages.Asked(mismatch))
+    assert own.confirmed_ms == confirmed_ms
