--- a/src/gentianspoke/commands/config.py
+++ b/src/gentianspoke/commands/config.py
@@ -1,25 +1,51 @@
 """Subcommands on settings files."""
 
 import dataclasses
+import importlib
+import typing
 
 import cappa
 
 from gentianspoke.config import key_file
 from gentianspoke.config import settings_file
+from gentianspoke import errors
 
 
 @cappa.command(name='check')
 @dataclasses.dataclass
 class Check:
-    """Check a settings file and the key file that it names."""
+    """Check a settings file and the key file that it names.
+
+    ``reader`` names a module of another front end whose function ``check``
+    takes the path and returns the name of the instance.
+    """
 
     file: str
+    reader: typing.Annotated[
+        str,
+        cappa.Arg(long=True, help='Module that reads files of another kind'),
+    ] = ''
 
     def __call__(self) -> None:
         """Print one line; a fault is raised as SettingsError."""
+        instance = self._check_other() if self.reader else self._check_own()
+        print(f'{self.file}: valid settings of {instance}')
+
+    def _check_own(self) -> str:
         cfg = settings_file.load(self.file)
         key_file.load(cfg.key_file)
-        print(f'{self.file}: valid settings of {cfg.instance}')
+        return cfg.instance
+
+    def _check_other(self) -> str:
+        try:
+            module = importlib.import_module(self.reader)
+        except ImportError as exc:
+            raise errors.SettingsError(
+                self.file,
+                '--reader',
+                f'{self.reader} is no module here; put it on PYTHONPATH',
+            ) from exc
+        return str(module.check(self.file))
 
 
 @cappa.command(name='config')
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -1,9 +1,12 @@
 """The platform's settings become the project's, or name what is wrong."""
 
+import sys
+
 from gentianspoke_platform import boot
 from gentianspoke_platform import start
 import pytest
 
+from gentianspoke import __main__ as program
 from gentianspoke import errors
 
 FRONT = '''
@@ -123,3 +126,27 @@
 def test_unknown_words_give_the_usage(capsys):
     assert start.run(['dance']) == start.EXIT_BAD_INPUT
     assert 'usage' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('text', 'reader', 'status', 'part'),
+    [
+        (FRONT, 'gentianspoke_platform.boot', 0, 'front-a-1'),
+        ('x = ', 'gentianspoke_platform.boot', 2, 'no valid TOML'),
+        (FRONT, 'no_such_module', 2, 'PYTHONPATH'),
+    ],
+)
+def test_the_program_checks_the_platforms_file_too(
+    tmp_path, capsys, monkeypatch, text, reader, status, part
+):
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    words = ['gentianspoke', 'config', 'check', str(path), '--reader', reader]
+    monkeypatch.setattr(sys, 'argv', words)
+    try:
+        program.main()
+        found = 0
+    except SystemExit as exc:
+        found = exc.code
+    assert found == status
+    assert part in ''.join(capsys.readouterr())
