Have consumers leave a source that is behind sooner

Cause: a consumer noticed a source without a majority after 2 s and its next confirmation, and then had a connection to make: close to the 3 s in which a change is to be in force. Confirmations come twice a second now, 1.5 s is too old.

--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -20,7 +20,7 @@
 from gentianspoke.shells.control import subscriber
 from gentianspoke.shells import process
 
-CONFIRMATION_MS = 1_000
+CONFIRMATION_MS = 500
 # Changes that come within this time go out together.
 COALESCE_S = 0.1
 # Consumers send a heartbeat each second.
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -26,7 +26,7 @@
 from gentianspoke.shells import process
 
 # A source is left when it is silent or unconfirmed for this long.
-STALE_MS = 2_000
+STALE_MS = 1_500
 # A source answers at once, if it can.
 FIRST_ANSWER_MS = 1_000
 # A source that no majority has confirmed yet is left after this long.
