--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -11,6 +11,7 @@
 from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import placed
 from gentianspoke.decisions.agent import replies
+from gentianspoke.decisions.agent import returned
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import timing
 from gentianspoke.decisions import hashing
@@ -71,9 +72,9 @@
 def on_returned(state: State, segment: packets.Segment, now: int) -> Actions:
     """Return what to do with a caller's packet that the upstream sent back.
 
-    Only upstreams with a handshake do so; see ``finding``.
+    Only upstreams with a handshake do so.
     """
-    return finding.take_returned(state, segment, now)
+    return returned.take_returned(state, segment, now)
 
 
 def on_owned(state: State, owned: frames.Owned, now: int) -> None:
--- a/src/gentianspoke/decisions/agent/finding.py
+++ b/src/gentianspoke/decisions/agent/finding.py
@@ -8,28 +8,21 @@
 owns is not reset, since its owner may only be out of reach.
 """
 
-import dataclasses
-
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
-from gentianspoke.core import verdicts
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
-from gentianspoke.decisions.agent import budget
 from gentianspoke.decisions.agent import closing
-from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import passing
 from gentianspoke.decisions.agent import placed
-from gentianspoke.decisions.agent import placing
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 from gentianspoke.decisions import hashing
-from gentianspoke.decisions import routing
 
 # Members asked for an unknown flow.
 TRAIL_AT_MOST = 12
@@ -39,9 +32,6 @@
 WAITING_AT_MOST = 16
 # Least time between two notes to a home about one flow.
 TELL_MS = 1_000
-# How long a flow is not tried again at an upstream that sent it back.
-DISOWNED_MS = 60_000
-DISOWNED_AT_MOST = 10_000
 
 State = agent_state.AgentState
 Actions = list[actions.Action]
@@ -77,7 +67,7 @@
         return [passed]
     if _may_try_here(state, service, forward, segment.key):
         return _try_here(state, service, forward, segment, now)
-    return [_pass_on(state, service, forward)]
+    return [pass_on(state, service, forward)]
 
 
 def decide_reply(
@@ -130,16 +120,6 @@
     return decided
 
 
-def take_returned(state: State, segment: packets.Segment, now: int) -> Actions:
-    """Return what becomes of a caller's segment that came back."""
-    service = state.endpoints.get(routing.endpoint_of(segment.key))
-    if service is None:
-        return [actions.Drop('other-service')]
-    if packets.is_opening(segment):
-        return [_take_opening_back(state, service, segment, now)]
-    return _take_back(state, service, segment, now)
-
-
 def take_owned(state: State, owned: frames.Owned, now: int) -> None:
     """Remember the owner of a flow that this agent passed on."""
     key = packets.FlowKey(owned.key)
@@ -162,15 +142,6 @@
     diversion_table.add(state, key, diverted)
 
 
-def expire_disowned(state: State, now: int) -> None:
-    """Forget flows that came back a while ago, the oldest first."""
-    while state.disowned:
-        key = next(iter(state.disowned))
-        if now - state.disowned[key] < DISOWNED_MS:
-            return
-        del state.disowned[key]
-
-
 def _decide_open(
     state: State,
     flow: records.Flow,
@@ -258,9 +229,10 @@
     return decided
 
 
-def _pass_on(
+def pass_on(
     state: State, service: services.Service, forward: frames.Forward
 ) -> actions.Action:
+    """Return the packet to the next member to ask, or its drop."""
     following = _next_to_ask(state, service, forward)
     if following is None:
         return actions.Drop('no-owner')
@@ -278,95 +250,3 @@
         if ranking is not None:
             order.extend(ranking.order(forward.bucket))
     return ownership.next_on_trail(tuple(order), forward.tried, state.number)
-
-
-def _take_back(
-    state: State,
-    service: services.Service,
-    segment: packets.Segment,
-    now: int,
-) -> Actions:
-    _disown(state, segment.key, now)
-    flow = state.flows.get(segment.key)
-    forward = _new_search(state, service, segment)
-    waiting: list[records.Unconfirmed] = []
-    if flow is not None:
-        if flow.confirmed:
-            return [_end_lost(state, flow, segment, now)]
-        forward = flow.unconfirmed or forward
-        waiting, flow.waiting = flow.waiting, []
-        tables.forget_flow(state, flow, now)
-    again = dataclasses.replace(forward, packet=segment.raw)
-    decided = [_pass_on(state, service, again)]
-    for item in waiting:
-        decided.append(_pass_on(state, service, item.forward))
-    return decided
-
-
-def _disown(state: State, key: packets.FlowKey, now: int) -> None:
-    if len(state.disowned) < DISOWNED_AT_MOST:
-        state.disowned[key] = now
-
-
-def _end_lost(
-    state: State,
-    flow: records.Flow,
-    segment: packets.Segment,
-    now: int,
-) -> actions.Action:
-    # The upstream has answered on this flow before, so it has lost it.
-    if flow.phase is records.Phase.OPEN:
-        evidence.report_flow(
-            state,
-            flow,
-            verdicts.Outcome.UNKNOWN,
-            verdicts.Fault.UPSTREAM,
-            'the upstream has lost the flow',
-            now,
-        )
-    tables.forget_flow(state, flow, now)
-    return actions.ResetCaller(
-        flow.key,
-        seq=segment.ack,
-        ack=evidence.segment_end(segment),
-        reason='upstream-lost-flow',
-    )
-
-
-def _new_search(
-    state: State, service: services.Service, segment: packets.Segment
-) -> frames.Forward:
-    pool = state.pool_of(service)
-    return frames.Forward(
-        service=service.number,
-        view=placed.view_number(state, pool),
-        bucket=hashing.bucket_of(segment.key, service.number),
-        target=state.number,
-        packet=segment.raw,
-        hops_left=routing.HOPS_AT_MOST,
-        offers_left=routing.OFFERS_AT_MOST,
-        pool=pool,
-    )
-
-
-def _take_opening_back(
-    state: State,
-    service: services.Service,
-    segment: packets.Segment,
-    now: int,
-) -> actions.Action:
-    flow = state.flows.get(segment.key)
-    forward = _new_search(state, service, segment)
-    if flow is not None and flow.isn == segment.seq:
-        forward = flow.offer or forward
-        tables.forget_flow(state, flow, now)
-    forward = dataclasses.replace(forward, packet=segment.raw)
-    ranking = state.rankings.get(forward.pool)
-    if ranking is None:
-        return actions.Drop('no-view')
-    if forward.offers_left > 0 and budget.spend(state, service):
-        tried = (*forward.tried, state.number)
-        other = diversion.choose_other(state, ranking, forward.bucket, tried)
-        if other is not None:
-            return placing.divert(state, other, forward, segment, now)
-    return placing.refuse(state, service, forward, segment, now)
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -13,6 +13,7 @@
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import parking
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import returned
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
@@ -36,7 +37,7 @@
         if state.diversions.get(key) is diverted:
             _check_diversion(state, (key, diverted), now)
     _expire_orphans(state, now)
-    finding.expire_disowned(state, now)
+    returned.expire_disowned(state, now)
     diversion.expire_loads(state, now)
     if state.recovering and now - state.started_ms >= state.recovery_ms:
         state.recovering = False
