Leave a source of the feed that does not connect

Sending the subscription and handling a reply now have a limit. Both rows of tests/feed/test_gone_sources.py fail on the code before.

--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -145,16 +145,20 @@
         is_wanted: collections.abc.Callable[[], bool],
     ) -> None:
         subscribe = feed_pb2.FollowRequest(subscribe=self._subscribe())
-        await stream.send_message(subscribe)
-        patience_ms = FIRST_ANSWER_MS
+        patience_s = FIRST_ANSWER_MS / clock.MS_PER_S
+        # A connection to an instance that is gone waits without end, and
+        # so does a message to one that does not read.
+        async with asyncio.timeout(patience_s):
+            await stream.send_message(subscribe)
         try:
             while is_wanted():
-                async with asyncio.timeout(patience_ms / clock.MS_PER_S):
+                async with asyncio.timeout(patience_s):
                     reply = await stream.recv_message()
-                patience_ms = STALE_MS
+                patience_s = STALE_MS / clock.MS_PER_S
                 if reply is None:
                     raise errors.ControlError('the source closed the feed')
-                await self._on_reply(stream, reply)
+                async with asyncio.timeout(patience_s):
+                    await self._on_reply(stream, reply)
             await stream.cancel()
         except asyncio.CancelledError:
             # A planned stop: the source need not wait for this consumer.
--- /dev/null
+++ b/tests/feed/test_gone_sources.py
@@ -0,0 +1,42 @@
+"""A consumer leaves a source that neither connects nor reads."""
+
+import asyncio
+
+import control_fakes
+import grpclib.client
+import pytest
+
+from gentianspoke.shells import feed_client
+
+PATIENCE_S = 5.0
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    """Let a silent source be given up within a moment."""
+    monkeypatch.setattr(feed_client, 'FIRST_ANSWER_MS', 50)
+
+
+async def never(*_, **__):
+    """Wait without end, as a connection to a lost instance does."""
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ('owner', 'method'),
+    [
+        pytest.param(
+            grpclib.client.Channel, '_create_connection', id='no connection'
+        ),
+        pytest.param(
+            grpclib.client.Stream, 'send_message', id='nothing is read'
+        ),
+    ],
+)
+async def test_a_source_that_is_gone_is_left(monkeypatch, owner, method):
+    monkeypatch.setattr(owner, method, never)
+    proc = control_fakes.make_process('entry-0')
+    feed = feed_client.Feed(proc, 'entry', lambda update: 0)
+    async with asyncio.timeout(PATIENCE_S):
+        await feed.follow(('127.0.0.1', 9))
+    assert not feed.confirmed
