Ask a silent upstream last, and give it no new flow once it tells nothing

Cause, from reading the agent as a newcomer: nothing but a drain or a successor ended the new flows of an upstream that had crashed; each opening there lost the 200 ms until its copy went elsewhere.

--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -18,7 +18,9 @@
 
     ``pool`` names the pool of its upstream where services share pools;
     then it serves all services that name the pool. ``recovery_ms`` tells
-    how long a restarted agent adopts flows that it does not know.
+    how long a restarted agent adopts flows that it does not know. An
+    upstream that tells of itself and has not for ``silent_ms`` gets no new
+    flow; 0 is no limit.
     """
 
     listen: units.Address
@@ -33,6 +35,7 @@
     ramp_ms: int
     pool: str = ''
     recovery_ms: int = 7_200_000
+    silent_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -9,6 +9,9 @@
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
+# How long an upstream may leave all its openings without any answer.
+SILENT_MS = 150
+
 
 class Admission(enum.Enum):
     """What an upstream can do with one more flow of a service."""
@@ -51,6 +54,26 @@
     return Admission.WAIT
 
 
+def note_opening(state: agent_state.AgentState, now: int) -> None:
+    """Note that an opening was handed to the upstream."""
+    if state.waiting_since_ms is None:
+        state.waiting_since_ms = now
+
+
+def note_sign_of_life(state: agent_state.AgentState) -> None:
+    """Note that the upstream sent anything at all."""
+    state.waiting_since_ms = None
+
+
+def is_silent(state: agent_state.AgentState, now: int) -> bool:
+    """Return whether the upstream seems to be gone.
+
+    It answers an opening over the loopback within a millisecond or so.
+    """
+    since_ms = state.waiting_since_ms
+    return since_ms is not None and now - since_ms >= SILENT_MS
+
+
 def has_slot(state: agent_state.AgentState, service: services.Service) -> bool:
     """Return whether a slot is free for the service."""
     running = state.counts[state.pool_of(service)].running
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -4,6 +4,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import established
 from gentianspoke.decisions.agent import finding
@@ -57,6 +58,7 @@
 
     The packet's key is already turned to the caller's point of view.
     """
+    admission.note_sign_of_life(state)
     running = state.total_running
     decided = replies.decide_reply(state, packet, now)
     if state.total_running < running:
@@ -74,6 +76,7 @@
 
     Only upstreams with a handshake do so.
     """
+    admission.note_sign_of_life(state)
     return returned.take_returned(state, segment, now)
 
 
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -44,7 +44,7 @@
     pool = ranking.view.service
     own = state.counts[pool].open_flows
     limit = diversion.load_limit(state, service, ranking, now)
-    verdict = admission.admit(state, service, wait_left_ms=0)
+    verdict = _first_verdict(state, service, now)
     if own < limit and verdict is admission.Admission.NOW:
         return _accept(state, service, forward, packet, now)
     other = diversion.choose_other(state, ranking, forward.bucket)
@@ -68,7 +68,7 @@
 ) -> actions.Action:
     """Return what becomes of an opening that a decider offers."""
     budget.earn(state, service)
-    verdict = admission.admit(state, service, wait_left_ms=0)
+    verdict = _first_verdict(state, service, now)
     if verdict is admission.Admission.NOW:
         return _accept(state, service, forward, packet, now)
     if forward.offers_left > 0:
@@ -80,6 +80,16 @@
     return _admit_here(state, service, forward, packet, now)
 
 
+def _first_verdict(
+    state: State, service: services.Service, now: int
+) -> admission.Admission:
+    """Return whether the opening is taken before another is asked."""
+    if service.handshake and admission.is_silent(state, now):
+        # Another is asked first, but the opening is not refused for this.
+        return admission.Admission.NO
+    return admission.admit(state, service, wait_left_ms=0)
+
+
 def _renew_offer(
     state: State,
     service: services.Service,
@@ -165,6 +175,7 @@
     )
     if flow.by_request:
         flow.offer = forward
+        admission.note_opening(state, now)
     match packet:
         case packets.Segment():
             evidence.note_up(flow, packet, now)
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -146,6 +146,8 @@
     disowned: dict[packets.FlowKey, int] = dataclasses.field(
         default_factory=dict
     )
+    # Since when an opening waits for the upstream's first sign of life.
+    waiting_since_ms: int | None = None
     # When any flow's packet last came from the upstream, and from a caller.
     answered_ms: int = 0
     heard_ms: int = 0
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -59,6 +59,7 @@
         self._entries: dict[str, services.Service] = {}
         self._version = 0
         self._incarnation = incarnation
+        self._heard_ms = proc.clock.now()
         self.state = agent_state.AgentState(
             number=_number(proc.cfg.instance, incarnation),
             zone=proc.cfg.zone,
@@ -139,6 +140,7 @@
             now = self._proc.clock.now()
             self._effects.carry_out(core.on_tick(self.state, now))
             self._effects.write_reports(self.state)
+            self._watch_upstream(now)
 
     async def poll_status(self) -> None:
         """Watch the upstream's status page for draining and restarts."""
@@ -157,6 +159,7 @@
 
     def take_status(self, found: status.UpstreamStatus) -> None:
         """Take what the upstream says of itself; it holds on return."""
+        self._heard_ms = self._proc.clock.now()
         if found.incarnation and found.incarnation != self._incarnation:
             self._take_incarnation(found)
         if found.slots:
@@ -170,6 +173,15 @@
         if found.draining:
             self._proc.events.write('upstream-draining')
 
+    def _watch_upstream(self, now: int) -> None:
+        """Take no new flow once the upstream has not told for too long."""
+        silent_ms = now - self._heard_ms
+        limit_ms = self._cfg.silent_ms
+        if not limit_ms or silent_ms < limit_ms or self.state.draining:
+            return
+        self._proc.events.write('upstream-silent', silent_ms=silent_ms)
+        self.drain()
+
     def leave(self) -> None:
         """Take no new flow: the upstream has gone for good."""
         self.heartbeat.leaving = True
--- a/tests/agent/test_finding.py
+++ b/tests/agent/test_finding.py
@@ -11,6 +11,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import finding
 from gentianspoke.decisions.agent import records
@@ -268,3 +269,41 @@
         core.on_tick(state, now)
     assert not state.in_progress()
     assert state.flows[segment.key].phase is records.Phase.CLOSED
+
+
+@pytest.mark.parametrize(
+    ('sign', 'kind'),
+    [
+        pytest.param(None, actions.Pass, id='silent'),
+        pytest.param(
+            lambda state: core.on_reply(state, packet(SYN_ACK, 500, 101), 2),
+            actions.Deliver,
+            id='answered',
+        ),
+        pytest.param(
+            lambda state: core.on_returned(
+                state, dataclasses.replace(SYN, returned=True), 2
+            ),
+            actions.Deliver,
+            id='sent one back',
+        ),
+    ],
+)
+def test_an_upstream_that_leaves_openings_unanswered_comes_last(sign, kind):
+    state = agent(HOME)
+    send(state, SYN)
+    if sign is not None:
+        sign(state)
+    state.diversions.clear()
+    again = dataclasses.replace(SYN, seq=900)
+    if SYN.key in state.flows:
+        tables.forget_flow(state, state.flows[SYN.key], 3)
+    assert kinds(send(state, again, admission.SILENT_MS)) == [kind]
+
+
+def test_a_silent_upstream_without_another_still_gets_openings():
+    state = agent(HOME, held=view(builders.member(HOME)))
+    send(state, SYN)
+    tables.forget_flow(state, state.flows[SYN.key], 1)
+    decided = send(state, SYN, admission.SILENT_MS)
+    assert kinds(decided) == [actions.Deliver]
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import builders
 import pytest
@@ -177,3 +178,21 @@
     text = page.decode()
     assert 'reason="bad-tag",role="agent"} 2' in text
     assert 'name="lease_left_ms"' in text
+
+
+@pytest.mark.parametrize(
+    ('limit_ms', 'is_drained'), [(0, False), (10_000, False), (1, True)]
+)
+async def test_an_upstream_that_tells_nothing_gets_no_new_flow(
+    limit_ms, is_drained
+):
+    with running_agent() as (agent, proc, _):
+        agent._cfg = dataclasses.replace(ROLE, silent_ms=limit_ms)
+        agent.take_status(status.UpstreamStatus('first'))
+        async with asyncio.timeout(PATIENCE_S):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await agent.tick()
+        assert agent.state.draining is is_drained
+        agent.take_status(status.UpstreamStatus('first'))
+        assert not agent.state.draining
