Elect at once where all voters have restarted, and leave deaf sources sooner

Entries and agents that asked an instance still starting waited 1 s for the connection; traffic came back up to 1.8 s after the machines. Ruled out: shorter election time-outs, which would depose leaders that are only slow. Change: pre-votes say whether the voter knows of a leader since its start; where none of all voters does, no leader can be, so the vote goes on at once. Connections are given up after 0.4 s, and the pause between two sources is short within one round.

--- a/src/gentianspoke/codec/peers.py
+++ b/src/gentianspoke/codec/peers.py
@@ -19,6 +19,7 @@
                 last_index=request.last_index,
                 last_term=request.last_term,
                 pre=request.pre,
+                unopposed=request.unopposed,
             )
             return replica_pb2.PeerRequest(vote=vote)
         case messages.AppendRequest():
@@ -45,6 +46,7 @@
         last_index=message.last_index,
         last_term=message.last_term,
         pre=message.pre,
+        unopposed=message.unopposed,
     )
 
 
@@ -70,7 +72,10 @@
     match reply:
         case messages.VoteReply():
             vote = replica_pb2.VoteReply(
-                sender=reply.sender, term=reply.term, granted=reply.granted
+                sender=reply.sender,
+                term=reply.term,
+                granted=reply.granted,
+                willing=reply.willing,
             )
             return replica_pb2.PeerReply(vote=vote)
         case messages.AppendReply():
@@ -95,7 +100,9 @@
     match message.WhichOneof('content'):
         case 'vote':
             vote = message.vote
-            return messages.VoteReply(vote.sender, vote.term, vote.granted)
+            return messages.VoteReply(
+                vote.sender, vote.term, vote.granted, vote.willing
+            )
         case 'append':
             append = message.append
             return messages.AppendReply(
--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -1,4 +1,13 @@
-"""Terms, votes and the wish to lead."""
+"""Terms, votes and the wish to lead.
+
+A leader's claim rests on voters that heard it a moment ago, and a restart
+forgets that; so a voter waits after its start. Where all voters have
+restarted, the wait serves nothing: a leader is a voter, and each voter says
+that it does not lead and has heard no leader since its start. A leader of
+another group than the asker's is ruled out too: groups change by one
+member at a time, so one of the asker's voters holds newer records, and is
+not willing.
+"""
 
 from gentianspoke.decisions.control.replica import commits
 from gentianspoke.decisions.control.replica import effects
@@ -27,6 +36,7 @@
     state.role.advance('suspect')
     state.answered = {state.number}
     state.votes = {state.number}
+    state.willing = set() if state.knew_leader else {state.number}
     return _role_changed(state) + _count(state, now)
 
 
@@ -50,11 +60,15 @@
     state: states.State, request: messages.VoteRequest, now: int
 ) -> Effects:
     """Give or refuse a vote, or say whether it would be given."""
-    if _hears_leader(state, now) or request.term < state.term:
-        return [_reply(state, False)]
+    heard = _hears_leader(state, now)
     if request.pre:
-        newer = request.term > state.term
-        return [_reply(state, newer and _is_current(state, request))]
+        would = request.term > state.term and _is_current(state, request)
+        willing = would and not state.knew_leader
+        return [_reply(state, would and not heard, willing)]
+    if request.unopposed and not state.knew_leader:
+        heard = False
+    if heard or request.term < state.term:
+        return [_reply(state, False)]
     found: Effects = []
     if request.term > state.term:
         found = follow(state, request.term, groups.NOBODY, now)
@@ -82,6 +96,8 @@
     state.answered.add(reply.sender)
     if reply.granted:
         state.votes.add(reply.sender)
+    if reply.willing:
+        state.willing.add(reply.sender)
     return _count(state, now)
 
 
@@ -99,16 +115,16 @@
         last_index=state.log.last_index,
         last_term=state.log.last_term,
         pre=pre,
+        unopposed=not pre and state.is_unopposed(),
     )
 
 
 def _count(state: states.State, now: int) -> Effects:
-    if not state.group.is_majority(state.votes):
-        return []
+    has_majority = state.group.is_majority(state.votes)
     match state.role.state:
-        case roles.PRE_CANDIDATE:
+        case roles.PRE_CANDIDATE if has_majority or state.is_unopposed():
             return _campaign(state, now)
-        case roles.CANDIDATE:
+        case roles.CANDIDATE if has_majority:
             return _win(state, now)
         case _:
             return []
@@ -128,6 +144,7 @@
     state.role.advance('win')
     state.leader = state.number
     state.elected_ms = now
+    state.knew_leader = True
     state.progress = {}
     state.gone = set()
     commits.track_members(state)
@@ -157,9 +174,11 @@
     return theirs >= (state.log.last_term, state.log.last_index)
 
 
-def _reply(state: states.State, granted: bool) -> effects.Respond:
+def _reply(
+    state: states.State, granted: bool, willing: bool = False
+) -> effects.Respond:
     return effects.Respond(
-        messages.VoteReply(state.number, state.term, granted)
+        messages.VoteReply(state.number, state.term, granted, willing)
     )
 
 
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -12,7 +12,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteRequest:
-    """Asks for a vote, or with ``pre`` whether one would be given."""
+    """Asks for a vote, or with ``pre`` whether one would be given.
+
+    ``unopposed`` tells that all voters were willing; see ``VoteReply``.
+    """
 
     sender: int
     to: int
@@ -20,15 +23,21 @@
     last_index: int
     last_term: int
     pre: bool
+    unopposed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Answers a vote request; ``term`` is the newest that is known."""
+    """Answers a vote request; ``term`` is the newest that is known.
+
+    ``willing`` tells that the sender does not lead, has heard no leader
+    since its start, and would vote for the asker if that held for all.
+    """
 
     sender: int
     term: int
     granted: bool
+    willing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/replication.py
+++ b/src/gentianspoke/decisions/control/replica/replication.py
@@ -124,6 +124,7 @@
     request: messages.AppendRequest | messages.InstallRequest,
     now: int,
 ) -> Effects:
+    state.knew_leader = True
     found = elections.follow(state, request.term, request.sender, now)
     state.heard_ms = now
     state.reset_election(now)
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -19,13 +19,15 @@
 
     Two clocks differ in speed by at most ``drift_permille``. A follower
     that heard the leader gives nobody a vote for ``election_min_ms``; so
-    the leader's claim lasts for less than that by the drift.
+    the leader's claim lasts for less than that by the drift. A replica that
+    has just started asks the others within ``first_ms``.
     """
 
     heartbeat_ms: int = 150
     election_min_ms: int = 1000
     election_max_ms: int = 2000
     drift_permille: int = 50
+    first_ms: int = 100
 
     @property
     def claim_ms(self) -> int:
@@ -96,15 +98,18 @@
         # A restart forgets whether a leader was heard a moment ago, and
         # the leader's claim rests on that: begin as if one was.
         self.heard_ms = now
+        # Whether a leader was heard, or this replica led, since the start.
+        self.knew_leader = False
         self.confirmed_ms = LONG_AGO_MS
         self.elected_ms = now
-        self.election_due_ms = now
         self.answered: set[int] = set()
         self.votes: set[int] = set()
+        # Members that know of no leader and would vote for this one.
+        self.willing: set[int] = set()
         self.progress: dict[int, Progress] = {}
         # Members in whose place another folder answered this leader.
         self.gone: set[int] = set()
-        self.reset_election(now)
+        self.election_due_ms = now + rng.randint(0, timing.first_ms)
 
     @property
     def group(self) -> groups.Group:
@@ -119,9 +124,20 @@
     def reset_election(self, now: int) -> None:
         """Choose anew when to miss the leader, at random against ties."""
         timing = self.timing
-        self.election_due_ms = now + self.rng.randint(
-            timing.election_min_ms, timing.election_max_ms
-        )
+        least, most = timing.election_min_ms, timing.election_max_ms
+        if self.is_fresh(now):
+            least, most = timing.first_ms, 2 * timing.first_ms
+        self.election_due_ms = now + self.rng.randint(least, most)
+
+    def is_fresh(self, now: int) -> bool:
+        """Return whether this replica has just started without a leader."""
+        if self.knew_leader:
+            return False
+        return now - self.started_ms < self.timing.election_min_ms
+
+    def is_unopposed(self) -> bool:
+        """Return whether every voter knows of no leader."""
+        return all(item.number in self.willing for item in self.group.voters)
 
     def vote(self) -> effects.SaveVote:
         """Return what is durable of terms and votes."""
--- a/src/gentianspoke/shells/channel_auth.py
+++ b/src/gentianspoke/shells/channel_auth.py
@@ -6,6 +6,7 @@
 rotation takes effect at once.
 """
 
+import asyncio
 import collections
 import collections.abc
 import contextlib
@@ -27,6 +28,10 @@
 PROOF_KEY = 'gentianspoke-proof'
 # Calls of one channel whose answers are awaited.
 PENDING_AT_MOST = 1_024
+# An instance that is gone does not refuse a connection. Its system sends a
+# lost opening packet again after a second, so that a longer wait only adds
+# to the time until another instance is asked.
+CONNECT_TIMEOUT_S = 0.4
 
 CurrentRing = collections.abc.Callable[[], keys.KeyRing]
 
@@ -47,21 +52,26 @@
     instance: str,
     time: clock.Clock | None = None,
 ) -> collections.abc.AsyncIterator[grpclib.client.Channel]:
-    """Open a new channel that authenticates its calls; close it at the end.
+    """Connect a channel that authenticates its calls; close it at the end.
 
     ``ring`` returns the keys in force and ``instance`` names the caller.
-    A call raises ``grpclib.GRPCError`` with status ``UNAUTHENTICATED``
+    Raises ``OSError`` or ``TimeoutError`` where no connection is made. A
+    call raises ``grpclib.GRPCError`` with status ``UNAUTHENTICATED``
     where either side does not hold a key. A task reads the answer to one
     call at a time.
     """
     channel = grpclib.client.Channel(*address)
-    if not ring().keys:
-        try:
-            yield channel
-        finally:
-            channel.close()
-        return
-    caller = _Caller(ring, instance, time or clock.Clock())
+    if ring().keys:
+        _authenticate(channel, _Caller(ring, instance, time or clock.Clock()))
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await channel.__connect__()
+        yield channel
+    finally:
+        channel.close()
+
+
+def _authenticate(channel: grpclib.client.Channel, caller: '_Caller') -> None:
     grpclib.events.listen(
         channel, grpclib.events.SendRequest, caller.send_request
     )
@@ -73,10 +83,6 @@
     grpclib.events.listen(
         channel, grpclib.events.RecvMessage, caller.receive_message
     )
-    try:
-        yield channel
-    finally:
-        channel.close()
 
 
 def protect_server(
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -33,8 +33,10 @@
 UNCONFIRMED_MS = 1_500
 # A source is left when it has had no leader's views for this long.
 INCOMPLETE_MS = 6_000
-# Pause before the next source, doubled up to the longest one while none
-# gives a confirmation, and drawn at random up to that.
+# Pause before the next source.
+NEXT_PAUSE_S = 0.1
+# Pause after all sources, doubled up to the longest one while none gives a
+# confirmation. Each pause is drawn at random up to its length.
 SHORTEST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 0.75
 
@@ -282,10 +284,11 @@
         rng.shuffle(addresses)
         for address in addresses:
             await feed.follow(address)
-            pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
             if feed.confirmed:
                 pause_s = SHORTEST_PAUSE_S
-            await asyncio.sleep(rng.uniform(SHORTEST_PAUSE_S / 2, pause_s))
+            await asyncio.sleep(rng.uniform(NEXT_PAUSE_S / 2, NEXT_PAUSE_S))
+        await asyncio.sleep(rng.uniform(SHORTEST_PAUSE_S / 2, pause_s))
+        pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
 
 
 def _names(cfg: settings.Settings) -> tuple[str, ...]:
--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -100,3 +100,53 @@
     net.run(5_000)
     assert net.leader() == first
     assert len(net.leaders) == 1
+
+
+@pytest.mark.parametrize('size', [3, 5])
+def test_members_that_all_restarted_elect_without_waiting(size):
+    net = replica_network.Network(size)
+    net.await_leader()
+    net.run(1_000)
+    begun_ms = net.clock.now()
+    for number in net.replicas:
+        net.start(number)
+    net.await_leader()
+    assert net.clock.now() - begun_ms < SILENT_MS
+
+
+@pytest.mark.parametrize(
+    ('knew_leader', 'unopposed', 'granted'),
+    [
+        pytest.param(False, True, True, id='all-are-fresh'),
+        pytest.param(False, False, False, id='a-majority-only'),
+        pytest.param(True, True, False, id='heard-a-leader-since'),
+    ],
+)
+def test_a_fresh_member_votes_at_once_only_if_all_are_fresh(
+    knew_leader, unopposed, granted
+):
+    net = replica_network.Network()
+    net.replicas[1].state.knew_leader = knew_leader
+    asked = messages.VoteRequest(2, 1, 1, 0, 0, False, unopposed)
+    found = net.step(1, messages.Asked(asked))
+    assert respond(found).granted is granted
+
+
+@pytest.mark.parametrize(
+    ('knew_leader', 'term', 'last_index', 'willing'),
+    [
+        pytest.param(False, 2, 0, True, id='fresh'),
+        pytest.param(True, 2, 0, False, id='heard-a-leader-since'),
+        pytest.param(False, 1, 0, False, id='older-term'),
+        pytest.param(False, 2, -1, False, id='log-is-older'),
+    ],
+)
+def test_a_member_is_willing_only_where_no_leader_can_be(
+    knew_leader, term, last_index, willing
+):
+    net = replica_network.Network()
+    state = net.replicas[1].state
+    state.term, state.knew_leader = 1, knew_leader
+    asked = messages.VoteRequest(2, 1, term, last_index, 0, True)
+    reply = respond(net.step(1, messages.Asked(asked)))
+    assert (reply.granted, reply.willing) == (False, willing)
