Count promised requests, watch sockets once, and report no flows that nobody asks for

Change: an opening holds a slot until its request comes, 150 ms at most (uploads none); a reader is registered once; agents whose upstreams tell their own flows by the handshake report none.

--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -113,6 +113,15 @@
             return not idempotent
 
 
+def has_short_requests(service: Service) -> bool:
+    """Return whether a request comes as soon as its flow is open."""
+    match service.traffic:
+        case Board() | Booking():
+            return True
+        case Upload():
+            return False
+
+
 def takes_slot(service: Service) -> bool:
     """Return whether an open flow of the service occupies a slot."""
     match service.traffic:
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -33,8 +33,9 @@
 ) -> Admission:
     """Return whether the upstream takes one more flow of the service.
 
-    ``is_last`` tells that no other upstream is asked. A flow may wait where its class takes a slot, the queue is not full,
-    and a slot is expected to become free before its time is over.
+    ``is_last`` tells that no other upstream is asked. A flow may wait where
+    its class takes a slot, the queue is not full, and a slot is expected to
+    become free before its time is over.
     """
     if state.draining or service.retired:
         return Admission.NO
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -112,7 +112,11 @@
     """Return the view of the oldest flow outside the own buckets.
 
     0 where there is none; see :class:`gentianspoke.core.views.Member`.
+    Nobody asks by it for flows of upstreams with a handshake, and each
+    change of it would be a new revision of the view for all agents.
     """
+    if state.all_handshake:
+        return 0
     ranking = state.rankings.get(pool)
     return placed.oldest_view(state, ranking) if ranking else 0
 
--- a/src/gentianspoke/decisions/agent/finding.py
+++ b/src/gentianspoke/decisions/agent/finding.py
@@ -155,7 +155,7 @@
             return [_hold(flow, forward, segment)]
         decided.extend(confirm(state, flow, now))
     if packets.ends_writing(segment) and _is_new(flow, segment):
-        tables.take_slot(state, flow, now)
+        tables.begin_request(state, flow, now)
     evidence.note_up(flow, segment, now)
     decided.extend(_tell_first_asked(state, flow, forward, now))
     decided.append(actions.Deliver(segment.raw))
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -177,6 +177,8 @@
     )
     if flow.by_request:
         flow.offer = forward
+        if services.has_short_requests(service):
+            tables.promise_slot(state, flow, now)
         admission.note_opening(state, now)
     match packet:
         case packets.Segment():
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -87,6 +87,8 @@
     confirmed: bool = False
     holds_slot: bool = False
     slot_ms: int = 0
+    # Whether the slot is held for a request that has not come yet.
+    promised: bool = False
     # Requests that had to end before this flow's could start.
     slot_ahead: int = 0
     answered: bool = False
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -135,6 +135,12 @@
     diversion_schedule: schedule.Schedule[
         tuple[packets.FlowKey, records.Diversion]
     ] = dataclasses.field(default_factory=schedule.Schedule)
+    # Whether all services leave it to upstreams which flows are theirs.
+    all_handshake: bool = False
+    # Flows with a slot for a request that has not come, the oldest first.
+    promises: collections.deque[records.Flow] = dataclasses.field(
+        default_factory=collections.deque
+    )
     # Openings that are held until this agent may decide, by flow.
     parked: dict[packets.FlowKey, records.Parked] = dataclasses.field(
         default_factory=dict
@@ -161,6 +167,7 @@
     def set_catalogue(self, entries: list[services.Service]) -> None:
         """Take the entries of a newer catalogue."""
         self.served = {entry.number: entry for entry in entries}
+        self.all_handshake = all(entry.handshake for entry in entries)
         self.endpoints = routing.index_services(entries)
 
     def pool_of(self, service: services.Service) -> int:
--- a/src/gentianspoke/decisions/agent/tables.py
+++ b/src/gentianspoke/decisions/agent/tables.py
@@ -6,6 +6,9 @@
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 
+# How long a slot is kept for the first request of an opened flow. It comes
+# with the next packet, unless the caller has another upstream's answer.
+PROMISED_MS = 150
 # How long the record of an ended flow answers late packets.
 LINGER_MS = 10_000
 # How long an opening may stay unanswered by the upstream.
@@ -197,6 +200,34 @@
     state.total_running += 1
 
 
+def promise_slot(state: State, flow: records.Flow, now: int) -> None:
+    """Count a slot as occupied by the request that will come first.
+
+    Without it, openings that come together would all find the slot free.
+    """
+    take_slot(state, flow, now)
+    flow.promised = True
+    state.promises.append(flow)
+
+
+def expire_promises(state: State, now: int) -> None:
+    """Free the slots of requests that did not come, the oldest first."""
+    while state.promises:
+        flow = state.promises[0]
+        if flow.promised and now - flow.slot_ms < PROMISED_MS:
+            return
+        state.promises.popleft()
+        if flow.promised:
+            free_slot(state, flow, now)
+
+
+def begin_request(state: State, flow: records.Flow, now: int) -> None:
+    """Count a slot as occupied by a whole request that has come."""
+    if flow.promised:
+        free_slot(state, flow, now)
+    take_slot(state, flow, now)
+
+
 def free_slot(state: State, flow: records.Flow, now: int) -> None:
     """Count the slot of a flow as free, if it has one."""
     if not flow.holds_slot:
@@ -205,6 +236,9 @@
     counts = state.counts[flow.pool]
     counts.running -= 1
     state.total_running -= 1
+    if flow.promised:
+        flow.promised = False
+        return
     # The upstream's own queue is no part of its work.
     slots = max(1, state.capacity.slots)
     worked_ms = (now - flow.slot_ms) * slots // (slots + flow.slot_ahead)
--- a/src/gentianspoke/decisions/agent/timing.py
+++ b/src/gentianspoke/decisions/agent/timing.py
@@ -28,6 +28,7 @@
 
 def expire(state: State, now: int) -> list[actions.Action]:
     """Return what is due at ``now``."""
+    tables.expire_promises(state, now)
     result = expire_queued(state, now)
     result.extend(start_queued(state, now))
     result.extend(parking.retry(state, now))
--- a/src/gentianspoke/net/datagrams.py
+++ b/src/gentianspoke/net/datagrams.py
@@ -20,6 +20,8 @@
     def __init__(self, sock: socket.socket) -> None:
         """Own a bound, non-blocking socket."""
         self._sock = sock
+        self._arrived: asyncio.Future[None] | None = None
+        self._is_watched = False
         self.unsent = 0
 
     @property
@@ -34,19 +36,46 @@
         At most ``BURST_PACKETS`` are returned, so that other tasks run
         between bursts.
         """
+        burst: list[Received] = []
+        while not burst:
+            await self._wait()
+            self._receive_queued(burst)
+        return burst
+
+    async def _wait(self) -> None:
+        # The loop's own ``sock_recvfrom`` would register and forget the
+        # socket for each burst, at three system calls more.
         loop = asyncio.get_running_loop()
-        first, sender = await loop.sock_recvfrom(
-            self._sock, LARGEST_DATAGRAM_BYTES
-        )
-        burst = [(first, sender[:2])]
+        if not self._is_watched:
+            loop.add_reader(self._sock, self._note_arrival)
+            self._is_watched = True
+        self._arrived = loop.create_future()
+        try:
+            await self._arrived
+        except asyncio.CancelledError:
+            # Without a task that reads, the loop would be woken on and on.
+            self._forget()
+            raise
+
+    def _forget(self) -> None:
+        if self._is_watched:
+            asyncio.get_running_loop().remove_reader(self._sock)
+            self._is_watched = False
+
+    def _note_arrival(self) -> None:
+        if self._arrived is not None and not self._arrived.done():
+            self._arrived.set_result(None)
+
+    def _receive_queued(self, burst: list[Received]) -> None:
         receive = self._sock.recvfrom
         try:
             while len(burst) < BURST_PACKETS:
                 data, sender = receive(LARGEST_DATAGRAM_BYTES)
                 burst.append((data, sender[:2]))
         except (BlockingIOError, ConnectionRefusedError):
-            pass
-        return burst
+            # Nothing more is queued, or the port of an earlier receiver
+            # is closed, which the sender of UDP need not care for.
+            return
 
     def send(self, data: bytes, address: units.Address) -> None:
         """Send a datagram; one that the system cannot take is counted."""
