--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -67,7 +67,8 @@
     open flows. With ``handshake`` an upstream runs nothing before the
     caller has acknowledged a random number of that upstream alone, so that
     an opening may reach several upstreams and still runs at one at most.
-    ``priority`` orders services in an overload, 0 first.
+    ``priority`` orders the services of a pool in an overload, 0 first: the
+    most urgent ones are refused last.
     """
 
     number: int
@@ -113,6 +114,16 @@
             return not idempotent
 
 
+def most_urgent(entries: list[Service]) -> dict[int, int]:
+    """Return the least priority number among the services of each pool."""
+    urgent: dict[int, int] = {}
+    for entry in entries:
+        for pool in current_pools(entry):
+            least = urgent.get(pool, entry.priority)
+            urgent[pool] = min(least, entry.priority)
+    return urgent
+
+
 def has_short_requests(service: Service) -> bool:
     """Return whether a request comes as soon as its flow is open."""
     match service.traffic:
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -9,8 +9,8 @@
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import tables
 
-# An opening that nobody else takes may have to wait longer at the upstream
-# than one that is offered elsewhere first, by this factor.
+# An opening of the pool's most urgent service that nobody else takes may have
+# to wait longer at the upstream, by this factor.
 LAST_WAIT_FACTOR = 2
 # How long an upstream may leave all its openings without any answer.
 SILENT_MS = 150
@@ -107,12 +107,13 @@
 ) -> Admission:
     # The upstream itself queues the requests of its flows, so what counts
     # is how long the next one would wait there.
-    counts = state.counts[state.pool_of(service)]
+    pool = state.pool_of(service)
+    counts = state.counts[pool]
     slots = max(1, state.capacity.slots)
     ahead = max(0, counts.running - slots + 1)
     wait_ms = counts.hold_ms * ahead // slots
     limit_ms = service.limits.wait_ms
-    if is_last:
+    if is_last and service.priority == state.most_urgent[pool]:
         limit_ms *= LAST_WAIT_FACTOR
     if wait_ms > limit_ms:
         return Admission.NO
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -135,6 +135,8 @@
     diversion_schedule: schedule.Schedule[
         tuple[packets.FlowKey, records.Diversion]
     ] = dataclasses.field(default_factory=schedule.Schedule)
+    # The least priority number of a service, by pool.
+    most_urgent: dict[int, int] = dataclasses.field(default_factory=dict)
     # Whether all services leave it to upstreams which flows are theirs.
     all_handshake: bool = False
     # Flows with a slot for a request that has not come, the oldest first.
@@ -168,6 +170,7 @@
         """Take the entries of a newer catalogue."""
         self.served = {entry.number: entry for entry in entries}
         self.all_handshake = all(entry.handshake for entry in entries)
+        self.most_urgent = services.most_urgent(entries)
         self.endpoints = routing.index_services(entries)
 
     def pool_of(self, service: services.Service) -> int:
--- a/src/gentianspoke/net/http.py
+++ b/src/gentianspoke/net/http.py
@@ -59,6 +59,17 @@
         yield
 
 
+async def next_event(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> object:
+    """Return the next event of a connection, reading what it needs."""
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        connection.receive_data(await reader.read(READ_BYTES))
+
+
 class _TooLarge(Exception):
     """A body that is larger than any request needs."""
 
@@ -123,11 +134,7 @@
         return Request(head.method.decode('ascii'), path, bytes(body))
 
     async def _next_event(self) -> object:
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._http.receive_data(await self._reader.read(READ_BYTES))
+        return await next_event(self._http, self._reader)
 
     async def _send_continue(self) -> None:
         await self._write(
--- a/src/gentianspoke/net/pages.py
+++ b/src/gentianspoke/net/pages.py
@@ -9,7 +9,6 @@
 from gentianspoke.config import units
 from gentianspoke.net import http
 
-READ_BYTES = 16_384
 LARGEST_PAGE_BYTES = 4 * 1024 * 1024
 REQUEST_TIMEOUT_S = 2.0
 
@@ -57,20 +56,10 @@
     status = 0
     body = b''
     while True:
-        match await _next_event(connection, reader):
+        match await http.next_event(connection, reader):
             case h11.Response(status_code=status):
                 pass
             case h11.Data(data=data) if len(body) < LARGEST_PAGE_BYTES:
                 body += bytes(data)
             case _:
                 return status, body
-
-
-async def _next_event(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> object:
-    while True:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        connection.receive_data(await reader.read(READ_BYTES))
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -239,11 +239,16 @@
                 if name in self._entries
             ]
         entries = list(self._entries.values())
+        self.state.own_pool = self._own_pool(entries)
+        return entries
+
+    def _own_pool(self, entries: list[services.Service]) -> int:
+        """Return the pool of the upstream, as last known where none is."""
         for entry in entries:
             for share in entry.shares:
                 if share.name == self._cfg.pool:
-                    self.state.own_pool = share.pool
-        return entries
+                    return share.pool
+        return self.state.own_pool
 
     def _on_frame(self, data: bytes) -> None:
         now = self._proc.clock.now()
--- a/tests/agent/test_finding.py
+++ b/tests/agent/test_finding.py
@@ -158,10 +158,20 @@
 
 
 @pytest.mark.parametrize(
-    ('running', 'kind'), [(7, actions.Deliver), (8, actions.Refuse)]
+    ('priority', 'running', 'kind'),
+    [
+        pytest.param(1, 5, actions.Deliver, id='within-its-wait'),
+        pytest.param(1, 7, actions.Deliver, id='most-urgent'),
+        pytest.param(1, 8, actions.Refuse, id='most-urgent-beyond-twice'),
+        pytest.param(2, 5, actions.Deliver, id='less-urgent-within'),
+        pytest.param(2, 6, actions.Refuse, id='less-urgent-beyond'),
+    ],
 )
-def test_an_opening_that_nobody_else_takes_may_wait_longer(running, kind):
+def test_the_most_urgent_openings_are_refused_last(priority, running, kind):
     state = agent(HOME, held=view(builders.member(HOME)))
+    entry = dataclasses.replace(ENTRY, priority=priority)
+    urgent = dataclasses.replace(ENTRY, number=2, priority=1, ports=(1,))
+    state.set_catalogue([entry, urgent])
     state.total_running = state.counts[POOL].running = running
     state.counts[POOL].hold_ms = 100
     assert kinds(send(state, SYN)) == [kind]
