Pace what an entry sends over a narrow link, uploads after all else

A trace of large packets shows 16 packets of an upload arrive at a front within 6 ms; they leave 4.6 ms apart (2.3 Mbit/s), the link's queue holds some 11 of them, and 5 of the first 16 were dropped. Each was sent again by the caller after 200 ms and more. Ruled out: losses on the way in (none in the trace), our own sockets (no refused send), the processor (16% of its share).

--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -117,7 +117,7 @@
                 )
                 self.agent = shell
             case _:
-                shell = entry_shell.Entry(self.proc, None, ip)
+                shell = entry_shell.Entry(self.proc, None, ip, None)
         self.shell = shell
 
     async def run(self) -> None:
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -32,6 +32,7 @@
 from gentianspoke.shells.agent import agent as agent_shell
 from gentianspoke.shells import entry as entry_shell
 from gentianspoke.shells import feed_client
+from gentianspoke.shells import paced
 from gentianspoke.shells import process
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
@@ -147,7 +148,8 @@
 def entry_case(sock: datagrams.DatagramSocket, sink: tuple[str, int]) -> Case:
     """Return an entry that forwards segments of open flows."""
     proc = make_process(settings.EntrySettings(sock.address))
-    entry = entry_shell.Entry(proc, sock, ip)
+    link = paced.Link(sock, proc.clock, 0)
+    entry = entry_shell.Entry(proc, sock, ip, link)
     entry.take(feed_client.CatalogueUpdate(True, 1, [service()]))
     entry.take(view(MEMBERS, sink))
     raw = [segment(number, packets.ACK) for number in range(FLOWS)]
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -40,7 +40,9 @@
 ) -> settings.Role:
     match role:
         case settings_model.EntrySettings():
-            return settings.EntrySettings(units.host_port(role.listen.root))
+            return settings.EntrySettings(
+                units.host_port(role.listen.root), role.link_kbps
+            )
         case settings_model.AgentSettings():
             return _agent(role)
         case settings_model.ControlSettings():
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -7,9 +7,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """Settings of an entry."""
+    """Settings of an entry.
+
+    ``link_kbps`` is what the instance's link takes in kbit/s, 0 if unknown.
+    """
 
     listen: units.Address
+    link_kbps: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -124,6 +124,15 @@
     return urgent
 
 
+def is_bulk(service: Service) -> bool:
+    """Return whether the packets of the service may wait for others."""
+    match service.traffic:
+        case Upload():
+            return True
+        case Board() | Booking():
+            return False
+
+
 def has_short_requests(service: Service) -> bool:
     """Return whether a request comes as soon as its flow is open."""
     match service.traffic:
--- a/src/gentianspoke/decisions/actions.py
+++ b/src/gentianspoke/decisions/actions.py
@@ -23,10 +23,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Pass:
-    """Send the frame to another agent."""
+    """Send the frame to another agent.
+
+    ``is_bulk`` tells that it may wait for other packets.
+    """
 
     member: views.Member
     forward: frames.Forward
+    is_bulk: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -97,7 +97,7 @@
         offers_left=OFFERS_AT_MOST,
         pool=ranking.view.service,
     )
-    return actions.Pass(member, forward)
+    return actions.Pass(member, forward, services.is_bulk(service))
 
 
 def _opens(packet: packets.Packet) -> bool:
--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -12,11 +12,13 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
+from gentianspoke.decisions import pacing
 from gentianspoke.decisions import routing
 from gentianspoke import errors
 from gentianspoke.net import datagrams
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import front_end
+from gentianspoke.shells import paced
 from gentianspoke.shells import process
 
 # Time between a planned stop, when /ready turns 503, and the last packet.
@@ -31,8 +33,10 @@
         proc: process.Process,
         sock: datagrams.DatagramSocket,
         codec: wire.Wire,
+        link: paced.Link,
     ) -> None:
         """Begin without a catalogue; nothing is forwarded until it came."""
+        self._link = link
         self._proc = proc
         self._codec = codec
         self._sock = sock
@@ -59,6 +63,7 @@
         while True:
             for raw, sender in await self._sock.receive_burst():
                 self.handle_packet(raw, sender)
+            self._link.send_due()
 
     def handle_packet(self, raw: bytes, sender: units.Address) -> None:
         """Forward a packet, refuse it, or count why it was dropped."""
@@ -89,12 +94,10 @@
             # has accepted.
             counts.dropped['not-confirmed'] += 1
             return
-        match routing.route(self.table, self._codec.parse(raw)):
-            case actions.Pass(member=member, forward=forward):
-                forward.logical = self._proc.events.logical
-                data = frame.encode(forward, self._proc.ring)
-                self._sock.send(data, (member.host, member.port))
-                counts.packets['forwarded'] += 1
+        packet = self._codec.parse(raw)
+        match routing.route(self.table, packet):
+            case actions.Pass() as passed:
+                self._pass(passed, packet)
             case actions.Refuse(packet=refused, reason=reason):
                 reset = self._codec.reset_for(refused)
                 address = self._codec.destination(reset) or sender
@@ -107,6 +110,22 @@
             case actions.Drop(reason=reason):
                 counts.dropped[reason] += 1
 
+    def _pass(self, passed: actions.Pass, packet: packets.Packet) -> None:
+        forward, member = passed.forward, passed.member
+        forward.logical = self._proc.events.logical
+        outgoing = pacing.Outgoing(
+            frame.encode(forward, self._proc.ring),
+            member.host,
+            member.port,
+            passed.is_bulk,
+            pacing.label(packet) if passed.is_bulk else None,
+        )
+        counts = self._proc.metrics.counts
+        if self._link.send(outgoing):
+            counts.packets['forwarded'] += 1
+        else:
+            counts.dropped['link-full'] += 1
+
     def _set_gauges(self) -> None:
         gauges = self._proc.metrics.set_gauge
         gauges('services', len(self.table.rankings))
@@ -120,16 +139,18 @@
     """Run an entry until a planned stop."""
     front = front or front_end.own()
     match cfg.role:
-        case settings.EntrySettings(listen=listen):
+        case settings.EntrySettings(listen=listen, link_kbps=link_kbps):
             pass
         case _:
             raise errors.SettingsError('settings', 'entry', 'missing; add it')
     async with process.run_process(cfg, 'entry') as proc:
         with datagrams.open_datagrams(listen) as sock:
-            entry = Entry(proc, sock, front.codec)
+            link = paced.Link(sock, proc.clock, link_kbps)
+            entry = Entry(proc, sock, front.codec, link)
             async with (
                 process.run_tasks(
                     entry.forward_packets(),
+                    link.drain(),
                     feed_client.follow_feeds(proc, 'entry', entry.take),
                 ),
                 front.serve(proc, entry),
--- /dev/null
+++ b/src/gentianspoke/shells/paced.py
@@ -0,0 +1,57 @@
+"""A socket whose datagrams are paced where the link is narrow."""
+
+import asyncio
+
+from gentianspoke import clock
+from gentianspoke.decisions import pacing
+from gentianspoke.net import datagrams
+
+# Shortest sleep between two sendings: each wake-up costs more than a packet.
+LEAST_PAUSE_MS = 5
+
+
+class Link:
+    """Sends at once, or on a narrow link when the pacer lets it."""
+
+    def __init__(
+        self,
+        sock: datagrams.DatagramSocket,
+        time: clock.Clock,
+        link_kbps: int,
+    ) -> None:
+        """Send by ``sock``; a rate of 0 stands for an unknown one."""
+        self._sock = sock
+        self._clock = time
+        self._pacer: pacing.Pacer | None = None
+        if pacing.is_narrow(link_kbps):
+            self._pacer = pacing.Pacer(link_kbps, time.now())
+        self._waiting = asyncio.Event()
+
+    def send(self, item: pacing.Outgoing) -> bool:
+        """Send a datagram now or in its turn; return whether it was taken.
+
+        What waits goes out by :meth:`send_due` and :meth:`drain`.
+        """
+        if self._pacer is None:
+            self._sock.send(item.data, (item.host, item.port))
+            return True
+        return self._pacer.add(item)
+
+    def send_due(self) -> None:
+        """Send what the link takes now."""
+        if self._pacer is None:
+            return
+        for item in self._pacer.take_due(self._clock.now()):
+            self._sock.send(item.data, (item.host, item.port))
+        if self._pacer.wait_ms() is not None:
+            self._waiting.set()
+
+    async def drain(self) -> None:
+        """Send what waits in its turn, until cancelled."""
+        while True:
+            await self._waiting.wait()
+            self._waiting.clear()
+            wait_ms = self._pacer.wait_ms() if self._pacer else None
+            pause_ms = max(LEAST_PAUSE_MS, wait_ms or 0)
+            await asyncio.sleep(pause_ms / clock.MS_PER_S)
+            self.send_due()
--- /dev/null
+++ b/tests/net/test_paced.py
@@ -0,0 +1,50 @@
+"""A paced link holds back what is too much, and sends it in its turn."""
+
+import asyncio
+
+import pytest
+
+from gentianspoke import clock
+from gentianspoke.decisions import pacing
+from gentianspoke.shells import paced
+
+COUNT = 20
+
+
+class Sink:
+    """Stands in for a socket."""
+
+    def __init__(self):
+        """Begin with nothing sent."""
+        self.sent = []
+
+    def send(self, data, address):
+        """Keep what is sent."""
+        self.sent.append((data, address))
+
+
+def outgoing(number):
+    return pacing.Outgoing(bytes(1_250), 'h', number, is_bulk=True)
+
+
+@pytest.mark.parametrize(
+    ('link_kbps', 'at_once'),
+    [
+        pytest.param(0, COUNT, id='unknown'),
+        pytest.param(2_000, 5, id='narrow'),
+    ],
+)
+async def test_a_narrow_link_sends_in_turn(link_kbps, at_once):
+    time = clock.ManualClock()
+    sink = Sink()
+    link = paced.Link(sink, time, link_kbps)
+    for number in range(COUNT):
+        assert link.send(outgoing(number))
+    link.send_due()
+    assert len(sink.sent) == at_once
+    draining = asyncio.create_task(link.drain())
+    while len(sink.sent) < COUNT:
+        time.advance(5)
+        await asyncio.sleep(0.001)
+    draining.cancel()
+    assert [address[1] for _, address in sink.sent] == list(range(COUNT))
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -56,6 +56,15 @@
     return boot.read(str(path))
 
 
+@pytest.mark.parametrize(
+    ('table', 'link_kbps'),
+    [('', 0), ('[limits]\nlink_mbps = 2.3\n', 2_300)],
+)
+def test_an_entry_learns_the_rate_of_its_link(tmp_path, table, link_kbps):
+    cfg = boot.entry_settings(read(tmp_path, FRONT + table))
+    assert cfg.role.link_kbps == link_kbps
+
+
 def test_seeds_become_the_first_members(tmp_path):
     cfg = boot.control_settings(read(tmp_path, FRONT))
     assert cfg.feeds == (('10.1.0.10', 7_720), ('10.2.0.40', 7_720))
--- a/tests/telemetry/test_entry_refusals.py
+++ b/tests/telemetry/test_entry_refusals.py
@@ -13,6 +13,7 @@
 from gentianspoke.core import services
 from gentianspoke.shells import entry
 from gentianspoke.shells import feed_client
+from gentianspoke.shells import paced
 from gentianspoke.telemetry import event_files
 from gentianspoke.telemetry import logs
 from gentianspoke.telemetry import metrics
@@ -49,7 +50,8 @@
     )
     key = builders.flow_key()
     sock = OneBurst(segments.build(key, 2, 100, 0))
-    shell = entry.Entry(proc, sock, ip)
+    link = paced.Link(sock, clock.ManualClock(), 0)
+    shell = entry.Entry(proc, sock, ip, link)
     board = builders.service(services.Board())
     shell.table.set_catalogue(1, [board])
     shell.table.set_view(builders.view())
