Soak the real programs under seeded faults from outside

Real entries, agents and control behind loopback proxies, between the demonstration's stand-ins: restarts, drains, kills, freezes, full disks, jumps of the time of day, late, reset, silent and one-way connections, in series and overlapping. A first run counted as a fault of ours that a process still loading ends by the signal itself; the check allows that within 3 s of its start only. The tests' proxy is the soak's now: one copy.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=src:platform:. $(BIN)/python
-SOURCES = src platform tests tools benchmarks demo specs
+SOURCES = src platform tests tools benchmarks demo specs soak
 
-.PHONY: test demo bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
+.PHONY: test demo soak bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
 test: check unit
 
@@ -89,3 +89,8 @@
 # Writes docs/fault-matrix.md.
 matrix: $(VENV)/.ready
 	PYTHONPATH=src:.:tests $(BIN)/python -m tests.matrix
+
+# Real processes under faults from outside; SOAK holds options, such as
+# SOAK="--seed 7 --seconds 60".
+soak: $(VENV)/.ready
+	$(RUN) -m soak $(SOAK)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -46,8 +46,8 @@
 
 
 async def _run_on(stage: stages.Stage) -> bool:
-    await _wait_ready(stage)
-    await _apply_catalogue(stage)
+    await wait_ready(stage)
+    await apply_catalogue(stage)
     await asyncio.sleep(VIEWS_SETTLE_S)
     loop = asyncio.get_running_loop()
     diary = changes.Diary(loop.time())
@@ -69,13 +69,15 @@
     return report.print_report(stage, workers.results, diary, samples)
 
 
-async def _wait_ready(stage: stages.Stage) -> None:
+async def wait_ready(stage: stages.Stage) -> None:
+    """Wait until all entries take packets; raises ``TimeoutError``."""
     async with asyncio.timeout(READY_AT_MOST_S):
         while stage.fabric.ready_entries() < len(stage.plan.entries):
             await asyncio.sleep(READY_POLL_S)
 
 
-async def _apply_catalogue(stage: stages.Stage) -> None:
+async def apply_catalogue(stage: stages.Stage) -> None:
+    """Apply the user's catalogue; raises ``SystemExit`` where refused."""
     status = await processes.run_command(
         'catalogue',
         'apply',
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -56,7 +56,7 @@
     if len(plan.control) > 1:
         role['members'] = [
             {'instance': f'control-{number}', 'address': plans.text(address)}
-            for number, address in enumerate(plan.control)
+            for number, address in enumerate(plan.reached)
         ]
     return role
 
@@ -79,7 +79,7 @@
     plan: plans.Plan, role: str, content: dict[str, typing.Any]
 ) -> dict[str, str]:
     if role != 'control':
-        content['feeds'] = [plans.text(item) for item in plan.control]
+        content['feeds'] = [plans.text(item) for item in plan.reached]
     instance = content['instance']
     path = plan.folder / f'{instance}.yaml'
     path.write_text(yaml.safe_dump(content))
--- a/demo/plan.py
+++ b/demo/plan.py
@@ -32,7 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """Addresses of the whole deployment; entries map to their pages."""
+    """Addresses of the whole deployment; entries map to their pages.
+
+    ``listed`` are the addresses by which others find control, where these
+    are not its own.
+    """
 
     folder: pathlib.Path
     fabric: Address
@@ -40,11 +44,17 @@
     control: tuple[Address, ...]
     entries: dict[Address, Address]
     agents: tuple[AgentPlan, ...]
+    listed: tuple[Address, ...] = ()
+
+    @property
+    def reached(self) -> tuple[Address, ...]:
+        """Where control is reached."""
+        return self.listed or self.control
 
     @property
     def control_text(self) -> str:
         """The control addresses as operators' commands take them."""
-        return ','.join(text(address) for address in self.control)
+        return ','.join(text(address) for address in self.reached)
 
     @property
     def keys(self) -> pathlib.Path:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -16,9 +16,12 @@
 class Processes:
     """The product's processes, started and stopped by name."""
 
-    def __init__(self, plan: plans.Plan) -> None:
-        """Write the settings files of the plan."""
+    def __init__(
+        self, plan: plans.Plan, command: tuple[str, ...] = COMMAND
+    ) -> None:
+        """Write the settings files of the plan; ``command`` starts one."""
         self._plan = plan
+        self._command = command
         self._running: dict[str, asyncio.subprocess.Process] = {}
         self.roles = deployment.write_settings(plan)
 
@@ -26,9 +29,29 @@
         """Start the process of an instance."""
         path = self._plan.folder / f'{instance}.yaml'
         self._running[instance] = await asyncio.create_subprocess_exec(
-            *COMMAND, self.roles[instance], str(path), env={**os.environ}
+            *self._command,
+            self.roles[instance],
+            str(path),
+            env={**os.environ},
         )
 
+    def names(self) -> list[str]:
+        """Return the instances whose process was started and not ended."""
+        return list(self._running)
+
+    def signal(self, instance: str, number: int) -> None:
+        """Send a signal to the process of an instance."""
+        with contextlib.suppress(ProcessLookupError):
+            self._running[instance].send_signal(number)
+
+    def status(self, instance: str) -> int | None:
+        """Return the exit status of an instance, ``None`` while it runs."""
+        return self._running[instance].returncode
+
+    def pid(self, instance: str) -> int:
+        """Return the id of the process of an instance."""
+        return self._running[instance].pid
+
     async def stop(self, instance: str) -> int:
         """Stop an instance as planned and return its exit status."""
         running = self._running.pop(instance)
@@ -58,10 +81,12 @@
 
 @contextlib.asynccontextmanager
 async def run_processes(
-    plan: plans.Plan, later: frozenset[str]
+    plan: plans.Plan,
+    later: frozenset[str],
+    command: tuple[str, ...] = COMMAND,
 ) -> collections.abc.AsyncIterator[Processes]:
     """Run all processes but those of ``later``; kill what is left."""
-    processes = Processes(plan)
+    processes = Processes(plan, command)
     try:
         for name in processes.roles:
             if name not in later:
--- a/demo/stage.py
+++ b/demo/stage.py
@@ -42,6 +42,7 @@
     plan: plans.Plan,
     unreliable: faults.Faults,
     rng: random.Random,
+    command: tuple[str, ...] = processes.COMMAND,
 ) -> collections.abc.AsyncIterator[Stage]:
     """Open the stand-ins, then start the processes but the joiner."""
     tally = upstreams.Tally()
@@ -64,7 +65,7 @@
         host = callers.CallerHost(caller_sock, plan.fabric, rng, CALLER)
         later = frozenset({plan.agents[JOINER].instance})
         running = await stack.enter_async_context(
-            processes.run_processes(plan, later)
+            processes.run_processes(plan, later, command)
         )
         yield Stage(size, plan, running, ups, tally, carrier, unreliable, host)
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,67 @@
+"""Soak the real programs: ``python -m soak --seed 7 --seconds 60``."""
+
+import asyncio
+import dataclasses
+import pathlib
+import sys
+import tempfile
+
+import cappa
+
+from soak import mechanisms
+from soak import running
+from soak import world as worlds
+
+VIOLATIONS_SHOWN = 20
+
+
+@cappa.command(name='soak', default_long=True)
+@dataclasses.dataclass
+class Soak:
+    """Run seeded soaks and print what was checked and which faults struck.
+
+    Every seed is one run; the exit status is 1 where a check failed.
+    """
+
+    seed: int = 1
+    seeds: int = 1
+    seconds: float = 60.0
+    base_port: int = 26_000
+    folder: str = ''
+    without: mechanisms.Mechanism | None = None
+
+    def __call__(self) -> int:
+        """Run the soaks one after the other."""
+        failed = [
+            seed
+            for seed in range(self.seed, self.seed + self.seeds)
+            if not self._run_one(seed)
+        ]
+        print(f'{self.seeds} runs, failed seeds: {failed or "none"}')
+        return 1 if failed else 0
+
+    def _run_one(self, seed: int) -> bool:
+        without = self.without.value if self.without else '-'
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(self.folder or scratch) / f'seed-{seed}'
+            options = running.Options(
+                seed, self.seconds, self.base_port, folder, without
+            )
+            notes = asyncio.run(running.run(options))
+        print_notes(seed, notes)
+        return not notes.violations
+
+
+def print_notes(seed: int, notes: worlds.Notes) -> None:
+    """Print the summary of one run."""
+    print(f'seed {seed}')
+    for name, count in sorted(notes.faults.items()):
+        print(f'  struck  {name:52}{count:>8}')
+    for name, count in sorted(notes.checks.items()):
+        print(f'  checked {name:52}{count:>8}')
+    for text in notes.violations[:VIOLATIONS_SHOWN]:
+        print(f'  VIOLATED {text}', flush=True)
+
+
+if __name__ == '__main__':
+    sys.exit(cappa.invoke(Soak))
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,139 @@
+"""Everything that runs in one soak, and what its watchers noted."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import pathlib
+import random
+import sys
+
+from demo import faults as fabric_faults
+from demo import plan as plans
+from demo import sizes
+from demo import stage as stages
+from soak import faults
+from soak import proxy
+
+CONTROL_INSTANCES = 3
+RESTART_PAUSE_S = 0.5
+# A process that is still loading ends by the signal itself.
+LOADING_S = 3.0
+# Ports of the proxies, counted from the first one of the run.
+PROXY_OFFSET = 300
+
+
+@dataclasses.dataclass(slots=True)
+class Notes:
+    """What was done, checked and seen."""
+
+    faults: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    checks: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+    def check(self, name: str, holds: bool, what: str = '') -> None:
+        """Count a check, and keep what was seen where it does not hold."""
+        self.checks[name] += 1
+        if not holds:
+            self.violations.append(f'{name}: {what}')
+
+
+@dataclasses.dataclass(slots=True)
+class World:
+    """The stage of the demonstration behind proxies."""
+
+    stage: stages.Stage
+    proxies: list[proxy.Proxy]
+    notes: Notes
+    # Instances that a fault has ended, or may end, at the moment.
+    excused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    started: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    async def start(self, instance: str) -> None:
+        """Start a process that has ended."""
+        self.started[instance] = asyncio.get_running_loop().time()
+        await self.stage.processes.start(instance)
+
+    def is_loading(self, instance: str) -> bool:
+        """Return whether a process was started a moment ago."""
+        now = asyncio.get_running_loop().time()
+        return now - self.started.get(instance, 0.0) < LOADING_S
+
+    @property
+    def targets(self) -> faults.Targets:
+        """Return what faults may strike."""
+        roles = self.stage.processes.roles
+        by_role = collections.defaultdict(list)
+        for instance, role in roles.items():
+            by_role[role].append(instance)
+        return faults.Targets(
+            tuple(by_role['control']),
+            tuple(by_role['entry']),
+            tuple(by_role['agent']),
+        )
+
+    @contextlib.contextmanager
+    def excuse(
+        self, instances: collections.abc.Iterable[str]
+    ) -> collections.abc.Iterator[None]:
+        """Let processes of instances be ended or end during the context."""
+        self.excused.update(instances)
+        try:
+            yield
+        finally:
+            self.excused.subtract(instances)
+
+    async def supervise(self) -> None:
+        """Start again what ended by itself, and note it."""
+        running = self.stage.processes
+        while True:
+            await asyncio.sleep(RESTART_PAUSE_S)
+            for instance in running.names():
+                status = running.status(instance)
+                if status is None:
+                    continue
+                excused = self.excused[instance] > 0
+                self.notes.check(
+                    'processes end only when told to',
+                    excused,
+                    f'{instance} ended with status {status}',
+                )
+                await self.start(instance)
+
+
+@contextlib.asynccontextmanager
+async def open_world(
+    seed: int, base_port: int, folder: pathlib.Path, without: str
+) -> collections.abc.AsyncIterator[World]:
+    """Start the programs of a run, and end them after the context."""
+    rng = random.Random(seed)
+    size = sizes.load('aromas-del-plata')
+    plan = plans.make_plan(folder, base_port, size.pools, CONTROL_INSTANCES)
+    first = base_port + PROXY_OFFSET
+    proxies = [
+        proxy.Proxy((plans.HOST, first + number))
+        for number in range(CONTROL_INSTANCES)
+    ]
+    plan = dataclasses.replace(
+        plan, listed=tuple(item.address for item in proxies)
+    )
+    command = (sys.executable, '-m', 'soak.program', str(seed), without)
+    unreliable = fabric_faults.Faults(fabric_faults.FaultRates(), rng)
+    async with contextlib.AsyncExitStack() as stack:
+        for item, address in zip(proxies, plan.control, strict=True):
+            await stack.enter_async_context(item.run(address))
+        stage = await stack.enter_async_context(
+            stages.open_stage(size, plan, unreliable, rng, command)
+        )
+        await stage.processes.start(plan.agents[stages.JOINER].instance)
+        stage.ups[stages.JOINER].joined = True
+        await stack.enter_async_context(stages.run_stand_ins(stage))
+        yield World(stage, proxies, Notes())
--- a/tests/control/proof_control_group.py
+++ b/tests/control/proof_control_group.py
@@ -13,6 +13,7 @@
 from gentianspoke.config import units
 from gentianspoke.decisions.control.replica import state as states
 from gentianspoke.shells import feed_client
+from soak import proxy as soak_proxy
 
 BASE_PORT = 30_300
 BURST = 64
@@ -122,7 +123,7 @@
 @pytest.mark.parametrize('way', ['to', 'from'])
 async def test_a_member_cut_off_in_one_direction_notices(tmp_path, way):
     port = BASE_PORT + 60
-    proxy = control_group.Proxy((control_group.HOST, port + 3))
+    proxy = soak_proxy.Proxy((control_group.HOST, port + 3))
     listed = {'control-0': proxy.address}
     async with (
         proxy.run((control_group.HOST, port)),
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relays.py
@@ -5,7 +5,6 @@
 
 import builders
 import control_fakes
-import control_group
 import heartbeats
 import pytest
 import replica_network
@@ -16,6 +15,7 @@
 from gentianspoke.shells.control import relay
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
+from soak import proxy as soak_proxy
 
 PORTS = (31_020, 31_021, 31_022)
 PROXY_PORT = 31_023
@@ -141,7 +141,7 @@
     way, monkeypatch
 ):
     monkeypatch.setattr(feed_service, 'SILENT_S', 0.5)
-    proxy = control_group.Proxy((control_fakes.HOST, PROXY_PORT))
+    proxy = soak_proxy.Proxy((control_fakes.HOST, PROXY_PORT))
     async with run_cluster() as controls, proxy.run(controls[1].address):
         consumer = Consumer('entry-1')
         feed = feed_client.Feed(consumer.proc, 'entry', consumer.take)
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,140 @@
+"""The soak draws the same faults from a seed, strikes and catches."""
+
+import asyncio
+import contextlib
+import random
+
+import loopback
+import pytest
+
+from soak import faults
+from soak import mechanisms
+from soak import program
+from soak import proxy
+from soak import running
+from soak import world
+
+TARGETS = faults.Targets(
+    ('control-0', 'control-1'), ('entry-0',), ('agent-0',)
+)
+LENGTH_S = 60.0
+SHORT_S = 8.0
+# Seeds that failed once, each with its cause; none has by now.
+REGRESSIONS: dict[int, str] = {}
+PORT = 24_700
+BASE_PORT = 24_000
+
+
+@pytest.mark.parametrize('make', [faults.planned, faults.unplanned])
+def test_a_seed_gives_the_same_faults(make):
+    first, second = (
+        faults.draw(random.Random(3), TARGETS, LENGTH_S, make)
+        for _ in range(2)
+    )
+    assert first == second
+    assert [item.at_s for item in first] == sorted(i.at_s for i in first)
+
+
+def test_every_kind_of_fault_is_drawn():
+    rng = random.Random(1)
+    drawn = {type(faults.unplanned(rng, TARGETS)) for _ in range(500)}
+    drawn |= {type(faults.planned(rng, TARGETS)) for _ in range(500)}
+    kinds = faults.Planned.__args__ + faults.Unplanned.__args__
+    assert drawn == set(kinds)
+
+
+async def echo(reader, writer):
+    with contextlib.suppress(OSError):
+        while data := await reader.read(100):
+            writer.write(data)
+    writer.close()
+
+
+@contextlib.asynccontextmanager
+async def connected():
+    """Return a proxy before an echo, and a connection through it."""
+    through = proxy.Proxy((loopback.HOST, PORT))
+    server = await asyncio.start_server(echo, loopback.HOST, PORT + 1)
+    async with server, through.run((loopback.HOST, PORT + 1)):
+        reader, writer = await asyncio.open_connection(loopback.HOST, PORT)
+        yield through, reader, writer
+        writer.close()
+
+
+async def answer_to(reader, writer):
+    """Return what comes back, empty where nothing does."""
+    writer.write(b'x')
+    try:
+        async with asyncio.timeout(0.3):
+            return await reader.read(100)
+    except TimeoutError:
+        return b''
+
+
+@pytest.mark.parametrize(
+    ('harm', 'answer'),
+    [
+        pytest.param(lambda p: None, b'x', id='none'),
+        pytest.param(lambda p: setattr(p, 'lost', 'to'), b'', id='to'),
+        pytest.param(lambda p: setattr(p, 'lost', 'from'), b'', id='from'),
+        pytest.param(lambda p: p.silence(), b'', id='silence'),
+        pytest.param(lambda p: setattr(p, 'delay_s', 0.05), b'x', id='delay'),
+    ],
+)
+async def test_a_proxy_harms_open_connections(harm, answer):
+    async with connected() as (through, reader, writer):
+        assert await answer_to(reader, writer) == b'x'
+        harm(through)
+        assert await answer_to(reader, writer) == answer
+
+
+async def test_a_proxy_resets_open_connections():
+    async with connected() as (through, reader, writer):
+        assert await answer_to(reader, writer) == b'x'
+        assert through.reset() == 1
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(100):
+                pass
+            raise ConnectionResetError
+
+
+def test_what_does_not_hold_is_kept():
+    notes = world.Notes()
+    notes.check('name', True)
+    notes.check('name', False, 'seen')
+    assert (notes.checks['name'], notes.violations) == (2, ['name: seen'])
+
+
+def test_the_time_of_day_jumps_and_returns(monkeypatch):
+    now_s = [0.0]
+    monkeypatch.setattr(program.time, 'time_ns', lambda: 10**18)
+    monkeypatch.setattr(program.time, 'time', program.time.time)
+    monkeypatch.setattr(program.time, 'monotonic', lambda: now_s[0])
+    program.skew_wall_clock(random.Random(1))
+    seen = set()
+    for step in range(20):
+        now_s[0] = step * program.PERIOD_S / 4
+        seen.add(program.time.time_ns())
+    assert len(seen) == 2 and 10**18 in seen
+
+
+@pytest.mark.parametrize('mechanism', mechanisms.Mechanism)
+def test_each_mechanism_can_be_taken_out(mechanism, monkeypatch):
+    changed = []
+    monkeypatch.setattr(
+        mechanisms,
+        'setattr',
+        lambda *args: changed.append(args),
+        raising=False,
+    )
+    mechanisms.take_out(mechanism)
+    ((where, name, _),) = changed
+    assert hasattr(where, name)
+
+
+@pytest.mark.parametrize('seed', [1, *REGRESSIONS])
+async def test_a_short_run_keeps_every_promise(seed, tmp_path):
+    options = running.Options(seed, SHORT_S, BASE_PORT, tmp_path)
+    notes = await running.run(options)
+    assert notes.violations == []
+    assert notes.faults and notes.checks['flows seen by callers'] > 0
