Let a voter that has just started stand only where nobody can lead

Reads are confirmed by a majority after the question and records committed by one, so nothing that was acknowledged could be lost; leases of services without the handshake rest on the claim. Change: before its wait is over a voter stands only where every voter knows of no leader. tests/replica: failed before, passes now.

--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -121,8 +121,12 @@
 
 def _count(state: states.State, now: int) -> Effects:
     has_majority = state.group.is_majority(state.votes)
+    # Its own vote, too, may be what a leader's claim rests on.
+    may_vote = not _hears_leader(state, now)
     match state.role.state:
-        case roles.PRE_CANDIDATE if has_majority or state.is_unopposed():
+        case roles.PRE_CANDIDATE if state.is_unopposed():
+            return _campaign(state, now)
+        case roles.PRE_CANDIDATE if has_majority and may_vote:
             return _campaign(state, now)
         case roles.CANDIDATE if has_majority:
             return _win(state, now)
--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -114,6 +114,29 @@
     assert net.clock.now() - begun_ms < SILENT_MS
 
 
+def test_a_restarted_member_does_not_stand_beside_a_claim():
+    # The third member has long lost the leader and would vote for it.
+    net = replica_network.Network()
+    first = net.await_leader()
+    other, third = (n for n in (1, 2, 3) if n != first)
+    net.lost.add((first, third))
+    net.lost.add((third, first))
+    net.run(3 * SILENT_MS)
+    first = net.await_leader()
+    held = net.replicas[first].state
+    restarted = next(n for n in (1, 2, 3) if n not in (first, third))
+    net.isolate(first)
+    net.start(restarted)
+    begun_ms = net.clock.now()
+    while held.leads(net.clock.now()):
+        net.run(10)
+        leaders = [n for n, item in net.replicas.items() if n != first]
+        assert not any(
+            net.replicas[n].state.leads(net.clock.now()) for n in leaders
+        )
+    assert net.clock.now() - begun_ms < SILENT_MS
+
+
 @pytest.mark.parametrize(
     ('knew_leader', 'unopposed', 'granted'),
     [
