Let votes without the wait count only together; check it by explicit states

Cause: the model of the election after a whole loss found a second hole: a voter's word that it knows no leader grows old while others are asked. One that was elected in between, and reached a voter which then restarted, kept its claim beside a leader elected by a majority of such votes. Change: votes that are given without the wait after a start count only where all voters give theirs; then none of them leads, nor will in an older term.

--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -2,11 +2,13 @@
 
 A leader's claim rests on voters that heard it a moment ago, and a restart
 forgets that; so a voter waits after its start. Where all voters have
-restarted, the wait serves nothing: a leader is a voter, and each voter says
-that it does not lead and has heard no leader since its start. A leader of
-another group than the asker's is ruled out too: groups change by one
-member at a time, so one of the asker's voters holds newer records, and is
-not willing.
+restarted, the wait serves nothing. A candidate that all of them have told
+that they neither lead nor heard a leader since their start asks for votes
+without the wait, and wins by them only if every voter gives its own: then
+none of them leads, nor will in an older term. A leader of another group than
+the candidate's is ruled out too: groups change by one member at a time, so
+one of the voters holds newer records and refuses. Source: the specification
+``specs/fresh_start.py``.
 """
 
 from gentianspoke.decisions.control.replica import commits
@@ -37,6 +39,7 @@
     state.answered = {state.number}
     state.votes = {state.number}
     state.willing = set() if state.knew_leader else {state.number}
+    state.unopposed = False
     return _role_changed(state) + _count(state, now)
 
 
@@ -61,13 +64,12 @@
 ) -> Effects:
     """Give or refuse a vote, or say whether it would be given."""
     heard = _hears_leader(state, now)
+    may_haste = heard and not state.knew_leader
     if request.pre:
         would = request.term > state.term and _is_current(state, request)
-        willing = would and not state.knew_leader
-        return [_reply(state, would and not heard, willing)]
-    if request.unopposed and not state.knew_leader:
-        heard = False
-    if heard or request.term < state.term:
+        return [_reply(state, would and not heard, would and may_haste)]
+    hasty = may_haste and request.unopposed
+    if (heard and not hasty) or request.term < state.term:
         return [_reply(state, False)]
     found: Effects = []
     if request.term > state.term:
@@ -79,7 +81,7 @@
             state.voted_for = request.sender
             found.append(state.vote())
         state.reset_election(now)
-    return [*found, _reply(state, granted)]
+    return [*found, _reply(state, granted, granted and hasty)]
 
 
 def take_vote_reply(
@@ -94,10 +96,10 @@
     if request != vote_request(state, reply.sender):
         return []
     state.answered.add(reply.sender)
-    if reply.granted:
-        state.votes.add(reply.sender)
-    if reply.willing:
+    if reply.granted or reply.willing:
         state.willing.add(reply.sender)
+    if reply.granted and not reply.willing:
+        state.votes.add(reply.sender)
     return _count(state, now)
 
 
@@ -115,20 +117,21 @@
         last_index=state.log.last_index,
         last_term=state.log.last_term,
         pre=pre,
-        unopposed=not pre and state.is_unopposed(),
+        unopposed=state.unopposed,
     )
 
 
 def _count(state: states.State, now: int) -> Effects:
     has_majority = state.group.is_majority(state.votes)
-    # Its own vote, too, may be what a leader's claim rests on.
+    # Its own vote, too, may be one that a leader's claim rests on.
     may_vote = not _hears_leader(state, now)
     match state.role.state:
-        case roles.PRE_CANDIDATE if state.is_unopposed():
+        case roles.PRE_CANDIDATE if state.are_all_willing():
+            state.unopposed = True
             return _campaign(state, now)
         case roles.PRE_CANDIDATE if has_majority and may_vote:
             return _campaign(state, now)
-        case roles.CANDIDATE if has_majority:
+        case roles.CANDIDATE if has_majority or state.are_all_willing():
             return _win(state, now)
         case _:
             return []
@@ -139,7 +142,8 @@
     state.voted_for = state.number
     state.role.advance('campaign')
     state.answered = {state.number}
-    state.votes = {state.number}
+    state.votes = set() if _hears_leader(state, now) else {state.number}
+    state.willing = {state.number}
     found: Effects = [state.vote()]
     return found + _role_changed(state) + _count(state, now)
 
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -31,7 +31,8 @@
     """Answers a vote request; ``term`` is the newest that is known.
 
     ``willing`` tells that the sender does not lead, has heard no leader
-    since its start, and would vote for the asker if that held for all.
+    since its start, and gives its vote without the wait after that: it
+    counts only where all voters give theirs.
     """
 
     sender: int
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -104,8 +104,10 @@
         self.elected_ms = now
         self.answered: set[int] = set()
         self.votes: set[int] = set()
-        # Members that know of no leader and would vote for this one.
+        # Members that would vote for this one, or have, if all others do.
         self.willing: set[int] = set()
+        # Whether all were willing when this one began to campaign.
+        self.unopposed = False
         self.progress: dict[int, Progress] = {}
         # Members in whose place another folder answered this leader.
         self.gone: set[int] = set()
@@ -135,8 +137,8 @@
             return False
         return now - self.started_ms < self.timing.election_min_ms
 
-    def is_unopposed(self) -> bool:
-        """Return whether every voter knows of no leader."""
+    def are_all_willing(self) -> bool:
+        """Return whether every voter is willing to vote for this one."""
         return all(item.number in self.willing for item in self.group.voters)
 
     def vote(self) -> effects.SaveVote:
--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -4,7 +4,9 @@
 import replica_network
 
 from gentianspoke.decisions.control.replica import effects
+from gentianspoke.decisions.control.replica import elections
 from gentianspoke.decisions.control.replica import messages
+from gentianspoke.decisions.control.replica import roles
 from gentianspoke.decisions.control.replica import state as states
 
 SILENT_MS = states.Timing().election_min_ms
@@ -155,6 +157,34 @@
     assert respond(found).granted is granted
 
 
+@pytest.mark.parametrize(
+    ('size', 'hasty', 'patient', 'wins'),
+    [
+        pytest.param(3, 2, 0, True, id='all-in-haste'),
+        pytest.param(3, 1, 0, False, id='a-majority-in-haste'),
+        pytest.param(5, 3, 1, True, id='all-by-both'),
+        pytest.param(5, 2, 1, False, id='a-majority-by-both'),
+    ],
+)
+def test_votes_without_the_wait_count_only_together(
+    size, hasty, patient, wins
+):
+    net = replica_network.Network(size)
+    state = net.replicas[1].state
+    net.clock.advance(state.timing.first_ms)
+    net.step(1, messages.Tick())
+    for number in range(2, size + 1):
+        reply = messages.VoteReply(number, 0, False, True)
+        asked = elections.vote_request(state, number)
+        net.step(1, messages.Answered(asked, reply))
+    for position in range(hasty + patient):
+        asked = elections.vote_request(state, position + 2)
+        assert asked.unopposed
+        reply = messages.VoteReply(position + 2, 1, True, position < hasty)
+        net.step(1, messages.Answered(asked, reply))
+    assert (state.role.state == roles.LEADER) is wins
+
+
 @pytest.mark.parametrize(
     ('knew_leader', 'term', 'last_index', 'willing'),
     [
