Model replacement without an operator in the catalogue log's specification

With Bounds.tolerate the leader removes only members that lost their disks; a new property asks that some disk still holds what was committed. A minority that missed records beside a lost disk stalls.

--- a/specs/catalogue_cases.py
+++ b/specs/catalogue_cases.py
@@ -21,6 +21,11 @@
     'one edit over two terms': Bounds(
         records=3, sends_a=1, sends_b=0, crashes=0
     ),
+    # A minority may miss records, another member lose its disk, and the rest
+    # be down, in any order.
+    'a lost disk, a crash and a successor': Bounds(
+        spares=1, losses=1, sends_a=0, sends_b=0, terms=1, tolerate=1
+    ),
     'a lost disk and a new member': Bounds(
         spares=1, losses=1, crashes=0, sends_a=0, sends_b=0, terms=1
     ),
@@ -64,6 +69,10 @@
         Bounds(records=4, terms=1),
         'one-answer-per-key',
     ),
+    Mistake.SHRINKS_FOR_SILENCE: (
+        Bounds(tolerate=1, losses=1, crashes=0, terms=1, records=4),
+        'what-was-committed-is-on-a-disk',
+    ),
     Mistake.RACE_BOTH_WIN: (
         Bounds(records=4, terms=1),
         'one-winner-per-version',
--- a/specs/catalogue_log.py
+++ b/specs/catalogue_log.py
@@ -5,14 +5,16 @@
 An exchange between two instances is one step, with its reply kept or
 lost; one append may be kept back and come late, or twice. An instance
 crashes and returns with what it had synced; one that loses its disk stays
-away, and a spare joins under a new identity.
+away, and a spare joins under a new identity, at the same address or not: it
+gets the log before it votes. The leader replaces members without an operator
+where ``Bounds.tolerate`` is set.
 
 The verdicts are the code's own: ``groups.Group`` for majorities and the
 commit index, ``catalogue.Catalogue`` for the answers to edits.
 
 Properties: what an operator was told stays so. A term has one leader,
-committed logs agree, and every leader of the newest term has what was
-committed; a version has one winner; a key has one answer.
+committed logs agree, every leader of the newest term has what was committed,
+and some disk still holds it; a version has one winner; a key has one answer.
 """
 
 import itertools
@@ -58,6 +60,7 @@
             'one-leader-per-term': _one_leader,
             'committed-logs-agree': self._committed_logs_agree,
             'leader-has-what-was-committed': self._leader_is_complete,
+            'what-was-committed-is-on-a-disk': _is_kept,
             'one-winner-per-version': _one_winner,
             'one-answer-per-key': _one_answer,
         }
@@ -178,7 +181,7 @@
         voters = self._voters(node)
         found: Steps = []
         for other in self.numbers:
-            if other in voters and other != number and len(voters) > 1:
+            if other in voters and self._may_remove(state, other, number):
                 changed = tuple(item for item in voters if item != other)
             elif self._may_join(state, number, other, voters):
                 changed = tuple(sorted((*voters, other)))
@@ -192,6 +195,16 @@
             found.append(self._propose(state, number, record, label))
         return found
 
+    def _may_remove(self, state: State, other: int, leader: int) -> bool:
+        voters = self._voters(state.nodes[leader])
+        if other == leader or len(voters) < 2:
+            return False
+        if self.bounds.tolerate is None:
+            return True
+        if self.mistake is Mistake.SHRINKS_FOR_SILENCE:
+            return True
+        return state.nodes[other].lost
+
     def _may_join(
         self, state: State, number: int, other: int, voters: tuple[int, ...]
     ) -> bool:
@@ -332,6 +345,9 @@
         voters = states.voters_of(state.durable, self.first)
         if number not in voters:
             return False
+        if self.bounds.tolerate is not None:
+            lost = sum(node.lost for node in state.nodes)
+            return lost < self.bounds.tolerate
         gone = sum(state.nodes[item].lost for item in voters) + 1
         return gone <= (len(voters) - 1) // 2
 
@@ -372,6 +388,15 @@
     return len(terms) == len(set(terms))
 
 
+def _is_kept(state: dict) -> bool:
+    durable = state['durable']
+    return any(
+        node.log[: node.synced][: len(durable)] == durable
+        for node in state['nodes']
+        if not node.lost
+    )
+
+
 def _one_winner(state: dict) -> bool:
     winners = [
         kind
--- a/specs/catalogue_state.py
+++ b/specs/catalogue_state.py
@@ -35,6 +35,7 @@
     TWO_CHANGES_AT_ONCE = 'a change of voters before the last is committed'
     ANSWERS_NOT_IN_SNAPSHOT = 'a snapshot without the answers'
     NO_ANSWERS_KEPT = 'an edit that is sent again is applied again'
+    SHRINKS_FOR_SILENCE = 'silent members are removed, however few are left'
     RACE_BOTH_WIN = 'an edit is accepted on any version'
 
 
@@ -97,6 +98,10 @@
     crashes: int = 1
     losses: int = 0
     delays: int = 0
+    # Disks that may be lost before their members are replaced. Then the
+    # leader itself removes only members that have lost theirs, as another
+    # folder in their place shows; None leaves both to an operator.
+    tolerate: int | None = None
     # Whether a batch may end before the newest record.
     short_batches: bool = False
 
