--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -205,7 +205,7 @@
     if packets.is_repeated(packet):
         # Another copy of the opening may have been accepted elsewhere.
         return actions.Drop('repeated-opening')
-    reason = 'draining' if state.draining else 'no-capacity'
+    reason, fault = _why_refused(state, service)
     isn = known.opening_number(packet)
     if services.needs_single_decider(service):
         bucket, decided = forward.bucket, _decided_view(forward)
@@ -216,7 +216,17 @@
         state,
         packet.key,
         service.number,
-        verdicts.Fault.UPSTREAM,
+        fault,
         reason,
     )
     return actions.Refuse(packet, reason)
+
+
+def _why_refused(
+    state: State, service: services.Service
+) -> tuple[str, verdicts.Fault]:
+    if service.retired:
+        return 'service-retired', verdicts.Fault.NONE
+    if state.draining:
+        return 'draining', verdicts.Fault.UPSTREAM
+    return 'no-capacity', verdicts.Fault.UPSTREAM
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -148,14 +148,15 @@
 def _answer_without_members(
     service: services.Service, packet: packets.Packet
 ) -> actions.Action:
+    reason = 'service-retired' if service.retired else 'no-upstream'
     if services.needs_single_decider(service):
         # Another entry may have sent a copy to a member of a newer view.
-        return actions.Drop('no-upstream')
+        return actions.Drop(reason)
     if packets.is_repeated(packet):
         # An earlier copy may have been accepted.
-        return actions.Drop('no-upstream')
+        return actions.Drop(reason)
     match packet:
         case packets.Segment() if packets.is_opening(packet):
-            return actions.Refuse(packet, 'no-upstream')
+            return actions.Refuse(packet, reason)
         case _:
-            return actions.Drop('no-upstream')
+            return actions.Drop(reason)
--- a/src/gentianspoke/decisions/timeline/blame.py
+++ b/src/gentianspoke/decisions/timeline/blame.py
@@ -81,6 +81,8 @@
     match reason:
         case 'no-capacity' | 'wait-expired' | 'draining':
             return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
+        case 'service-retired':
+            return Finding(REFUSED, verdicts.Fault.NONE, reason)
         case 'no-upstream' | 'no-live-upstream':
             around = seen.at(event.instance)
             if context.lost_feed(around, event.wall_ms):
--- a/tests/routing/test_route.py
+++ b/tests/routing/test_route.py
@@ -92,6 +92,15 @@
     assert chosen == {8}
 
 
+@pytest.mark.parametrize(
+    ('copy', 'kind'), [(0, actions.Refuse), (1, actions.Drop)]
+)
+def test_an_opening_to_a_retired_service_is_told_so(copy, kind):
+    packet = dataclasses.replace(SYN, copy=copy)
+    action = shared_route(packet, (7, [LIVE]), retired=True)
+    assert (type(action), action.reason) == (kind, 'service-retired')
+
+
 def test_a_pool_of_weight_0_gets_no_new_flow():
     shares = (services.Share(7, 0, 'a'), services.Share(8, 1, 'b'))
     action = shared_route(SYN, (7, [LIVE]), shares=shares)
--- a/tests/timeline/test_explaining.py
+++ b/tests/timeline/test_explaining.py
@@ -55,6 +55,15 @@
         pytest.param(
             [REFUSED], 'upstream', 'refused-not-run', id='no-upstream-there'
         ),
+        pytest.param(
+            [
+                events.FeedLost('127.0.0.1:1', 'timeout'),
+                events.FlowRefused('service-retired'),
+            ],
+            'none',
+            'refused-not-run',
+            id='retired-by-the-catalogue',
+        ),
         pytest.param(
             [events.FeedLost('127.0.0.1:1', 'timeout'), REFUSED],
             'balancer',
