--- a/soak/striking.py
+++ b/soak/striking.py
@@ -8,7 +8,6 @@
 from soak import world as worlds
 
 World = worlds.World
-UNLIMITED = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
 # No file of a process may grow beyond this while its disk is full.
 FULL_BYTES = 1
 
@@ -116,19 +115,16 @@
     running = world.stage.processes
     if instance not in running.names() or world.excused[instance]:
         return False
-    # The process may end by this until its disk has room again, and the
-    # supervisor needs a moment to start it.
+    pid = running.pid(instance)
+    world.filled.add(pid)
     with world.excuse([instance]):
-        _limit_files(running.pid(instance), (FULL_BYTES, FULL_BYTES))
+        _limit_files(pid, FULL_BYTES)
         await asyncio.sleep(lasts_s)
-        if running.status(instance) is None:
-            _limit_files(running.pid(instance), UNLIMITED)
-        await asyncio.sleep(2 * worlds.RESTART_PAUSE_S)
+        if running.pid(instance) == pid and running.status(instance) is None:
+            _limit_files(pid, resource.RLIM_INFINITY)
     return True
 
 
-def _limit_files(pid: int, limits: tuple[int, int]) -> None:
-    soft, _ = limits
-    resource.prlimit(
-        pid, resource.RLIMIT_FSIZE, (soft, resource.RLIM_INFINITY)
-    )
+def _limit_files(pid: int, most_bytes: int) -> None:
+    limits = (most_bytes, resource.RLIM_INFINITY)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
--- a/soak/world.py
+++ b/soak/world.py
@@ -56,6 +56,8 @@
     )
 
     started: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Processes whose disk was full: they may end by it, also later.
+    filled: set[int] = dataclasses.field(default_factory=set)
 
     async def start(self, instance: str) -> None:
         """Start a process that has ended."""
@@ -100,7 +102,10 @@
                 status = running.status(instance)
                 if status is None:
                     continue
-                excused = self.excused[instance] > 0
+                excused = (
+                    self.excused[instance] > 0
+                    or running.pid(instance) in self.filled
+                )
                 self.notes.check(
                     'processes end only when told to',
                     excused,
