--- a/soak/striking.py
+++ b/soak/striking.py
@@ -67,8 +67,7 @@
 
 async def _restart(world: World, instance: str) -> bool:
     running = world.stage.processes
-    if instance not in running.names() or world.excused[instance]:
-        # Another fault has it at this moment.
+    if not world.is_free(instance):
         return False
     with world.excuse([instance]):
         was_loading = world.is_loading(instance)
@@ -86,11 +85,7 @@
     world: World, instances: tuple[str, ...], lasts_s: float
 ) -> bool:
     running = world.stage.processes
-    struck = [
-        name
-        for name in instances
-        if name in running.names() and not world.excused[name]
-    ]
+    struck = [name for name in instances if world.is_free(name)]
     with world.excuse(struck):
         for name in struck:
             await running.kill(name)
@@ -102,7 +97,7 @@
 
 async def _freeze(world: World, instance: str, lasts_s: float) -> bool:
     running = world.stage.processes
-    if instance not in running.names() or world.excused[instance]:
+    if not world.is_free(instance):
         return False
     with world.excuse([instance]):
         running.signal(instance, signal.SIGSTOP)
@@ -113,7 +108,7 @@
 
 async def _fill_disk(world: World, instance: str, lasts_s: float) -> bool:
     running = world.stage.processes
-    if instance not in running.names() or world.excused[instance]:
+    if not world.is_free(instance):
         return False
     pid = running.pid(instance)
     world.filled.add(pid)
--- a/soak/world.py
+++ b/soak/world.py
@@ -64,6 +64,11 @@
         self.started[instance] = asyncio.get_running_loop().time()
         await self.stage.processes.start(instance)
 
+    def is_free(self, instance: str) -> bool:
+        """Return whether a process runs and no other fault has it."""
+        running = self.stage.processes
+        return instance in running.names() and not self.excused[instance]
+
     def is_loading(self, instance: str) -> bool:
         """Return whether a process was started a moment ago."""
         now = asyncio.get_running_loop().time()
--- a/specs/fresh_start.py
+++ b/specs/fresh_start.py
@@ -16,17 +16,12 @@
 import enum
 import typing
 
-from gentianspoke.decisions.control.replica import group as groups
+from specs import catalogue_state
 from specs import checking
 
-NOBODY = -1
 VOTERS = 3
-GROUP = groups.Group(
-    tuple(
-        groups.Member(number + 1, f'control-{number}', 'h:1', True)
-        for number in range(VOTERS)
-    )
-)
+GROUP = catalogue_state.group_of(tuple(range(VOTERS)))
+NOBODY = catalogue_state.NOBODY
 
 
 class Mistake(enum.Enum):
@@ -248,7 +243,7 @@
 
 
 def _is_majority(numbers: frozenset) -> bool:
-    return GROUP.is_majority({number + 1 for number in numbers})
+    return GROUP.is_majority(set(numbers))
 
 
 def _claim_is_alone(state: dict) -> bool:
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -125,7 +125,11 @@
 
 
 def is_bulk(service: Service) -> bool:
-    """Return whether the packets of the service may wait for others."""
+    """Return whether requests of the service arrive in many packets.
+
+    Such packets may wait for others, and the request comes long after its
+    flow is open.
+    """
     match service.traffic:
         case Upload():
             return True
@@ -133,15 +137,6 @@
             return False
 
 
-def has_short_requests(service: Service) -> bool:
-    """Return whether a request comes as soon as its flow is open."""
-    match service.traffic:
-        case Board() | Booking():
-            return True
-        case Upload():
-            return False
-
-
 def takes_slot(service: Service) -> bool:
     """Return whether an open flow of the service occupies a slot."""
     match service.traffic:
--- a/src/gentianspoke/decisions/agent/placing.py
+++ b/src/gentianspoke/decisions/agent/placing.py
@@ -177,7 +177,7 @@
     )
     if flow.by_request:
         flow.offer = forward
-        if services.has_short_requests(service):
+        if not services.is_bulk(service):
             tables.promise_slot(state, flow, now)
         admission.note_opening(state, now)
     match packet:
--- a/src/gentianspoke/decisions/pacing.py
+++ b/src/gentianspoke/decisions/pacing.py
@@ -28,17 +28,16 @@
 Label = tuple[packets.FlowKey, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Outgoing:
-    """A datagram, where it goes, and by what its copies are told.
+    """A datagram, where it goes, and for bulk by what its copies are told.
 
-    ``label`` is ``None`` where copies do not matter.
+    ``label`` is ``None`` for what goes before all bulk.
     """
 
     data: bytes
     host: str
     port: int
-    is_bulk: bool
     label: Label | None = None
 
 
@@ -61,15 +60,16 @@
 
         A copy of one that waits counts as the same.
         """
-        if item.label is not None and item.label in self._labels:
+        if item.label in self._labels:
             return True
         if self._waiting_bytes >= self._rate * WAIT_AT_MOST_MS:
             return False
-        if item.label is not None:
-            self._labels.add(item.label)
         self._waiting_bytes += _size(item)
-        queue = self._bulk if item.is_bulk else self._urgent
-        queue.append(item)
+        if item.label is None:
+            self._urgent.append(item)
+        else:
+            self._labels.add(item.label)
+            self._bulk.append(item)
         return True
 
     def take_due(self, now: int) -> list[Outgoing]:
--- a/src/gentianspoke/net/datagrams.py
+++ b/src/gentianspoke/net/datagrams.py
@@ -54,13 +54,9 @@
             await self._arrived
         except asyncio.CancelledError:
             # Without a task that reads, the loop would be woken on and on.
-            self._forget()
-            raise
-
-    def _forget(self) -> None:
-        if self._is_watched:
-            asyncio.get_running_loop().remove_reader(self._sock)
+            loop.remove_reader(self._sock)
             self._is_watched = False
+            raise
 
     def _note_arrival(self) -> None:
         if self._arrived is not None and not self._arrived.done():
--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -113,14 +113,12 @@
     def _pass(self, passed: actions.Pass, packet: packets.Packet) -> None:
         forward, member = passed.forward, passed.member
         forward.logical = self._proc.events.logical
-        # An opening or an acknowledgement of an upload need not wait.
-        label = pacing.label(packet) if passed.is_bulk else None
         outgoing = pacing.Outgoing(
             frame.encode(forward, self._proc.ring),
             member.host,
             member.port,
-            is_bulk=label is not None,
-            label=label,
+            # An opening or an acknowledgement of an upload need not wait.
+            pacing.label(packet) if passed.is_bulk else None,
         )
         counts = self._proc.metrics.counts
         if self._link.send(outgoing):
--- a/tests/decisions/test_pacing.py
+++ b/tests/decisions/test_pacing.py
@@ -13,7 +13,9 @@
 
 def outgoing(name, size=1_250, is_bulk=True, label=None):
     data = name.encode().ljust(size, b'.')
-    return pacing.Outgoing(data, 'h', 1, is_bulk, label)
+    if is_bulk and label is None:
+        label = (builders.flow_key(), name)
+    return pacing.Outgoing(data, 'h', 1, label)
 
 
 def names(items):
--- a/tests/net/test_paced.py
+++ b/tests/net/test_paced.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import builders
 import pytest
 
 from gentianspoke import clock
@@ -9,6 +10,7 @@
 from gentianspoke.shells import paced
 
 COUNT = 20
+KEY = builders.flow_key()
 
 
 class Sink:
@@ -24,7 +26,7 @@
 
 
 def outgoing(number):
-    return pacing.Outgoing(bytes(1_250), 'h', number, is_bulk=True)
+    return pacing.Outgoing(bytes(1_250), 'h', number, (KEY, number))
 
 
 @pytest.mark.parametrize(
