Add downloads as a traffic class, from the schema to the planned stop

Cause: a configuration with a route of the kind download was answered 400, so the calendar sites served nothing. Change: class download (idempotent, short request, long answer): slot only while the upstream works, answers paced on slow links behind short ones, planned stop waits for answers in progress; numbers are limited to the catalogue's range; an invalid configuration's error names the route and the remedy.

--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -201,6 +201,8 @@
             return catalogue_pb2.TRAFFIC_CLASS_BOOKING, idempotent
         case services.Upload(idempotent=idempotent):
             return catalogue_pb2.TRAFFIC_CLASS_UPLOAD, idempotent
+        case services.Download():
+            return catalogue_pb2.TRAFFIC_CLASS_DOWNLOAD, True
 
 
 def _decode_traffic(entry: catalogue_pb2.Entry) -> services.TrafficClass:
@@ -211,10 +213,14 @@
             return services.Booking(entry.idempotent)
         case catalogue_pb2.TRAFFIC_CLASS_UPLOAD:
             return services.Upload(entry.idempotent)
-        case _:
+        case catalogue_pb2.TRAFFIC_CLASS_DOWNLOAD:
+            return services.Download()
+        case number:
             raise errors.ControlError(
-                f'entry {entry.name}: unknown class; use board, booking or'
-                ' upload'
+                f'entry {entry.name}: this version does not know the traffic'
+                f' class number {number}; use board, booking, upload or'
+                ' download, or run the version that knows the class on all'
+                ' instances'
             )
 
 
--- a/src/gentianspoke/config/catalogue_file.py
+++ b/src/gentianspoke/config/catalogue_file.py
@@ -95,8 +95,10 @@
             return services.Board()
         case 'booking':
             return services.Booking(idempotent)
-        case _:
+        case 'upload':
             return services.Upload(idempotent)
+        case _:
+            return services.Download()
 
 
 def _convert_limits(
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -68,6 +68,7 @@
         connections=role.connections,
         weight=role.weight,
         ramp_ms=_parse_duration_ms(role.ramp),
+        link_kbps=role.link_kbps,
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -36,7 +36,8 @@
     name this pool. ``recovery_ms`` is the time for which a restarted agent
     adopts flows that it does not know. An upstream that reports its status
     gets no new flow once its last report is older than ``silent_ms``; 0
-    disables this limit.
+    disables this limit. ``link_kbps`` is the capacity of the instance's
+    network link in kbit/s. It is 0 if the capacity is unknown.
     """
 
     listen: units.Address
@@ -53,6 +54,7 @@
     # Flows may last for hours.
     recovery_ms: int = 7_200_000
     silent_ms: int = 0
+    link_kbps: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -32,7 +32,16 @@
     idempotent: bool
 
 
-TrafficClass = Board | Booking | Upload
+@dataclasses.dataclass(frozen=True, slots=True)
+class Download:
+    """Traffic of short requests with long answers, such as file transfers.
+
+    A request may run more than once. It occupies a slot while the upstream
+    works on it, and its answer continues long after that.
+    """
+
+
+TrafficClass = Board | Booking | Upload | Download
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +139,7 @@
     if service.handshake:
         return False
     match service.traffic:
-        case Board():
+        case Board() | Download():
             return False
         case Booking(idempotent=idempotent) | Upload(idempotent=idempotent):
             return not idempotent
@@ -159,7 +168,20 @@
     match service.traffic:
         case Upload():
             return True
-        case Board() | Booking():
+        case Board() | Booking() | Download():
+            return False
+
+
+def has_bulk_answer(service: Service) -> bool:
+    """Return whether an answer of the service spans many packets.
+
+    The packets of such an answer are bulk. The answer is complete long after
+    the upstream has ended its work on the request.
+    """
+    match service.traffic:
+        case Download():
+            return True
+        case Board() | Booking() | Upload():
             return False
 
 
@@ -172,5 +194,5 @@
     match service.traffic:
         case Board():
             return False
-        case Booking() | Upload():
+        case Booking() | Upload() | Download():
             return True
--- a/src/gentianspoke/decisions/actions.py
+++ b/src/gentianspoke/decisions/actions.py
@@ -5,6 +5,7 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import views
+from gentianspoke.decisions import pacing
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,9 +17,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """Send an IP packet of the upstream to the caller through the fabric."""
+    """Send an IP packet of the upstream to the caller through the fabric.
+
+    ``segment_id`` is set if the packet is part of a bulk answer, which may be
+    queued behind other packets.
+    """
 
     raw: bytes
+    segment_id: pacing.SegmentId | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gentianspoke/decisions/agent/diversion_table.py
+++ b/src/gentianspoke/decisions/agent/diversion_table.py
@@ -9,7 +9,7 @@
 # How long a diversion is kept without a packet after the caller has closed or
 # reset the flow, or after the service was removed from the catalogue.
 CALLER_CLOSED_TIMEOUT_MS = 60_000
-# The same limit for a booking or an upload that is still open.
+# The same limit for a booking or a transfer that is still open.
 SHORT_FLOW_TIMEOUT_MS = 300_000
 
 State = agent_state.AgentState
@@ -56,5 +56,5 @@
     match service.traffic:
         case services.Board():
             return service.limits.idle_ms
-        case services.Booking() | services.Upload():
+        case services.Booking() | services.Upload() | services.Download():
             return min(service.limits.idle_ms, SHORT_FLOW_TIMEOUT_MS)
--- a/src/gentianspoke/decisions/agent/flow_table.py
+++ b/src/gentianspoke/decisions/agent/flow_table.py
@@ -120,6 +120,7 @@
             _leave_queue(state, flow)
         case records.Phase.OPEN:
             free_slot(state, flow, now)
+            state.answering_flows.pop(flow.key, None)
     state.counts[flow.pool].open_flows -= 1
     state.total_open -= 1
     state.total_ended += 1
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -27,6 +27,7 @@
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import pacing
 
 # Largest number of members that are asked for the owner of a flow.
 MAX_MEMBERS_ASKED = 12
@@ -96,11 +97,15 @@
     flow.opening_forward = None
     if not segment.flags & packets.SYN:
         flow.answered_after_syn_ack = True
+    segment_id = None
     if segment.payload_bytes:
         flow_table.free_slot(state, flow, now)
+        if _has_bulk_answer(state, flow):
+            state.answering_flows[flow.key] = flow
+            segment_id = pacing.get_segment_id(segment)
     if segment.flags & (packets.FIN | packets.RST):
         teardown.handle_upstream_fin_or_reset(state, flow, segment, now)
-    result.append(actions.Answer(segment.raw))
+    result.append(actions.Answer(segment.raw, segment_id))
     return result
 
 
@@ -190,6 +195,11 @@
     return result
 
 
+def _has_bulk_answer(state: State, flow: records.Flow) -> bool:
+    service = state.services_by_number.get(flow.service)
+    return service is not None and services.has_bulk_answer(service)
+
+
 def _is_new_data(flow: records.Flow, segment: packets.Segment) -> bool:
     if flow.up.end == records.NO_SEQ:
         return True
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -28,6 +28,9 @@
 DEFAULT_RECOVERY_MS = 7_200_000
 # Number of queue waits that are kept between two ticks for the metrics.
 MAX_QUEUE_WAITS = 1_000
+# A bulk answer is over if the upstream has sent no packet of the flow for this
+# time, which is longer than the pauses between retransmissions.
+ANSWER_IDLE_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,14 +61,21 @@
     """The numbers of flows that are not finished at a planned stop.
 
     ``running`` flows occupy a slot, ``queued`` flows wait for one, and
-    ``open_flows`` counts all flows that have not ended, the queued ones
+    ``answering`` flows get a bulk answer of the upstream, which occupies no
+    slot. ``open_flows`` counts all flows that have not ended, the queued ones
     included.
     """
 
     running: int
     queued: int
+    answering: int
     open_flows: int
 
+    @property
+    def in_progress(self) -> int:
+        """The number of flows that a planned stop waits for."""
+        return self.running + self.queued + self.answering
+
 
 @dataclasses.dataclass(slots=True)
 class AgentState:
@@ -125,6 +135,10 @@
     counts: dict[int, records.PoolCounts] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(records.PoolCounts)
     )
+    # Open flows whose upstream has begun a bulk answer.
+    answering_flows: dict[packets.FlowKey, records.Flow] = dataclasses.field(
+        default_factory=dict
+    )
     # Open flows (with the queued ones), occupied slots and records of ended
     # flows, over all pools.
     total_open: int = 0
@@ -286,15 +300,24 @@
         """Return the number of occupied slots over all services."""
         return self.total_running
 
-    def count_unfinished_flows(self) -> UnfinishedFlows:
-        """Return the numbers of flows that are not finished."""
+    def count_unfinished_flows(self, now: int) -> UnfinishedFlows:
+        """Return the numbers of flows that are not finished.
+
+        A bulk answer counts until the flow has ended, or until the upstream
+        has sent nothing for ``ANSWER_IDLE_MS``.
+        """
         queued = sum(len(queue) for queue in self.queues.values())
-        return UnfinishedFlows(self.total_running, queued, self.total_open)
+        answering = sum(
+            now - flow.last_down_ms < ANSWER_IDLE_MS
+            for flow in self.answering_flows.values()
+        )
+        return UnfinishedFlows(
+            self.total_running, queued, answering, self.total_open
+        )
 
-    def has_flows_in_progress(self) -> bool:
-        """Return whether any flow occupies a slot or waits for one."""
-        unfinished_flows = self.count_unfinished_flows()
-        return bool(unfinished_flows.running or unfinished_flows.queued)
+    def has_flows_in_progress(self, now: int) -> bool:
+        """Return whether a planned stop still has to wait for a flow."""
+        return self.count_unfinished_flows(now).in_progress > 0
 
     def _keep_past_ranking(self, ranking: hashing.Ranking) -> None:
         past_rankings = self.past_rankings[ranking.view.service]
--- a/src/gentianspoke/decisions/pacing.py
+++ b/src/gentianspoke/decisions/pacing.py
@@ -1,10 +1,10 @@
-"""Pacing of datagrams on a slow link, with priority for short requests.
+"""Pacing of datagrams on a slow link, with priority for short messages.
 
 The queue of a link holds few packets and drops the rest, and a caller
 retransmits only after 200 ms or more. Datagrams that exceed the link's rate
-are therefore queued here instead. In this queue, short requests overtake
-bulk transfers, and a retransmission of a packet that is still queued is
-discarded.
+are therefore queued here instead. In this queue, short requests and answers
+overtake bulk transfers, and a retransmission of a packet that is still queued
+is discarded.
 """
 
 import collections
--- a/src/gentianspoke/decisions/timeline/events.py
+++ b/src/gentianspoke/decisions/timeline/events.py
@@ -102,14 +102,16 @@
     """A planned stop ended its wait for flows in progress.
 
     ``running_left`` counts the flows that still occupied a slot,
-    ``queued_left`` those that waited for one, and ``open_left`` all flows that
-    had not ended, including the queued ones. ``announced`` is true if a
+    ``queued_left`` those that waited for one, ``answering_left`` those whose
+    bulk answer was still being sent, and ``open_left`` all flows that had not
+    ended, including the queued ones. ``announced`` is true if a
     control instance accepted the announcement of the drain. ``took_ms`` is
     the time since the beginning of the stop.
     """
 
     running_left: int
     queued_left: int
+    answering_left: int
     open_left: int
     announced: bool
     took_ms: int
--- a/src/gentianspoke/shells/agent/action_executor.py
+++ b/src/gentianspoke/shells/agent/action_executor.py
@@ -4,11 +4,14 @@
 from gentianspoke.codec import frame
 from gentianspoke.codec import packet_codec
 from gentianspoke.config import settings
+from gentianspoke.config import units
 from gentianspoke.core import packets
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions import pacing
 from gentianspoke.net import datagrams
+from gentianspoke.shells import paced_link
 from gentianspoke.shells import process
 
 
@@ -20,18 +23,18 @@
         proc: process.Process,
         cfg: settings.AgentSettings,
         codec: packet_codec.PacketCodec,
-        peer_socket: datagrams.DatagramSocket,
+        link: paced_link.Link,
         upstream_socket: datagrams.DatagramSocket,
     ) -> None:
-        """Send packets through the sockets.
+        """Send packets through the link and the socket.
 
-        ``upstream_socket`` is used for the upstream, and ``peer_socket`` for
-        callers and other agents.
+        ``upstream_socket`` is used for the upstream, and ``link`` for callers
+        and other agents.
         """
         self._proc = proc
         self._cfg = cfg
         self._codec = codec
-        self._peer_socket = peer_socket
+        self._link = link
         self._upstream_socket = upstream_socket
 
     def execute_all(self, decided_actions: core.Actions) -> None:
@@ -73,19 +76,17 @@
             case actions.Deliver(raw=raw):
                 self._upstream_socket.send(raw, self._cfg.upstream)
                 counts.packets['delivered'] += 1
-            case actions.Answer(raw=raw):
-                self._send_to_caller(raw)
+            case actions.Answer(raw=raw, segment_id=segment_id):
+                self._send_to_caller(raw, segment_id)
                 counts.packets['answered'] += 1
             case actions.SendFrame(member=member, forward=forward):
                 forward.logical = self._proc.events.logical
                 data = frame.encode(forward, self._proc.ring)
-                self._peer_socket.send(data, (member.host, member.port))
+                self._send(data, (member.host, member.port))
                 counts.packets['passed'] += 1
             case actions.NotifyOwnership(member=member, owned=owned):
-                self._peer_socket.send(
-                    frame.encode(owned, self._proc.ring),
-                    (member.host, member.port),
-                )
+                data = frame.encode(owned, self._proc.ring)
+                self._send(data, (member.host, member.port))
             case actions.Drop(reason=reason):
                 counts.dropped[reason] += 1
             case actions.Hold(reason=reason):
@@ -104,9 +105,21 @@
                 self._upstream_socket.send(raw, self._cfg.upstream)
                 counts.resets[action.reason] += 1
 
-    def _send_to_caller(self, raw: bytes) -> None:
+    def _send_to_caller(
+        self, raw: bytes, segment_id: pacing.SegmentId | None = None
+    ) -> None:
         address = self._codec.find_next_hop(raw) or self._cfg.fabric
-        self._peer_socket.send(raw, address)
+        self._send(raw, address, segment_id)
+
+    def _send(
+        self,
+        data: bytes,
+        address: units.Address,
+        segment_id: pacing.SegmentId | None = None,
+    ) -> None:
+        datagram = pacing.OutgoingDatagram(data, *address, segment_id)
+        if not self._link.send(datagram):
+            self._proc.metrics.counts.dropped['link-full'] += 1
 
     def _write_flow_event(
         self, event: str, key: packets.FlowKey, reason: str
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -23,6 +23,7 @@
 from gentianspoke.shells.agent import heartbeat
 from gentianspoke.shells.agent import status
 from gentianspoke.shells import feed_client
+from gentianspoke.shells import paced_link
 from gentianspoke.shells import process
 
 TICK_INTERVAL_S = 0.05
@@ -58,8 +59,9 @@
         self._codec = codec
         self._peer_socket = peer_socket
         self._upstream_socket = upstream_socket
+        self.link = paced_link.Link(peer_socket, proc.clock, cfg.link_kbps)
         self._executor = action_executor.ActionExecutor(
-            proc, cfg, codec, peer_socket, upstream_socket
+            proc, cfg, codec, self.link, upstream_socket
         )
         self._catalogue_entries: dict[str, services.Service] = {}
         self._catalogue_version = 0
@@ -106,12 +108,14 @@
         while True:
             for data, _ in await self._peer_socket.receive_burst():
                 self.handle_frame(data)
+            self.link.send_due()
 
     async def read_upstream(self) -> None:
         """Handle packets from the upstream, until cancelled."""
         while True:
             for raw, _ in await self._upstream_socket.receive_burst():
                 self.handle_reply(raw)
+            self.link.send_due()
 
     def handle_frame(self, data: bytes) -> None:
         """Handle a frame, or count why it was dropped."""
@@ -156,6 +160,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             now = self._proc.clock.now()
             self._executor.execute_all(core.on_tick(self.state, now))
+            self.link.send_due()
             self._executor.write_flow_reports(self.state)
             self._check_upstream_silence(now)
 
--- a/src/gentianspoke/shells/agent/gauges.py
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -12,10 +12,13 @@
 ) -> None:
     """Set the gauges to the current values of the state and the sockets."""
     set_gauge = proc.metrics.set_gauge
-    lease_left_ms = state.lease_until_ms - proc.clock.now()
+    now = proc.clock.now()
+    unfinished_flows = state.count_unfinished_flows(now)
+    lease_left_ms = state.lease_until_ms - now
     set_gauge('flows_open', state.total_open)
     set_gauge('flows_running', state.total_running)
-    set_gauge('flows_queued', state.count_unfinished_flows().queued)
+    set_gauge('flows_queued', unfinished_flows.queued)
+    set_gauge('flows_answering', unfinished_flows.answering)
     set_gauge('flows_ended_kept', state.total_ended)
     set_gauge('openings_held', len(state.held_openings))
     set_gauge('diversions', len(state.diversions))
--- a/src/gentianspoke/shells/agent/main.py
+++ b/src/gentianspoke/shells/agent/main.py
@@ -14,7 +14,7 @@
 from gentianspoke.shells import process
 
 # Exit status of a planned stop whose grace period ended while flows were
-# still running or queued.
+# still in progress.
 EXIT_FLOWS_LEFT = 3
 
 
@@ -56,6 +56,7 @@
                 process.run_tasks(
                     agent.read_peers(),
                     agent.read_upstream(),
+                    agent.link.send_queued(),
                     agent.tick(),
                     loads.report_load(proc, agent.state, peer_socket),
                     agent.heartbeat.run(),
@@ -69,11 +70,7 @@
                 await proc.stop.wait()
                 proc.life.advance('stop')
                 unfinished_flows = await stopping.drain_agent(proc, agent)
-    return (
-        EXIT_FLOWS_LEFT
-        if unfinished_flows.running or unfinished_flows.queued
-        else 0
-    )
+    return EXIT_FLOWS_LEFT if unfinished_flows.in_progress else 0
 
 
 async def _find_incarnation(
--- a/src/gentianspoke/shells/agent/stopping.py
+++ b/src/gentianspoke/shells/agent/stopping.py
@@ -2,7 +2,8 @@
 
 The agent announces that it drains, and waits until the feed lists it as
 draining. From then on, the other members place no flows on it. The agent runs
-until no flow holds a slot or waits for one, or until its grace period is over.
+until no flow holds a slot, waits for one or gets a bulk answer, or until its
+grace period is over.
 Flows without a slot, such as those of board services, continue at the
 upstream, and the agent that is started next adopts them.
 """
@@ -42,14 +43,17 @@
         is_update_delay_over = (
             proc.clock.now() - published_ms >= ENTRY_UPDATE_DELAY_MS
         )
-        if is_update_delay_over and not state.has_flows_in_progress():
+        if is_update_delay_over and not state.has_flows_in_progress(
+            proc.clock.now()
+        ):
             break
         await asyncio.sleep(POLL_INTERVAL_S)
-    unfinished_flows = state.count_unfinished_flows()
+    unfinished_flows = state.count_unfinished_flows(proc.clock.now())
     proc.events.write(
         'stop-grace-over',
         running_left=unfinished_flows.running,
         queued_left=unfinished_flows.queued,
+        answering_left=unfinished_flows.answering,
         open_left=unfinished_flows.open_flows,
         announced=agent.heartbeat.drain_accepted.is_set(),
         took_ms=proc.clock.now() - started_ms,
--- a/tests/agent/test_handshake_flows.py
+++ b/tests/agent/test_handshake_flows.py
@@ -151,6 +151,44 @@
     assert state.counts[POOL].mean_work_ms == 5
 
 
+@pytest.mark.parametrize(
+    ('traffic', 'is_paced', 'last_ms', 'now', 'is_in_progress'),
+    [
+        pytest.param(
+            services.Download(), True, 50, 60, True, id='download-continues'
+        ),
+        pytest.param(
+            services.Download(), True, 50, 2_050, False, id='download-is-idle'
+        ),
+        pytest.param(
+            services.Booking(False), False, 50, 60, False, id='short-answer'
+        ),
+    ],
+)
+def test_a_long_answer_holds_no_slot_but_is_in_progress(
+    traffic, is_paced, last_ms, now, is_in_progress
+):
+    entry = dataclasses.replace(ENTRY, traffic=traffic)
+    state = agent_with_open_flow(entry=entry)
+    send(state, DATA, 2)
+    part = packet(seq=501, payload_bytes=1_200)
+    (answer,) = core.on_reply(state, part, last_ms)
+    assert (answer.segment_id is not None) == is_paced
+    assert state.count_occupied_slots() == 0
+    assert state.has_flows_in_progress(now) == is_in_progress
+
+
+def test_a_download_is_finished_once_its_flow_has_ended():
+    entry = dataclasses.replace(ENTRY, traffic=services.Download())
+    state = agent_with_open_flow(entry=entry)
+    send(state, DATA, 2)
+    core.on_reply(state, packet(seq=501, payload_bytes=1_200), 3)
+    core.on_reply(state, packet(FIN, seq=1_701), 4)
+    assert state.has_flows_in_progress(5)
+    send(state, packet(FIN, seq=1_001, ack=1_702), 6)
+    assert not state.has_flows_in_progress(7)
+
+
 # In this test and the next two, the upstream of ``fakes.agent`` has 4 slots.
 @pytest.mark.parametrize(
     ('running', 'took_ms', 'worked_ms'),
@@ -397,7 +435,7 @@
     assert state.count_occupied_slots() == 1
     for now in range(0, 4_000, 50):
         core.on_tick(state, now)
-    assert not state.has_flows_in_progress()
+    assert not state.has_flows_in_progress(0)
     assert state.flows[segment.key].phase is records.Phase.CLOSED
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -6,8 +6,11 @@
 from gentianspoke_platform import configuration
 import pytest
 
+from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue
 from gentianspoke import errors
+from gentianspoke.generated import catalogue_pb2
 
 VALID = {
     'version': 7,
@@ -47,6 +50,53 @@
     return json.dumps(content).encode()
 
 
+@pytest.mark.parametrize(
+    ('kind', 'traffic', 'has_bulk_request', 'has_bulk_answer'),
+    [
+        pytest.param('safe', services.Board(), False, False, id='feeds'),
+        pytest.param(
+            'unsafe', services.Booking(False), False, False, id='bookings'
+        ),
+        pytest.param(
+            'upload', services.Upload(False), True, False, id='uploads'
+        ),
+        pytest.param(
+            'download', services.Download(), False, True, id='downloads'
+        ),
+    ],
+)
+def test_each_kind_of_request_has_its_traffic_class(
+    kind, traffic, has_bulk_request, has_bulk_answer
+):
+    entry = configuration.decode(make_body(kind=kind)).entries[0]
+    assert entry.traffic == traffic
+    assert services.is_bulk(entry) == has_bulk_request
+    assert services.has_bulk_answer(entry) == has_bulk_answer
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected_texts'),
+    [
+        pytest.param(
+            {'kind': 'stream'},
+            ['stream', 'kind', 'route r-1', 'first run a version'],
+            id='unknown kind',
+        ),
+        pytest.param(
+            {'service': '', 'backends': [{'service': 'a', 'weight': 2**70}]},
+            ['weight', 'route r-1'],
+            id='number too large',
+        ),
+        pytest.param({'name': 5}, ['name'], id='name that is no string'),
+    ],
+)
+def test_the_error_names_the_route_and_the_remedy(changes, expected_texts):
+    with pytest.raises(errors.ControlError) as caught:
+        configuration.decode(make_body(**changes))
+    for text in expected_texts:
+        assert text in str(caught.value)
+
+
 def test_routes_become_entries_with_shares():
     body = json.dumps(VALID).encode()
     document = configuration.decode(body)
@@ -66,6 +116,20 @@
     assert (board.priority, board.limits.connections) == (2, 20)
 
 
+@pytest.mark.parametrize(
+    'key', ['timeout_ms', 'latency_target_ms', 'priority']
+)
+@pytest.mark.parametrize('value', [2**31, 2**32, 2**63, 2**64 - 1])
+def test_numbers_beyond_the_catalogues_range_are_accepted_and_limited(
+    key, value
+):
+    document = configuration.decode(make_body(**{key: value}))
+    request = catalogue.Request('key', '', (), document)
+    encoded = catalogue_codec.encode_request(request).SerializeToString()
+    message = catalogue_pb2.ApplyRequest.FromString(encoded)
+    assert catalogue_codec.decode_request(message) == request
+
+
 @pytest.mark.parametrize(
     ('body', 'expected_text'),
     [
@@ -73,6 +137,9 @@
         pytest.param(make_body()[:-3], 'not valid', id='truncated JSON'),
         pytest.param(b'\xff\xfe', 'not valid', id='not UTF-8'),
         pytest.param(b'{}', 'version', id='no keys'),
+        pytest.param(
+            b'{"routes":' + b'[' * 100_000, 'not valid', id='deeply nested'
+        ),
         pytest.param(make_body(timeout_ms=0), 'timeout_ms', id='timeout of 0'),
         pytest.param(
             make_body(timeout_ms='5'), 'timeout_ms', id='timeout as a string'
--- a/tests/telemetry/test_external_names.py
+++ b/tests/telemetry/test_external_names.py
@@ -78,6 +78,7 @@
                     services.Board,
                     services.Booking,
                     services.Upload,
+                    services.Download,
                 )
             ],
             list_schema_classes(),
