--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -1,7 +1,10 @@
 """Conversion of catalogue entries and edits to protobuf and back."""
 
-import dataclasses
+import typing
 
+import google.protobuf.message
+
+from gentianspoke.codec import packing
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
@@ -23,7 +26,7 @@
         protocol=service.protocol,
         traffic_class=traffic_class,
         idempotent=idempotent,
-        limits=catalogue_pb2.Limits(**dataclasses.asdict(service.limits)),
+        limits=_encode_limits(service.limits),
         version=service.version,
         retired=service.retired,
         shares=[
@@ -101,9 +104,35 @@
     """Return a whole catalogue as a protobuf message."""
     return catalogue_pb2.Document(
         version=document.version,
-        text=document.text,
-        entries=[encode_entry(entry) for entry in document.entries],
+        packed_text=document.text,
+        packed_entries=pack_entries(document.entries),
+        base_version=document.base_version,
+        removed=document.removed,
+    )
+
+
+def pack_entries(entries: typing.Iterable[services.Service]) -> bytes:
+    """Return the compressed form of entries."""
+    entry_list = catalogue_pb2.EntryList(
+        entries=[encode_entry(entry) for entry in entries]
     )
+    return packing.pack(entry_list.SerializeToString())
+
+
+def unpack_entries(packed: bytes) -> list[services.Service]:
+    """Return the entries of a compressed form.
+
+    Raises :class:`gentianspoke.errors.ControlError` if they cannot be read
+    or one of them is invalid.
+    """
+    try:
+        entry_list = catalogue_pb2.EntryList.FromString(packing.unpack(packed))
+    except google.protobuf.message.DecodeError as exc:
+        raise errors.ControlError(
+            'compressed catalogue entries cannot be read; run the same version'
+            ' on all instances'
+        ) from exc
+    return [decode_entry(entry) for entry in entry_list.entries]
 
 
 def decode_document(message: catalogue_pb2.Document) -> catalogue.Document:
@@ -113,8 +142,14 @@
     """
     return catalogue.Document(
         version=message.version,
-        text=message.text,
-        entries=tuple(decode_entry(entry) for entry in message.entries),
+        text=message.packed_text or packing.pack(message.text),
+        entries=(
+            tuple(unpack_entries(message.packed_entries))
+            if message.packed_entries
+            else tuple(decode_entry(entry) for entry in message.entries)
+        ),
+        base_version=message.base_version,
+        removed=tuple(message.removed),
     )
 
 
@@ -191,6 +226,19 @@
     )
 
 
+def _encode_limits(limits: services.Limits) -> catalogue_pb2.Limits:
+    # ``dataclasses.asdict`` takes most of the time to encode an entry.
+    return catalogue_pb2.Limits(
+        connections=limits.connections,
+        slots=limits.slots,
+        queue=limits.queue,
+        wait_ms=limits.wait_ms,
+        idle_ms=limits.idle_ms,
+        bound_permille=limits.bound_permille,
+        retry_permille=limits.retry_permille,
+    )
+
+
 def _encode_traffic(
     traffic: services.TrafficClass,
 ) -> tuple[catalogue_pb2.TrafficClass, bool]:
--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -4,6 +4,8 @@
 the catalogue the consumers use.
 """
 
+from gentianspoke.codec import catalogue
+from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.control import consumers
 from gentianspoke.decisions.control import membership
@@ -15,9 +17,36 @@
     feed_pb2.MEMBER_STATE_DRAINING: views.State.DRAINING,
     feed_pb2.MEMBER_STATE_SUSPECT: views.State.SUSPECT,
 }
+# An update with more entries is compressed.
+MAX_PLAIN_ENTRIES = 32
 STATE_NUMBERS = {state: number for number, state in STATES.items()}
 
 
+def encode_catalogue_update(
+    entries: list[services.Service], version: int, *, is_snapshot: bool
+) -> feed_pb2.CatalogueUpdate:
+    """Return entries of a catalogue version as a protobuf message."""
+    update = feed_pb2.CatalogueUpdate(snapshot=is_snapshot, version=version)
+    if len(entries) > MAX_PLAIN_ENTRIES:
+        update.packed_entries = catalogue.pack_entries(entries)
+    else:
+        update.entries.extend(map(catalogue.encode_entry, entries))
+    return update
+
+
+def decode_catalogue_entries(
+    message: feed_pb2.CatalogueUpdate,
+) -> list[services.Service]:
+    """Return the entries of a catalogue update.
+
+    Raises :class:`gentianspoke.errors.ControlError` if they cannot be read
+    or one of them is invalid.
+    """
+    if message.packed_entries:
+        return catalogue.unpack_entries(message.packed_entries)
+    return [catalogue.decode_entry(entry) for entry in message.entries]
+
+
 def encode_view(view: views.View) -> feed_pb2.View:
     """Return a view as a protobuf message."""
     return feed_pb2.View(
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -54,14 +54,21 @@
     """A complete catalogue with a version that the operator chose.
 
     ``text`` is the body that the operator sent; reads return it unchanged.
-    The shares of ``entries`` refer to pools by name, and the catalogue
-    assigns the pool numbers. A document replaces only documents with a
-    lower version.
+    The store of documents keeps it in compressed form. The shares of
+    ``entries`` refer to pools by name, and the catalogue assigns the pool
+    numbers. A document replaces only documents with a lower version.
+
+    In the log, a document holds only its changes to an earlier document if
+    ``base_version``, the version of the earlier document, is not 0. Then
+    ``entries`` lists the new and changed entries, and ``removed`` the names
+    of those that the document omits.
     """
 
     version: int
     text: bytes
     entries: tuple[services.Service, ...] = ()
+    base_version: int = 0
+    removed: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +173,8 @@
         self.pools: dict[str, int] = {}
         self._last_number = 0
         self._owners = endpoints.EndpointOwners()
+        # Whether the owners of endpoints match the entries.
+        self._owners_are_current = True
 
     def export(self) -> CatalogueState:
         """Return the complete state, which determines all later answers."""
@@ -194,7 +203,7 @@
         self.document = state.document
         self.pools = {pool.name: pool.number for pool in state.pools}
         self._last_number = state.last_number
-        self._owners.replace_all(state.entries)
+        self._owners_are_current = False
 
     def known_answer(self, idempotency_key: str) -> Answer | None:
         """Return the stored answer to an idempotency key, or ``None``."""
@@ -206,7 +215,8 @@
         Edits whose request has a known idempotency key change nothing and
         get the stored answer. A document changes nothing unless its version
         is higher than that of the current document; the idempotency key of a
-        document is not used.
+        document is not used. A document with the changes to another document
+        than the current one is not accepted.
         """
         if request.document is not None:
             return self._apply_document(request.document)
@@ -243,18 +253,26 @@
         # A document whose version is not higher is older, a retry, or another
         # document with the same version. It changes nothing, but is accepted,
         # since the catalogue already has the newest document.
-        if self.document is not None:
-            if document.version <= self.document.version:
-                return Answer(True, self.version)
+        current_version = self.document.version if self.document else 0
+        if document.version <= current_version:
+            return Answer(True, self.version)
+        if document.base_version not in (0, current_version):
+            return Answer(False, self.version)
         self.version += 1
         numbered_entries = [
             self._assign_numbers(entry) for entry in document.entries
         ]
-        self.entries = documents.replace_entries(
-            self.entries, numbered_entries, self.version
-        )
-        self.document = dataclasses.replace(document, entries=())
-        self._owners.replace_all(self.list_entries())
+        if document.base_version:
+            self.entries = documents.change_entries(
+                self.entries, numbered_entries, document.removed, self.version
+            )
+        else:
+            self.entries = documents.replace_entries(
+                self.entries, numbered_entries, self.version
+            )
+        self.document = Document(document.version, document.text)
+        # The owners of endpoints are needed only for edits.
+        self._owners_are_current = False
         return Answer(True, self.version)
 
     def _assign_numbers(self, entry: services.Service) -> services.Service:
@@ -290,6 +308,9 @@
     def _find_endpoint_conflicts(
         self, request: Request, edited_names: set[str]
     ) -> list[Conflict]:
+        if not self._owners_are_current:
+            self._owners.replace_all(self.list_entries())
+            self._owners_are_current = True
         put_entries: dict[str, services.Service] = {}
         for edit in request.edits:
             match edit.change:
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -56,20 +56,85 @@
     rather than removed: consumers get the change, and the open flows of the
     entry are still routed.
     """
+    removed = find_removed_names(current_entries, new_entries)
+    return change_entries(current_entries, new_entries, removed, version)
+
+
+def change_entries(
+    current_entries: EntriesByName,
+    changed_entries: collections.abc.Iterable[services.Service],
+    removed: collections.abc.Iterable[str],
+    version: int,
+) -> EntriesByName:
+    """Return all entries after a document has changed and removed some.
+
+    Versions and removed entries are as in :func:`replace_entries`.
+    """
     entries = dict(current_entries)
-    names = {entry.name for entry in new_entries}
-    for entry in current_entries.values():
-        if entry.name not in names and not entry.retired:
-            entries[entry.name] = dataclasses.replace(
-                entry, retired=True, version=version
+    for name in removed:
+        if name in entries:
+            entries[name] = dataclasses.replace(
+                entries[name], retired=True, version=version
             )
-    for entry in new_entries:
+    for entry in changed_entries:
         entries[entry.name] = _update_entry(
             current_entries.get(entry.name), entry, version
         )
     return entries
 
 
+def find_removed_names(
+    current_entries: EntriesByName,
+    new_entries: collections.abc.Iterable[services.Service],
+) -> tuple[str, ...]:
+    """Return the names of the entries that a whole document retires."""
+    names = {entry.name for entry in new_entries}
+    return tuple(
+        entry.name
+        for entry in current_entries.values()
+        if entry.name not in names and not entry.retired
+    )
+
+
+def find_changed_entries(
+    current_entries: EntriesByName,
+    new_entries: collections.abc.Iterable[services.Service],
+) -> tuple[services.Service, ...]:
+    """Return the entries of a whole document that are new or change.
+
+    The shares of ``new_entries`` refer to pools by name.
+    """
+    return tuple(
+        entry
+        for entry in new_entries
+        if not _is_unchanged(current_entries.get(entry.name), entry)
+    )
+
+
+def _is_unchanged(
+    previous: services.Service | None, entry: services.Service
+) -> bool:
+    return previous is not None and _get_operator_fields(
+        previous
+    ) == _get_operator_fields(entry)
+
+
+def _get_operator_fields(entry: services.Service) -> tuple[object, ...]:
+    """Return the fields that a document sets, in a form to compare."""
+    return (
+        entry.owner,
+        entry.address,
+        entry.ports,
+        entry.protocol,
+        entry.traffic,
+        entry.limits,
+        entry.retired,
+        entry.handshake,
+        entry.priority,
+        tuple((share.name, share.weight) for share in entry.shares),
+    )
+
+
 def _find_share_error(
     entry: services.Service, pools: collections.abc.Collection[str]
 ) -> str:
--- a/src/gentianspoke/decisions/control/scopes.py
+++ b/src/gentianspoke/decisions/control/scopes.py
@@ -9,7 +9,8 @@
 class Detail(enum.Enum):
     """Which fields of each member a consumer gets.
 
-    ``ROUTING`` leaves out the fields that entry instances do not need.
+    ``ROUTING`` leaves out the fields that only agents need, and only for
+    services without ``handshake``.
     """
 
     ROUTING = 'routing'
@@ -29,6 +30,17 @@
     names: frozenset[str] = frozenset()
     catalogue: bool = True
 
+    def choose_detail(self, *, all_handshake: bool) -> Detail:
+        """Return the detail of the views that this scope's consumers get.
+
+        ``all_handshake`` tells whether all services have ``handshake``. An
+        agent then needs no more detail than an entry instance. A control
+        instance always needs the full detail, because it relays the views.
+        """
+        if all_handshake and self.catalogue:
+            return Detail.ROUTING
+        return self.detail
+
     def select_entries(
         self, entries: dict[str, services.Service]
     ) -> list[services.Service]:
--- a/src/gentianspoke/decisions/feed_copy.py
+++ b/src/gentianspoke/decisions/feed_copy.py
@@ -31,6 +31,7 @@
         default_factory=dict
     )
     _view_digests: dict[int, int] = dataclasses.field(default_factory=dict)
+    _entries_digest: int = 0
 
     def store_entries(
         self,
@@ -48,7 +49,9 @@
             return False
         if is_snapshot:
             self.entries.clear()
-        self.entries.update((entry.number, entry) for entry in entries)
+            self._entries_digest = 0
+        for entry in entries:
+            self._store_entry(entry)
         self.version = version
         return True
 
@@ -80,6 +83,16 @@
     def compute_digest(self) -> int:
         """Return the digest of all views and entries of this copy."""
         return view_delta.add_digests(
-            *self._view_digests.values(),
-            *map(view_delta.compute_entry_digest, self.entries.values()),
+            *self._view_digests.values(), self._entries_digest
+        )
+
+    def _store_entry(self, entry: services.Service) -> None:
+        # The digest is kept up to date entry by entry, because consumers
+        # compare it with that of their source twice a second.
+        previous = self.entries.get(entry.number)
+        self.entries[entry.number] = entry
+        self._entries_digest = view_delta.add_digests(
+            self._entries_digest,
+            view_delta.compute_entry_digest(entry),
+            -view_delta.compute_entry_digest(previous) if previous else 0,
         )
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -1,8 +1,11 @@
 """Writes and reads of whole catalogue documents, for front ends."""
 
+import asyncio
 import dataclasses
 
+from gentianspoke.codec import packing
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import documents
 from gentianspoke import errors
 from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
@@ -57,6 +60,13 @@
         """Answer from a log, which is ``None`` if this instance keeps none."""
         self._proc = proc
         self._log = log
+        self._write_lock = asyncio.Lock()
+
+    def find_redirect(self) -> AskLeader | Unavailable | None:
+        """Return the outcome of all requests here, ``None`` if it leads."""
+        if self._log is None or not self._log.is_leader:
+            return self._redirect_to_leader()
+        return None
 
     async def put(self, document: catalogue.Document) -> Outcome:
         """Write a document; return the outcome once it is durable.
@@ -65,19 +75,10 @@
         that is not newer than the current one is accepted without a write,
         once a majority has confirmed this leader.
         """
-        if self._log is None or not self._log.is_leader:
-            return self._redirect_to_leader()
-        current = self._log.catalogue.document
-        if current is not None and document.version <= current.version:
-            return await self._accept_without_write(self._log, document)
-        key = f'document/{document.version}'
-        try:
-            await self._log.submit(catalogue.Request(key, '', (), document))
-        except errors.NotLeaderError:
-            return self._redirect_to_leader()
-        except errors.ControlError as exc:
-            return Unavailable(str(exc))
-        return Accepted(document.version)
+        # Each document is stored as its changes to the one before it, so the
+        # documents are written one after another.
+        async with self._write_lock:
+            return await self._put_next(document)
 
     async def read(self) -> Outcome:
         """Return the newest document once a majority confirms this leader."""
@@ -91,7 +92,30 @@
         current = self._log.catalogue.document
         if current is None:
             return Unavailable('no document was accepted yet; send one first')
-        return Found(current)
+        text = packing.unpack(current.text)
+        return Found(catalogue.Document(current.version, text))
+
+    async def _put_next(self, document: catalogue.Document) -> Outcome:
+        if self._log is None or not self._log.is_leader:
+            return self._redirect_to_leader()
+        current = self._log.catalogue.document
+        if current is not None and document.version <= current.version:
+            return await self._accept_without_write(self._log, document)
+        key = f'document/{document.version}'
+        change = _build_change(document, self._log.catalogue)
+        try:
+            answer = await self._log.submit(
+                catalogue.Request(key, '', (), change)
+            )
+        except errors.NotLeaderError:
+            return self._redirect_to_leader()
+        except errors.ControlError as exc:
+            return Unavailable(str(exc))
+        if answer.accepted:
+            return Accepted(document.version)
+        return Unavailable(
+            'another document was accepted meanwhile; send the request again'
+        )
 
     async def _accept_without_write(
         self,
@@ -104,7 +128,7 @@
             'no majority confirmed this leader in time; send the request again'
         )
 
-    def _redirect_to_leader(self) -> Outcome:
+    def _redirect_to_leader(self) -> AskLeader | Unavailable:
         leader = ''
         if self._log is not None:
             leader = self._log.leader.rpartition(':')[0]
@@ -113,3 +137,24 @@
         if not leader:
             return Unavailable('no leader is known; send the request again')
         return AskLeader(leader)
+
+
+def _build_change(
+    document: catalogue.Document, state: catalogue.Catalogue
+) -> catalogue.Document:
+    """Return a document as its changes to the current one, text compressed.
+
+    It stays a whole document if there is no current one.
+    """
+    text = packing.pack(document.text)
+    if state.document is None:
+        return dataclasses.replace(document, text=text)
+    return catalogue.Document(
+        version=document.version,
+        text=text,
+        entries=documents.find_changed_entries(
+            state.entries, document.entries
+        ),
+        base_version=state.document.version,
+        removed=documents.find_removed_names(state.entries, document.entries),
+    )
--- a/src/gentianspoke/shells/control/feed_source.py
+++ b/src/gentianspoke/shells/control/feed_source.py
@@ -22,6 +22,27 @@
     digest: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class PreparedCatalogueUpdate:
+    """A message with catalogue entries, and the numbers of their services."""
+
+    message: feed_pb2.FollowReply
+    changed_numbers: frozenset[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CatalogueKey:
+    """The cache key of a message that updates the entries of a scope.
+
+    ``old_version`` is the version that the consumer holds, and
+    ``new_version`` the one after the update.
+    """
+
+    names: frozenset[str]
+    old_version: int
+    new_version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _UpdateKey:
     """The cache key of a message that updates a view to a newer one."""
@@ -49,6 +70,13 @@
             {}
         )
         self._messages: dict[_UpdateKey, feed_pb2.FollowReply] = {}
+        self._catalogue_updates: dict[
+            _CatalogueKey, PreparedCatalogueUpdate
+        ] = {}
+        # Whether all services have ``handshake``, and the catalogue version
+        # for which this was determined.
+        self._all_handshake = False
+        self._handshake_version = -1
         # The catalogue version and the digest of its entries, by scope.
         self._digests: dict[scopes.Scope, tuple[int, int]] = {}
 
@@ -76,11 +104,12 @@
 
         ``service`` is the number of the pool, as in ``views.View``.
         """
-        key = (scope.detail, service)
+        detail = self.choose_detail(scope)
+        key = (detail, service)
         prepared_view = self._prepared_views.get(key)
         if prepared_view is None:
             view = self.views[service]
-            if scope.detail is scopes.Detail.ROUTING:
+            if detail is scopes.Detail.ROUTING:
                 view = view_delta.strip_agent_fields(view)
             prepared_view = PreparedView(
                 view, view_delta.compute_view_digest(view)
@@ -88,6 +117,14 @@
             self._prepared_views[key] = prepared_view
         return prepared_view
 
+    def choose_detail(self, scope: scopes.Scope) -> scopes.Detail:
+        """Return the detail of the views that a scope's consumers get now."""
+        if self._handshake_version != self.version:
+            self._handshake_version = self.version
+            entries = self.log.catalogue.entries.values()
+            self._all_handshake = all(entry.handshake for entry in entries)
+        return scope.choose_detail(all_handshake=self._all_handshake)
+
     def prepare_message(
         self, detail: scopes.Detail, old: views.View | None, new: views.View
     ) -> feed_pb2.FollowReply:
@@ -103,6 +140,21 @@
             self._messages[key] = message
         return message
 
+    def prepare_catalogue_update(
+        self, scope: scopes.Scope, old_version: int
+    ) -> PreparedCatalogueUpdate:
+        """Return the message with the entries that changed since a version.
+
+        With ``old_version`` 0, the message holds all entries of the scope.
+        """
+        key = _CatalogueKey(scope.names, old_version, self.version)
+        update = self._catalogue_updates.get(key)
+        if update is None:
+            self._discard_old_catalogue_updates()
+            update = self._encode_catalogue_update(scope, old_version)
+            self._catalogue_updates[key] = update
+        return update
+
     def includes_service(self, scope: scopes.Scope, service: int) -> bool:
         """Return whether a scope includes a service."""
         return scope.includes_service(service, self.log.catalogue.entries)
@@ -129,6 +181,30 @@
             self._digests[scope] = cached_digest
         return cached_digest[1]
 
+    def _encode_catalogue_update(
+        self, scope: scopes.Scope, old_version: int
+    ) -> PreparedCatalogueUpdate:
+        changed_entries = [
+            entry
+            for entry in self.select_entries(scope)
+            if entry.version > old_version
+        ]
+        catalogue = feed_codec.encode_catalogue_update(
+            changed_entries, self.version, is_snapshot=old_version == 0
+        )
+        return PreparedCatalogueUpdate(
+            feed_pb2.FollowReply(catalogue=catalogue),
+            frozenset(entry.number for entry in changed_entries),
+        )
+
+    def _discard_old_catalogue_updates(self) -> None:
+        for key in [
+            key
+            for key in self._catalogue_updates
+            if key.new_version != self.version
+        ]:
+            del self._catalogue_updates[key]
+
 
 def _encode_update(old: views.View | None, new: views.View) -> feed_pb2.View:
     if old is None:
--- a/src/gentianspoke/shells/control/subscriber.py
+++ b/src/gentianspoke/shells/control/subscriber.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.core import views
 from gentianspoke.decisions.control import scopes
 from gentianspoke.decisions import view_delta
@@ -38,6 +37,7 @@
         self._newer_orders: dict[int, view_delta.Order] = {}
         self._dirty_services: set[int] = set()
         self._digest = 0
+        self._detail = source.choose_detail(scope)
         self._compare_held_views(held_orders)
 
     def mark_changed(self, service: int) -> None:
@@ -49,14 +49,16 @@
     def reset(self) -> None:
         """Discard the record of what was sent, so that all is sent again."""
         self._sent_version = 0
-        self._sent_views.clear()
-        self._newer_orders.clear()
-        self._digest = 0
-        self._compare_held_views({})
+        self._reset_views()
 
     def pop_due_updates(self) -> list[feed_pb2.FollowReply]:
         """Return the updates that are due, and count them as sent."""
         due_updates = self._pop_catalogue_update()
+        detail = self._source.choose_detail(self.scope)
+        if detail is not self._detail:
+            # The views that were sent have too few fields or too many.
+            self._detail = detail
+            self._reset_views()
         for service in sorted(self._dirty_services):
             due_updates.extend(self._pop_view_update(service))
         self._dirty_services.clear()
@@ -75,6 +77,12 @@
             self._digest, self._source.compute_entries_digest(self.scope)
         )
 
+    def _reset_views(self) -> None:
+        self._sent_views.clear()
+        self._newer_orders.clear()
+        self._digest = 0
+        self._compare_held_views({})
+
     def _compare_held_views(
         self, held_orders: dict[int, view_delta.Order]
     ) -> None:
@@ -103,27 +111,16 @@
         if not self.scope.catalogue:
             self._sent_version = version
             return []
-        changed_entries = [
-            entry
-            for entry in self._source.select_entries(self.scope)
-            if entry.version > self._sent_version
-        ]
-        update = feed_pb2.CatalogueUpdate(
-            snapshot=self._sent_version == 0,
-            version=version,
-            entries=[
-                catalogue_codec.encode_entry(entry)
-                for entry in changed_entries
-            ],
+        update = self._source.prepare_catalogue_update(
+            self.scope, self._sent_version
         )
         self._sent_version = version
         # The scope may include the services of these entries only now, so
         # their views have to be sent too.
-        for entry in changed_entries:
-            if entry.number in self._source.views:
-                if entry.number not in self._sent_views:
-                    self._dirty_services.add(entry.number)
-        return [feed_pb2.FollowReply(catalogue=update)]
+        self._dirty_services |= (
+            update.changed_numbers & self._source.views.keys()
+        ) - self._sent_views.keys()
+        return [update.message]
 
     def _pop_view_update(self, service: int) -> list[feed_pb2.FollowReply]:
         new = self._source.prepare_view(self.scope, service)
@@ -133,11 +130,10 @@
             del self._newer_orders[service]
         last_sent_view = self._sent_views.get(service)
         old = last_sent_view.view if last_sent_view else None
-        if old is not None and _is_same_view(self.scope, old, new.view):
+        if old is not None and self._is_same_view(old, new.view):
             return []
         self._record_sent(new)
-        detail = self.scope.detail
-        return [self._source.prepare_message(detail, old, new.view)]
+        return [self._source.prepare_message(self._detail, old, new.view)]
 
     def _record_sent(self, prepared_view: feed_source.PreparedView) -> None:
         service = prepared_view.view.service
@@ -149,13 +145,9 @@
             -previous_view.digest if previous_view else 0,
         )
 
-
-def _is_same_view(
-    scope: scopes.Scope, old: views.View, new: views.View
-) -> bool:
-    # Routing views leave out the agents' reports. If only these have changed,
-    # the revision differs but the number and the members are equal, and
-    # nothing has to be sent.
-    if scope.detail is scopes.Detail.ROUTING:
-        return (old.number, old.members) == (new.number, new.members)
-    return old.order == new.order
+    def _is_same_view(self, old: views.View, new: views.View) -> bool:
+        # Views without the agents' reports need not be sent if only these
+        # have changed: the revision differs, but the members are equal.
+        if self._detail is scopes.Detail.ROUTING:
+            return (old.number, old.members) == (new.number, new.members)
+        return old.order == new.order
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -16,7 +16,6 @@
 import h2.exceptions
 
 from gentianspoke import clock
-from gentianspoke.codec import catalogue
 from gentianspoke.codec import feed as feed_codec
 from gentianspoke.config import settings
 from gentianspoke.config import units
@@ -215,7 +214,7 @@
                     await self._request_resync(stream)
 
     def _on_catalogue(self, message: feed_pb2.CatalogueUpdate) -> None:
-        entries = [catalogue.decode_entry(entry) for entry in message.entries]
+        entries = feed_codec.decode_catalogue_entries(message)
         if self.copy.store_entries(
             message.version, entries, is_snapshot=message.snapshot
         ):
--- a/tests/feed/test_feed_copies.py
+++ b/tests/feed/test_feed_copies.py
@@ -12,20 +12,23 @@
 import heartbeats
 import pytest
 
-from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.codec import feed as feed_codec
+from gentianspoke.codec import packing
 from gentianspoke.core import views
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import membership
 from gentianspoke.decisions.control import scopes
 from gentianspoke.decisions import feed_copy
 from gentianspoke.decisions import view_delta
+from gentianspoke import errors
+from gentianspoke.generated import feed_pb2
 from gentianspoke.shells.control import feed_source
 from gentianspoke.shells.control import subscriber
 
 SEED = 11
 FULL_SCOPE = scopes.Scope(scopes.Detail.FULL)
 ROUTING_SCOPE = scopes.Scope(scopes.Detail.ROUTING)
+RELAY_SCOPE = scopes.Scope(scopes.Detail.FULL, catalogue=False)
 FULL_SCOPE_OF_A = scopes.Scope(scopes.Detail.FULL, frozenset({'a'}))
 
 
@@ -85,14 +88,17 @@
     assert copy.store_view(make_view(*offered_order, MEMBER_2)) is accepted
 
 
-def apply_edit(log, name, number, base=0):
+def apply_edit(log, name, number, base=0, handshake=False):
     """Add or replace an entry of the log's catalogue.
 
     ``number`` is the number of the service and also its only port, so that no
     two entries share a port. ``base`` is the version that the edit replaces.
     """
     entry = dataclasses.replace(
-        builders.service(number=number), name=name, ports=(number,)
+        builders.service(number=number),
+        name=name,
+        ports=(number,),
+        handshake=handshake,
     )
     edit = catalogue.Edit(name, base, catalogue.Put(entry))
     key = f'{name}/{log.catalogue.version}'
@@ -106,9 +112,7 @@
     for reply in replies:
         match reply.WhichOneof('content'):
             case 'catalogue':
-                entries = map(
-                    catalogue_codec.decode_entry, reply.catalogue.entries
-                )
+                entries = feed_codec.decode_catalogue_entries(reply.catalogue)
                 copy.store_entries(
                     reply.catalogue.version,
                     entries,
@@ -162,25 +166,27 @@
     assert copy.version == log.catalogue.version
 
 
-def make_source():
+def make_source(handshake=False):
     log = control_fakes.FakeLog()
-    apply_edit(log, 'a', 1)
+    apply_edit(log, 'a', 1, handshake=handshake)
     source = feed_source.FeedSource(log)
     source.store_view(make_view(5, 5, MEMBER_1, MEMBER_2))
     return log, source
 
 
 @pytest.mark.parametrize(
-    ('scope', 'expected_count'),
+    ('scope', 'handshake', 'expected_count'),
     [
-        pytest.param(FULL_SCOPE, 1, id='agent'),
-        pytest.param(ROUTING_SCOPE, 0, id='entry-instance'),
+        pytest.param(FULL_SCOPE, False, 1, id='agent'),
+        pytest.param(FULL_SCOPE, True, 0, id='agent-with-handshake-only'),
+        pytest.param(RELAY_SCOPE, True, 1, id='relay-with-handshake-only'),
+        pytest.param(ROUTING_SCOPE, False, 0, id='entry-instance'),
     ],
 )
-def test_an_entry_instance_gets_no_change_that_only_agents_need(
-    scope, expected_count
+def test_a_consumer_gets_no_change_that_it_does_not_need(
+    scope, handshake, expected_count
 ):
-    _, source = make_source()
+    _, source = make_source(handshake)
     feed_subscriber = subscriber.Subscriber(source, scope, 0, {})
     feed_subscriber.pop_due_updates()
     source.store_view(make_view(5, 6, MEMBER_1, MEMBER_2_ACKED))
@@ -229,3 +235,50 @@
     (reply,) = feed_subscriber.pop_due_updates()
     assert not reply.catalogue.snapshot
     assert [entry.version for entry in reply.catalogue.entries] == [501]
+
+
+def test_an_agent_gets_whole_views_once_a_service_needs_the_full_detail():
+    log, source = make_source(handshake=True)
+    source.store_view(make_view(5, 6, MEMBER_1, MEMBER_2_ACKED))
+    feed_subscriber = subscriber.Subscriber(source, FULL_SCOPE, 0, {})
+    copy = feed_copy.FeedCopy()
+    deliver(feed_subscriber.pop_due_updates(), copy)
+    acked_views = [item.acked_view for item in copy.views_by_pool[1].members]
+    assert acked_views == [0, 0]
+    apply_edit(log, 'b', 2)
+    deliver(feed_subscriber.pop_due_updates(), copy)
+    assert copy.views_by_pool[1].members == (MEMBER_1, MEMBER_2_ACKED)
+    assert feed_subscriber.compute_digest() == copy.compute_digest()
+
+
+@pytest.mark.parametrize('entry_count', [1, 33, 1_520])
+def test_consumers_with_the_same_version_share_one_encoded_update(entry_count):
+    log = control_fakes.FakeLog()
+    for number in range(1, entry_count + 1):
+        apply_edit(log, f'entry-{number}', number)
+    source = feed_source.FeedSource(log)
+    scopes_of_all = (FULL_SCOPE, ROUTING_SCOPE, FULL_SCOPE)
+    replies = [
+        subscriber.Subscriber(source, scope, 0, {}).pop_due_updates()
+        for scope in scopes_of_all
+    ]
+    assert all(reply[0] is replies[0][0] for reply in replies)
+    copy = feed_copy.FeedCopy()
+    deliver(replies[0], copy)
+    assert set(copy.entries) == set(range(1, entry_count + 1))
+    # An entry takes some 60 bytes if it is not compressed.
+    assert replies[0][0].ByteSize() < 1_000 + 30 * entry_count
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        pytest.param(b'x', id='not-compressed'),
+        pytest.param(packing.pack(b'abc' * 100)[:-4], id='cut-short'),
+        pytest.param(packing.pack(b'\xff' * 9), id='no-entries'),
+    ],
+)
+def test_entries_that_cannot_be_read_raise_a_typed_error(packed):
+    message = feed_pb2.CatalogueUpdate(version=1, packed_entries=packed)
+    with pytest.raises(errors.ControlError):
+        feed_codec.decode_catalogue_entries(message)
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -28,6 +28,10 @@
         self.outcome = outcome
         self.put_documents = []
 
+    def find_redirect(self):
+        """Return ``None``, as the leader does."""
+        return None
+
     async def put(self, document):
         """Record the document and return the outcome."""
         self.put_documents.append(document)
