Assign the catalogue's fields of an entry by one construction

Cause: applying a document of 1,560 new routes held the event loop of each replica for 34 to 39 ms, most of it in dataclasses.replace.

--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -117,6 +117,36 @@
     priority: int = 0
 
 
+def with_catalogue_fields(
+    entry: Service,
+    number: int,
+    version: int,
+    shares: tuple[Share, ...],
+    former: tuple[int, ...] = (),
+) -> Service:
+    """Return a copy of an entry with the fields that the catalogue assigns.
+
+    ``dataclasses.replace`` takes several times as long, which matters where a
+    document changes thousands of entries.
+    """
+    return Service(
+        number,
+        entry.name,
+        entry.owner,
+        entry.address,
+        entry.ports,
+        entry.protocol,
+        entry.traffic,
+        entry.limits,
+        version,
+        entry.retired,
+        shares,
+        former,
+        entry.handshake,
+        entry.priority,
+    )
+
+
 def get_current_pools(service: Service) -> tuple[int, ...]:
     """Return the pools that get new flows of the service."""
     if not service.shares:
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -277,14 +277,16 @@
 
     def _assign_numbers(self, entry: services.Service) -> services.Service:
         shares = tuple(
-            dataclasses.replace(
-                share, pool=self._assign_pool_number(share.name)
+            services.Share(
+                self._assign_pool_number(share.name), share.weight, share.name
             )
             for share in entry.shares
         )
         current = self.entries.get(entry.name)
         number = current.number if current else self._allocate_number()
-        return dataclasses.replace(entry, number=number, shares=shares)
+        return services.with_catalogue_fields(
+            entry, number, self.version, shares
+        )
 
     def _assign_pool_number(self, name: str) -> int:
         if name not in self.pools:
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -50,7 +50,8 @@
 ) -> EntriesByName:
     """Return all entries after a document has set ``new_entries``.
 
-    ``current_entries`` are the entries before the document. A changed
+    ``current_entries`` are the entries before the document. ``new_entries``
+    have the number and version that they get if they are new. A changed
     entry gets ``version``. An unchanged one keeps its own, so that consumers
     get only the changed entries. An entry that the document omits is retired
     rather than removed: consumers get the change, and the open flows of the
@@ -157,18 +158,16 @@
     previous: services.Service | None, entry: services.Service, version: int
 ) -> services.Service:
     if previous is None:
-        return dataclasses.replace(entry, version=version)
+        return entry
     current_pools = services.get_current_pools(entry)
     former_pools = [
         pool
         for pool in services.get_all_pools(previous)
         if pool not in current_pools
     ]
-    updated = dataclasses.replace(
-        entry,
-        version=previous.version,
-        former=tuple(former_pools[:MAX_FORMER_POOLS]),
-    )
-    if updated == previous:
+    former = tuple(former_pools[:MAX_FORMER_POOLS])
+    if former == previous.former and _is_unchanged(previous, entry):
         return previous
-    return dataclasses.replace(updated, version=version)
+    return services.with_catalogue_fields(
+        entry, entry.number, version, entry.shares, former
+    )
