Send heartbeats beside an unanswered request, and decode large records in a thread

Cause: a leader sent a peer one request at a time, and a heartbeat waited until the peer had taken, decoded and stored a record of any size; each peer's copy of a document was encoded anew on the event loop (23 ms for 1,560 routes).

--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -1,5 +1,6 @@
 """Encoding of the state that control instances store and exchange."""
 
+import collections
 import dataclasses
 
 from gentianspoke.codec import catalogue as catalogue_codec
@@ -11,6 +12,37 @@
 from gentianspoke.generated import replica_pb2
 
 JOURNAL_FORMAT = 1
+# How many encoded documents are kept. The same document is sent to each peer
+# and written to the journal.
+MAX_CACHED_DOCUMENTS = 8
+
+
+class _DocumentCache:
+    """The newest encoded documents, each with the record that holds it.
+
+    Records are immutable, so a record is recognized by its identity.
+    """
+
+    def __init__(self) -> None:
+        self._items: collections.OrderedDict[
+            int, tuple[records.Record, replica_pb2.Record]
+        ] = collections.OrderedDict()
+
+    def find(self, record: records.Record) -> replica_pb2.Record | None:
+        """Return the message of a record, ``None`` if it is not kept."""
+        item = self._items.get(id(record))
+        return item[1] if item is not None and item[0] is record else None
+
+    def store(
+        self, record: records.Record, message: replica_pb2.Record
+    ) -> None:
+        """Keep the message of a record, and discard the oldest one."""
+        self._items[id(record)] = (record, message)
+        while len(self._items) > MAX_CACHED_DOCUMENTS:
+            self._items.popitem(last=False)
+
+
+_document_cache = _DocumentCache()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +122,13 @@
 
 
 def encode_record(record: records.Record) -> replica_pb2.Record:
-    """Return a record of the replicated log as a protobuf message."""
+    """Return a record of the replicated log as a protobuf message.
+
+    The message must not be changed.
+    """
+    match record.payload:
+        case records.Command(request=request) if request.document is not None:
+            return _encode_document_record(record)
     message = replica_pb2.Record(index=record.index, term=record.term)
     match record.payload:
         case records.NoOp():
@@ -102,6 +140,18 @@
     return message
 
 
+def _encode_document_record(record: records.Record) -> replica_pb2.Record:
+    cached_message = _document_cache.find(record)
+    if cached_message is not None:
+        return cached_message
+    message = replica_pb2.Record(index=record.index, term=record.term)
+    match record.payload:
+        case records.Command(request=request):
+            message.command.CopyFrom(catalogue_codec.encode_request(request))
+    _document_cache.store(record, message)
+    return message
+
+
 def decode_record(message: replica_pb2.Record) -> records.Record:
     """Return the record of the replicated log that a message holds.
 
@@ -122,7 +172,10 @@
                 f'record {message.index} is of an unknown kind; run the same'
                 ' version on all control instances'
             )
-    return records.Record(message.index, message.term, payload)
+    record = records.Record(message.index, message.term, payload)
+    if message.command.HasField('document'):
+        _document_cache.store(record, message)
+    return record
 
 
 def encode_group(group: groups.Group) -> replica_pb2.Group:
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -54,6 +54,10 @@
     term of the record at that index. ``echo_ms`` is the time that the
     receiver sent in its last reply, 0 if there is none. ``confirmed_age_ms``
     is how long ago a majority confirmed the leader's state.
+
+    ``is_extra_heartbeat`` is true if the request overtakes another one that
+    the receiver has not answered yet. Its reply tells only that the receiver
+    is in contact. The flag is not transmitted.
     """
 
     sender: int
@@ -66,6 +70,7 @@
     echo_ms: int = 0
     confirmed_age_ms: int = 0
     sent_ms: int = 0
+    is_extra_heartbeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/replica.py
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -78,6 +78,18 @@
                     return None
                 return elections.build_vote_request(state, peer)
 
+    def build_extra_heartbeat(
+        self, peer: int, now: int
+    ) -> messages.AppendRequest | None:
+        """Return a heartbeat to send beside an unanswered request.
+
+        Return ``None`` if this replica does not lead or none is due. The
+        calling code must send the heartbeat.
+        """
+        if self.state.role.state != roles.LEADER:
+            return None
+        return replication.build_extra_heartbeat(self.state, peer, now)
+
     def _handle_request(
         self, request: messages.Request, now: int
     ) -> list[effects.Effect]:
--- a/src/gentianspoke/decisions/control/replica/replication.py
+++ b/src/gentianspoke/decisions/control/replica/replication.py
@@ -51,6 +51,44 @@
     )
 
 
+def build_extra_heartbeat(
+    state: states.State, peer: int, now: int
+) -> messages.AppendRequest | None:
+    """Return a heartbeat that overtakes an unanswered request to a peer.
+
+    Return ``None`` if the peer has answered a request recently. Otherwise
+    records may be on their way to it, and neither their size nor the time
+    that the peer needs for them must cost the leader its contact.
+    """
+    progress = state.progress.get(peer)
+    if progress is None:
+        return None
+    newest_ms = max(
+        progress.last_contact_ms,
+        progress.extra_heartbeat_ms,
+        state.elected_ms,
+    )
+    if now - newest_ms < 2 * state.timing.heartbeat_interval_ms:
+        return None
+    progress.extra_heartbeat_ms = now
+    # The logs match up to ``match_index``. If this log no longer holds that
+    # index, the peer may reject the heartbeat, which is a contact too.
+    previous_index = max(progress.match_index, state.log.base.index)
+    return messages.AppendRequest(
+        sender=state.number,
+        to=peer,
+        term=state.term,
+        previous_index=previous_index,
+        previous_term=state.log.get_term(previous_index) or 0,
+        records=(),
+        commit_index=state.commit_index,
+        echo_ms=progress.echo_ms,
+        confirmed_age_ms=state.get_confirmed_age_ms(now),
+        sent_ms=now,
+        is_extra_heartbeat=True,
+    )
+
+
 def handle_append(
     state: states.State, request: messages.AppendRequest, now: int
 ) -> Effects:
@@ -123,6 +161,9 @@
         return []
     progress.last_contact_ms = max(progress.last_contact_ms, request.sent_ms)
     progress.echo_ms = reply.clock_ms
+    match request:
+        case messages.AppendRequest(is_extra_heartbeat=True):
+            return []
     if not reply.success:
         # Go back by at least one record with each rejection.
         previous_index = min(reply.match_index, progress.next_index - 2)
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -74,7 +74,8 @@
     """What the leader knows about another member.
 
     ``last_contact_ms`` is when the leader sent the latest request that the
-    member answered. ``sent_ms`` is when the leader sent its latest request,
+    member answered. ``extra_heartbeat_ms`` is when it sent its latest extra
+    heartbeat. ``sent_ms`` is when the leader sent its latest other request,
     and ``sent_commit_index`` the commit index in it. ``first_check_ms`` is
     when the leader first checked whether the member is lost. These times are
     of the leader's clock.
@@ -86,6 +87,7 @@
     next_index: int
     match_index: int = 0
     last_contact_ms: int = LONG_AGO_MS
+    extra_heartbeat_ms: int = LONG_AGO_MS
     sent_ms: int = LONG_AGO_MS
     echo_ms: int = 0
     sent_commit_index: int = 0
--- a/src/gentianspoke/shells/control/peers.py
+++ b/src/gentianspoke/shells/control/peers.py
@@ -1,11 +1,13 @@
 """Tasks that send the replica's requests to the other members."""
 
 import asyncio
+import collections.abc
 import contextlib
 import typing
 
 import grpclib.client
 
+from gentianspoke.codec import packing
 from gentianspoke.codec import peers as codec
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.config import units
@@ -24,8 +26,10 @@
 # heartbeat, is due.
 HEARTBEAT_CHECK_INTERVAL_S = 0.075
 REPLY_TIMEOUT_S = 0.6
+# Lowest rate at which a peer is expected to take requests.
+MIN_BYTES_PER_S = 64 * 1024
 RECONNECT_DELAY_S = 0.2
-SNAPSHOT_PART_BYTES = 256 * 1024
+SNAPSHOT_PART_BYTES = 64 * 1024
 # Errors that close the channel to a peer. A reply that cannot be decoded is a
 # ControlError.
 PEER_ERRORS = (
@@ -33,6 +37,13 @@
     errors.ControlError,
 )
 
+# Exchanges requests with a member over a channel until an error is raised. The
+# event is set after each step of the log with effects.
+ExchangeAll = collections.abc.Callable[
+    [grpclib.client.Channel, groups.Member, asyncio.Event],
+    collections.abc.Coroutine[object, object, typing.Never],
+]
+
 
 async def exchange(
     channel: grpclib.client.Channel,
@@ -40,14 +51,20 @@
 ) -> replica_pb2.PeerReply:
     """Send one request and return the reply.
 
-    Raises one of ``PEER_ERRORS``.
+    The time limit grows with the size of the request. Raises one of
+    ``PEER_ERRORS``.
     """
     stub = replica_grpc.ReplicaStub(channel)
-    return await stub.Exchange(request, timeout=REPLY_TIMEOUT_S)
+    timeout_s = REPLY_TIMEOUT_S + request.ByteSize() / MIN_BYTES_PER_S
+    return await stub.Exchange(request, timeout=timeout_s)
 
 
 class Peers:
-    """Runs one task for each other member of the group."""
+    """Runs two tasks for each other member of the group.
+
+    One sends the requests of the log. The other one sends heartbeats over a
+    connection of its own while a request is unanswered for long.
+    """
 
     def __init__(
         self, proc: process.Process, log: replicated_log.ReplicatedLog
@@ -55,7 +72,7 @@
         """Send the requests of a log to the members of its group."""
         self._proc = proc
         self._log = log
-        self._tasks: dict[groups.Member, asyncio.Task[None]] = {}
+        self._tasks: dict[groups.Member, list[asyncio.Task[None]]] = {}
 
     async def run(self) -> None:
         """Start and cancel tasks as the group changes, until cancelled."""
@@ -67,7 +84,7 @@
 
     def _update_tasks(self, task_group: asyncio.TaskGroup) -> None:
         own_number = self._log.replica.state.number
-        # A promotion from learner to voter must not restart the task, so the
+        # A promotion from learner to voter must not restart the tasks, so the
         # members are compared without their ``voter`` flag.
         other_members = {
             groups.Member(
@@ -76,28 +93,31 @@
             for member in self._log.group.get_others(own_number)
         }
         for member in self._tasks.keys() - other_members:
-            self._tasks.pop(member).cancel()
-            self._log.wake_events.pop(member.number, None)
+            for task in self._tasks.pop(member):
+                task.cancel()
         for member in other_members - self._tasks.keys():
-            wake_event = asyncio.Event()
-            self._log.wake_events[member.number] = wake_event
-            task = task_group.create_task(
-                self._keep_connected(member, wake_event)
-            )
-            self._tasks[member] = task
+            self._tasks[member] = [
+                task_group.create_task(
+                    self._keep_connected(member, self._exchange_requests)
+                ),
+                task_group.create_task(
+                    self._keep_connected(member, self._exchange_heartbeats)
+                ),
+            ]
 
     async def _keep_connected(
-        self, member: groups.Member, wake_event: asyncio.Event
+        self, member: groups.Member, exchange_all: ExchangeAll
     ) -> None:
         address = units.parse_address(member.address)
         while True:
             try:
-                async with channel_auth.open_channel(
-                    address,
-                    self._proc.get_current_ring,
-                    self._proc.cfg.instance,
-                ) as channel:
-                    await self._exchange_requests(channel, member, wake_event)
+                with self._log.notify() as wake_event:
+                    async with channel_auth.open_channel(
+                        address,
+                        self._proc.get_current_ring,
+                        self._proc.cfg.instance,
+                    ) as channel:
+                        await exchange_all(channel, member, wake_event)
             except PEER_ERRORS as exc:
                 self._proc.events.write(
                     'peer-lost', peer=member.instance, reason=repr(exc)
@@ -116,18 +136,51 @@
             if request is None:
                 await self._wait_for_work(wake_event)
                 continue
-            try:
-                reply = await self._send(channel, request)
-            except PEER_ERRORS:
-                await self._log.step(messages.RequestFailed(request))
-                raise
-            await self._log.step(messages.ReplyReceived(request, reply))
-            match reply:
-                case messages.WrongFolder():
-                    raise errors.ControlError(
-                        f'{member.instance} runs with another data folder than'
-                        ' before; replace the member under a new name'
-                    )
+            await self._exchange_one(channel, member, request)
+
+    async def _exchange_heartbeats(
+        self,
+        channel: grpclib.client.Channel,
+        member: groups.Member,
+        wake_event: asyncio.Event,
+    ) -> typing.Never:
+        """Send heartbeats while another request is unanswered.
+
+        They have a connection of their own, so that no large request delays
+        them.
+        """
+        while True:
+            wake_event.clear()
+            request = await self._log.build_extra_heartbeat(member.number)
+            if request is None:
+                await self._wait_for_heartbeat(wake_event)
+                continue
+            await self._exchange_one(channel, member, request)
+
+    async def _exchange_one(
+        self,
+        channel: grpclib.client.Channel,
+        member: groups.Member,
+        request: messages.Request,
+    ) -> None:
+        try:
+            reply = await self._send(channel, request)
+        except PEER_ERRORS:
+            await self._log.step(messages.RequestFailed(request))
+            raise
+        await self._log.step(messages.ReplyReceived(request, reply))
+        match reply:
+            case messages.WrongFolder():
+                raise errors.ControlError(
+                    f'{member.instance} runs with another data folder than'
+                    ' before; replace the member under a new name'
+                )
+
+    async def _wait_for_heartbeat(self, wake_event: asyncio.Event) -> None:
+        if self._log.role == roles.LEADER:
+            await asyncio.sleep(HEARTBEAT_CHECK_INTERVAL_S)
+        else:
+            await wake_event.wait()
 
     async def _wait_for_work(self, wake_event: asyncio.Event) -> None:
         if self._log.role == roles.FOLLOWER:
@@ -181,4 +234,4 @@
 
 def _encode_snapshot(request: messages.InstallRequest) -> bytes:
     message = replica_codec.encode_snapshot(request.snapshot)
-    return message.SerializeToString()
+    return packing.pack(message.SerializeToString())
--- a/src/gentianspoke/shells/control/replica_service.py
+++ b/src/gentianspoke/shells/control/replica_service.py
@@ -8,6 +8,7 @@
 import grpclib
 import grpclib.server
 
+from gentianspoke.codec import packing
 from gentianspoke.codec import peers as codec
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.decisions.control.replica import effects
@@ -21,6 +22,9 @@
 from gentianspoke.shells import process
 
 MAX_SNAPSHOT_BYTES = 1 << 28
+# Messages from this size on are decoded in a thread, so that the event loop
+# handles heartbeats meanwhile.
+MIN_THREAD_BYTES = 4 * 1024
 MESSAGE_ERRORS = (
     errors.ControlError,
     google.protobuf.message.DecodeError,
@@ -79,7 +83,7 @@
                 )
             case 'append':
                 return await self._handle_request(
-                    codec.decode_append_request(request.append)
+                    await _decode_append(request.append)
                 )
             case 'install':
                 return await self._receive_snapshot_part(request.install)
@@ -147,6 +151,14 @@
         return await self._handle_request(request)
 
 
+async def _decode_append(
+    message: replica_pb2.AppendRequest,
+) -> messages.AppendRequest:
+    if message.ByteSize() < MIN_THREAD_BYTES:
+        return codec.decode_append_request(message)
+    return await asyncio.to_thread(codec.decode_append_request, message)
+
+
 def _decode_snapshot(data: bytes) -> records.Snapshot:
-    message = replica_pb2.Snapshot.FromString(data)
+    message = replica_pb2.Snapshot.FromString(packing.unpack(data))
     return replica_codec.decode_snapshot(message)
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc
 import concurrent.futures
 import contextlib
 import dataclasses
@@ -38,12 +39,19 @@
     peer: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BuildExtraHeartbeat:
+    """Work that builds the extra heartbeat to send to a peer, if any."""
+
+    peer: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProposeQueued:
     """Work that proposes the next batch of the operators' requests."""
 
 
-Work = messages.Event | BuildRequest | ProposeQueued
+Work = messages.Event | BuildRequest | BuildExtraHeartbeat | ProposeQueued
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,9 +90,9 @@
         self.group_known = asyncio.Event()
         if self.group.members:
             self.group_known.set()
-        # Maps the number of a peer to the event that the peer's task waits
-        # for. All events are set after each step with effects.
-        self.wake_events: dict[int, asyncio.Event] = {}
+        # The events that the tasks of the peers wait for. All events are set
+        # after each step with effects.
+        self._wake_events: set[asyncio.Event] = set()
 
     @property
     def term(self) -> int:
@@ -192,6 +200,25 @@
         """
         return await self._run_job(BuildRequest(peer))
 
+    async def build_extra_heartbeat(
+        self, peer: int
+    ) -> messages.AppendRequest | None:
+        """Return a heartbeat to send beside an unanswered request.
+
+        Return ``None`` if none is due. The calling code must send it.
+        """
+        return await self._run_job(BuildExtraHeartbeat(peer))
+
+    @contextlib.contextmanager
+    def notify(self) -> collections.abc.Iterator[asyncio.Event]:
+        """Yield an event that is set after each step with effects."""
+        wake_event = asyncio.Event()
+        self._wake_events.add(wake_event)
+        try:
+            yield wake_event
+        finally:
+            self._wake_events.discard(wake_event)
+
     async def run(self) -> None:
         """Do all work in turn, until cancelled.
 
@@ -205,6 +232,9 @@
                 case BuildRequest(peer=peer):
                     now = self._clock.now()
                     result = self.replica.build_request(peer, now)
+                case BuildExtraHeartbeat(peer=peer):
+                    now = self._clock.now()
+                    result = self.replica.build_extra_heartbeat(peer, now)
                 case ProposeQueued():
                     result = None
                     await self._propose_batch()
@@ -312,7 +342,7 @@
                     self._pending.refuse(len(batch), self.leader)
 
     async def _notify_waiters(self) -> None:
-        for wake_event in self.wake_events.values():
+        for wake_event in self._wake_events:
             wake_event.set()
         async with self._applied_condition:
             self._applied_condition.notify_all()
