--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -221,3 +221,25 @@
     request = messages.VoteRequest(2, 1, term, last_index, 0, True)
     reply = find_reply(net.step(1, messages.RequestReceived(request)))
     assert (reply.granted, reply.willing) == (False, willing)
+
+
+@pytest.mark.parametrize('record_delay_ms', [0, 900, 3_000])
+@pytest.mark.parametrize('size', [3, 5])
+def test_a_record_that_takes_long_to_all_members_unseats_no_leader(
+    size, record_delay_ms
+):
+    # Each member takes a record only after several election timeouts, as with
+    # thousands of routes on instances with little processor time.
+    net = replica_network.Network(size)
+    leader = net.wait_for_leader()
+    net.run(1_000)
+    net.record_delay_ms = record_delay_ms
+    net.propose(leader, replica_network.request('large'))
+    net.run(record_delay_ms + 1_000)
+    assert net.leader() == leader
+    assert len(net.leaders_by_term) == 1
+    assert all(
+        member.state.catalogue.known_answer('large').accepted
+        for member in net.replicas.values()
+    )
+    assert all(net.confirmed_age_ms(number) < 1_000 for number in net.replicas)
--- a/tests/replica_network.py
+++ b/tests/replica_network.py
@@ -99,6 +99,8 @@
         # at the same address.
         self.replacements = {}
         self.loss = 0.0
+        # How long a request with records takes to its receiver.
+        self.record_delay_ms = 0
         self.answers_by_index = {}
         self.leaders_by_term = {}
         self.stores = {}
@@ -107,6 +109,7 @@
         self._scheduled_items = []
         self._sequence_numbers = itertools.count()
         self._pending_requests = {}
+        self._pending_heartbeats = {}
         group = groups.Group(tuple(member(n + 1) for n in range(size)))
         for item in group.members:
             self.create(item.number, group)
@@ -249,20 +252,42 @@
     def _send_requests(self, number):
         member_replica = self.replicas[number]
         for peer in member_replica.state.group.get_others(number):
-            if (number, peer.number) in self._pending_requests:
-                continue
-            sent_request = member_replica.build_request(
-                peer.number, self.now(number)
-            )
-            if sent_request is not None:
-                self._pending_requests[number, peer.number] = sent_request
-                self._schedule(
-                    self.step_ms // 2, 'request', sent_request, member_replica
+            now = self.now(number)
+            if (number, peer.number) not in self._pending_requests:
+                self._send(
+                    member_replica,
+                    member_replica.build_request(peer.number, now),
                 )
-                self._schedule(
-                    REPLY_TIMEOUT_MS, 'expire', sent_request, member_replica
+            if (number, peer.number) not in self._pending_heartbeats:
+                self._send(
+                    member_replica,
+                    member_replica.build_extra_heartbeat(peer.number, now),
                 )
 
+    def _send(self, sender, sent_request):
+        if sent_request is None:
+            return
+        pending, link = self._find_pending(sent_request)
+        pending[link] = sent_request
+        has_records = bool(getattr(sent_request, 'records', ()))
+        delay_ms = self.record_delay_ms if has_records else 0
+        self._schedule(
+            delay_ms + self.step_ms // 2, 'request', sent_request, sender
+        )
+        self._schedule(
+            delay_ms + REPLY_TIMEOUT_MS, 'expire', sent_request, sender
+        )
+
+    def _find_pending(self, sent_request):
+        """Return the table of unanswered requests that holds the request.
+
+        The result also names the link, which is its key in the table.
+        """
+        link = (sent_request.sender, sent_request.to)
+        if getattr(sent_request, 'is_extra_heartbeat', False):
+            return self._pending_heartbeats, link
+        return self._pending_requests, link
+
     def _schedule(self, delay_ms, kind, content, sender):
         due_ms = self.clock.now() + delay_ms
         item = (due_ms, next(self._sequence_numbers), kind, content, sender)
@@ -306,10 +331,10 @@
                         )
 
     def _complete_request(self, sent_request, sender, event):
-        link = (sent_request.sender, sent_request.to)
-        if self._pending_requests.get(link) is not sent_request:
+        pending, link = self._find_pending(sent_request)
+        if pending.get(link) is not sent_request:
             return
-        del self._pending_requests[link]
+        del pending[link]
         if self.replicas.get(sent_request.sender) is sender:
             self.step(sent_request.sender, event)
 
