--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,3 +10,4 @@
 rm -rf target/deps/gentianspoke target/deps/gentianspoke_platform
 cp -R src/gentianspoke platform/gentianspoke_platform target/deps/
 python3 -m compileall -q target/deps
+python3 -S platform/store_code.py target/deps
