Keep a control instance up while its disk refuses writes

Change: a replica that can't write hands over the lead, neither votes nor appends, answers heartbeats (saying that it can't write, so that it gets no records), and goes on feeding; every 200 ms it tries a small file and then writes its whole state to a new one. What a failed step would have promised is never sent. A start on a full disk does the same. Ruled out: writing on in the same file, since a failed sync may lose data that the next one reports as safe.

--- a/src/gentianspoke/codec/peers.py
+++ b/src/gentianspoke/codec/peers.py
@@ -90,6 +90,7 @@
                 success=reply.success,
                 match_index=reply.match_index,
                 clock_ms=reply.clock_ms,
+                cannot_write=not reply.can_write,
             )
             return replica_pb2.PeerReply(append=append)
         case messages.WrongFolder(number=number):
@@ -117,6 +118,7 @@
                 success=append.success,
                 match_index=append.match_index,
                 clock_ms=append.clock_ms,
+                can_write=not append.cannot_write,
             )
         case 'wrong_folder':
             return messages.WrongFolder(message.wrong_folder.number)
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -55,9 +55,9 @@
     receiver sent in its last reply, 0 if there is none. ``confirmed_age_ms``
     is how long ago a majority confirmed the leader's state.
 
-    ``is_extra_heartbeat`` is true if the request overtakes another one that
-    the receiver has not answered yet. Its reply tells only that the receiver
-    is in contact. The flag is not transmitted.
+    The reply to a request with ``is_heartbeat_only`` tells the leader only
+    that the receiver is in contact and whether it can write. The flag is not
+    transmitted.
     """
 
     sender: int
@@ -70,7 +70,7 @@
     echo_ms: int = 0
     confirmed_age_ms: int = 0
     sent_ms: int = 0
-    is_extra_heartbeat: bool = False
+    is_heartbeat_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +80,8 @@
     With ``success``, the sender's log matches up to ``match_index`` and is
     durable up to there. Without it, ``match_index`` is the index at which the
     leader compares the two logs next. ``clock_ms`` is the time of the
-    sender's clock, which the leader sends back in ``echo_ms``.
+    sender's clock, which the leader sends back in ``echo_ms``. Without
+    ``can_write``, the sender's disk takes no writes, so it needs no records.
     """
 
     sender: int
@@ -88,6 +89,7 @@
     success: bool
     match_index: int
     clock_ms: int = 0
+    can_write: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +185,16 @@
     index: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteFailed:
+    """What the effects of the last step save could not be written."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WritesRestored:
+    """The whole state has been written, after writes had failed."""
+
+
 Event = (
     Tick
     | RequestReceived
@@ -193,4 +205,6 @@
     | RemoveMember
     | FormGroup
     | Synced
+    | WriteFailed
+    | WritesRestored
 )
--- a/src/gentianspoke/decisions/control/replica/records.py
+++ b/src/gentianspoke/decisions/control/replica/records.py
@@ -140,6 +140,13 @@
             self.records.append(record)
             self._apply_group(record)
 
+    def discard_after(self, index: int) -> None:
+        """Discard the records after ``index``."""
+        kept_count = max(0, index - self.base.index)
+        if kept_count < len(self.records):
+            del self.records[kept_count:]
+            self._recompute_group()
+
     def discard_until(self, index: int) -> None:
         """Discard the records up to ``index``, which a snapshot covers."""
         if index <= self.base.index:
--- a/src/gentianspoke/decisions/control/replica/replica.py
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -17,6 +17,7 @@
 from gentianspoke.decisions.control.replica import replication
 from gentianspoke.decisions.control.replica import roles
 from gentianspoke.decisions.control.replica import state as states
+from gentianspoke.decisions.control.replica import write_failures
 
 NOT_LEADING = 'this control instance does not lead; ask the leader'
 
@@ -35,6 +36,10 @@
         """Start as a follower with the stored state."""
         self.state = states.State(stored, timing, limits, rng, now)
 
+    def start_without_writes(self) -> None:
+        """Start although the stored state could not be written again."""
+        write_failures.start_without_writes(self.state)
+
     def handle(self, event: messages.Event, now: int) -> list[effects.Effect]:
         """Handle an event at the time ``now`` (ms); return the effects.
 
@@ -42,6 +47,8 @@
         replace one that is committed.
         """
         state = self.state
+        if not state.can_write and not _is_for_other_folder(state, event):
+            return write_failures.handle_event(state, event, now)
         match event:
             case messages.Tick():
                 result = elections.handle_tick(state, now)
@@ -61,6 +68,10 @@
                 return member_changes.form_group(state, group)
             case messages.Synced(index=index):
                 return commits.handle_synced(state, index)
+            case messages.WriteFailed():
+                return write_failures.handle_write_failed(state)
+            case messages.WritesRestored():
+                return []
 
     def build_request(self, peer: int, now: int) -> messages.Request | None:
         """Return the request to send to a peer now, ``None`` for none.
@@ -142,3 +153,11 @@
                 )
             )
         return result
+
+
+def _is_for_other_folder(state: states.State, event: messages.Event) -> bool:
+    match event:
+        case messages.RequestReceived(request=request):
+            return request.to != state.number
+        case _:
+            return False
--- a/src/gentianspoke/decisions/control/replica/replication.py
+++ b/src/gentianspoke/decisions/control/replica/replication.py
@@ -22,6 +22,8 @@
     progress = state.progress.get(peer)
     if progress is None:
         return None
+    if not progress.can_write:
+        return _build_heartbeat_if_due(state, peer, progress, now)
     has_records = progress.next_index <= state.log.last_index
     is_heartbeat_due = (
         now - progress.sent_ms >= state.timing.heartbeat_interval_ms
@@ -71,6 +73,21 @@
     if now - newest_ms < 2 * state.timing.heartbeat_interval_ms:
         return None
     progress.extra_heartbeat_ms = now
+    return _build_heartbeat(state, peer, progress, now)
+
+
+def _build_heartbeat_if_due(
+    state: states.State, peer: int, progress: states.Progress, now: int
+) -> messages.AppendRequest | None:
+    if now - progress.sent_ms < state.timing.heartbeat_interval_ms:
+        return None
+    progress.sent_ms = now
+    return _build_heartbeat(state, peer, progress, now)
+
+
+def _build_heartbeat(
+    state: states.State, peer: int, progress: states.Progress, now: int
+) -> messages.AppendRequest:
     # The logs match up to ``match_index``. If this log no longer holds that
     # index, the peer may reject the heartbeat, which is a contact too.
     previous_index = max(progress.match_index, state.log.base.index)
@@ -85,7 +102,7 @@
         echo_ms=progress.echo_ms,
         confirmed_age_ms=state.get_confirmed_age_ms(now),
         sent_ms=now,
-        is_extra_heartbeat=True,
+        is_heartbeat_only=True,
     )
 
 
@@ -101,8 +118,8 @@
     """
     if request.term < state.term:
         return [_build_reply(state, False, state.log.last_index, now)]
-    result = _follow_leader(state, request, now)
-    reject_hint = _find_reject_hint(state, request)
+    result = follow_leader(state, request, now)
+    reject_hint = find_reject_hint(state, request)
     if reject_hint is not None:
         return [*result, _build_reply(state, False, reject_hint, now)]
     result.extend(_append_received(state, request.records))
@@ -110,7 +127,7 @@
     commit_index = min(request.commit_index, match_index)
     if commit_index > state.commit_index:
         result.extend(commits.commit_until(state, commit_index))
-    _update_confirmed_ms(state, request, now)
+    update_confirmed_ms(state, request, now)
     return [*result, _build_reply(state, True, match_index, now)]
 
 
@@ -125,7 +142,7 @@
     """
     if request.term < state.term:
         return [_build_reply(state, False, state.log.last_index, now)]
-    result = _follow_leader(state, request, now)
+    result = follow_leader(state, request, now)
     snapshot = request.snapshot
     if snapshot.index <= state.commit_index:
         return [*result, _build_reply(state, True, snapshot.index, now)]
@@ -135,7 +152,6 @@
     state.catalogue.restore(snapshot.state)
     state.commit_index = snapshot.index
     state.applied_index = snapshot.index
-    state.synced_index = snapshot.index
     result.append(effects.SaveAll(state.build_stored()))
     result.append(effects.Restored(snapshot.index))
     result.append(effects.GroupChanged())
@@ -161,8 +177,9 @@
         return []
     progress.last_contact_ms = max(progress.last_contact_ms, request.sent_ms)
     progress.echo_ms = reply.clock_ms
+    progress.can_write = reply.can_write
     match request:
-        case messages.AppendRequest(is_extra_heartbeat=True):
+        case messages.AppendRequest(is_heartbeat_only=True):
             return []
     if not reply.success:
         # Go back by at least one record with each rejection.
@@ -184,11 +201,12 @@
         progress.echo_ms = 0
 
 
-def _follow_leader(
+def follow_leader(
     state: states.State,
     request: messages.AppendRequest | messages.InstallRequest,
     now: int,
 ) -> Effects:
+    """Follow the sender of a request whose term is not older."""
     state.had_leader = True
     result = elections.become_follower(
         state, request.term, request.sender, now
@@ -198,7 +216,7 @@
     return result
 
 
-def _update_confirmed_ms(
+def update_confirmed_ms(
     state: states.State, request: messages.AppendRequest, now: int
 ) -> None:
     """Record when a majority last confirmed what this member has applied."""
@@ -215,7 +233,7 @@
         state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
 
 
-def _find_reject_hint(
+def find_reject_hint(
     state: states.State, request: messages.AppendRequest
 ) -> int | None:
     """Return the index at which the leader is to compare the logs next.
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -74,7 +74,8 @@
     """What the leader knows about another member.
 
     ``last_contact_ms`` is when the leader sent the latest request that the
-    member answered. ``extra_heartbeat_ms`` is when it sent its latest extra
+    member answered. ``can_write`` is false if the disk of the member took no
+    writes then. ``extra_heartbeat_ms`` is when it sent its latest extra
     heartbeat. ``sent_ms`` is when the leader sent its latest other request,
     and ``sent_commit_index`` the commit index in it. ``first_check_ms`` is
     when the leader first checked whether the member is lost. These times are
@@ -86,6 +87,7 @@
 
     next_index: int
     match_index: int = 0
+    can_write: bool = True
     last_contact_ms: int = LONG_AGO_MS
     extra_heartbeat_ms: int = LONG_AGO_MS
     sent_ms: int = LONG_AGO_MS
@@ -123,6 +125,9 @@
         self.applied_index = stored.snapshot.index
         # The local log is durable up to this index.
         self.synced_index = self.log.last_index
+        # Whether the disk takes writes; ``write_failures.py`` explains what
+        # the replica does without them.
+        self.can_write = True
         self.started_ms = now
         # After a restart, it is not known whether a message from a leader
         # arrived recently, and that leader's lease may depend on this voter.
--- a/src/gentianspoke/errors.py
+++ b/src/gentianspoke/errors.py
@@ -191,7 +191,8 @@
         """Build the message with the file and the system's reason."""
         super().__init__(
             f'{file}: cannot be made durable ({reason}); check the free space'
-            ' and the health of the disk, then start this instance again'
+            ' and the health of the disk. The instance goes on without its'
+            ' vote until the disk takes writes again'
         )
 
 
--- a/src/gentianspoke/shells/control/monitor.py
+++ b/src/gentianspoke/shells/control/monitor.py
@@ -34,6 +34,7 @@
     state = log.replica.state
     values = {
         'log_leads': int(log.is_leader),
+        'log_can_write': int(state.can_write),
         'log_term': state.term,
         'log_voters': len(state.group.voters),
         'log_committed_index': state.commit_index,
--- a/src/gentianspoke/shells/control/open_log.py
+++ b/src/gentianspoke/shells/control/open_log.py
@@ -8,6 +8,7 @@
 
 from gentianspoke.config import settings
 from gentianspoke.core import shares
+from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import state as states
 from gentianspoke import errors
@@ -63,9 +64,7 @@
             f'{control_settings.data_folder}: this data folder belongs to'
             f' {stored.instance}; give {own_name} a folder of its own'
         )
-    # Everything is written and synced again. After a failed sync, the content
-    # that was read may be only in the page cache and not on the disk.
-    store.save_all(stored)
+    write_error = _try_save(store, stored)
     proc.events.write(
         'log-opened',
         is_new=loaded_state is None,
@@ -73,7 +72,7 @@
         term=stored.vote.term,
         records=len(stored.records),
     )
-    return replica.Replica(
+    own_replica = replica.Replica(
         stored,
         _build_timing(control_settings.election_ms),
         states.Limits(
@@ -84,6 +83,25 @@
         random.Random(stored.number ^ proc.clock.now()),
         proc.clock.now(),
     )
+    if write_error is not None:
+        proc.events.write('log-unwritable', reason=str(write_error))
+        own_replica.start_without_writes()
+    return own_replica
+
+
+def _try_save(
+    store: replica_store.ReplicaStore, stored: effects.Stored
+) -> errors.WriteError | None:
+    """Write and sync the whole state; return the error if that fails.
+
+    After a failed sync before the restart, the content that was read may be
+    only in the page cache and not on the disk.
+    """
+    try:
+        store.save_all(stored)
+    except errors.WriteError as exc:
+        return exc
+    return None
 
 
 def _build_timing(election_ms: int) -> states.Timing:
--- a/src/gentianspoke/shells/control/replica_service.py
+++ b/src/gentianspoke/shells/control/replica_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import typing
 
 import google.protobuf.message
 import grpclib
@@ -14,6 +13,7 @@
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke.decisions.control.replica import records
+from gentianspoke.decisions.control.replica import write_failures
 from gentianspoke import errors
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
@@ -103,8 +103,12 @@
             match effect:
                 case effects.Respond(reply=reply):
                     return codec.encode_reply(reply)
-        # The replica decides on exactly one response to each request.
-        typing.assert_never(typing.cast(typing.Never, new_effects))
+        # The replica responds to each request, but no response is sent if what
+        # it promises could not be written.
+        raise grpclib.GRPCError(
+            grpclib.const.Status.UNAVAILABLE,
+            write_failures.CANNOT_WRITE,
+        )
 
     def _make_identify_reply(self) -> replica_pb2.PeerReply:
         state = self._log.replica.state
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -30,6 +30,8 @@
 SUBMIT_TIMEOUT_S = 4.0
 CONFIRM_TIMEOUT_S = 0.8
 CONFIRM_POLL_INTERVAL_S = 0.02
+# How often a disk that refused a write is tried again.
+WRITE_RETRY_INTERVAL_MS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +87,9 @@
         self._events = events
         self._jobs: asyncio.Queue[Job] = asyncio.Queue()
         self._pending = pending.PendingRequests()
+        # When a write failed, and when the disk is tried again.
+        self._unwritable_since_ms = process_clock.now()
+        self._next_write_ms = 0
         self._applied_condition = asyncio.Condition()
         self.group_changed = asyncio.Event()
         self.group_known = asyncio.Event()
@@ -222,8 +227,9 @@
     async def run(self) -> None:
         """Do all work in turn, until cancelled.
 
-        Raises :class:`gentianspoke.errors.StorageError` if a write fails; the
-        instance must stop then.
+        If a write fails, the instance goes on without its vote until the disk
+        takes writes again. Raises :class:`gentianspoke.errors.StorageError`
+        if the data folder was changed; the instance must stop then.
         """
         while True:
             job = await self._jobs.get()
@@ -239,6 +245,7 @@
                     result = None
                     await self._propose_batch()
                 case event:
+                    await self._restore_writes_if_due()
                     result = await self._handle_event(event)
             if not job.future.done():
                 job.future.set_result(result)
@@ -268,7 +275,11 @@
         all_effects: list[effects.Effect] = []
         new_effects = self.replica.handle(event, self._clock.now())
         while new_effects:
-            is_saved = await self._save_effects(new_effects)
+            try:
+                is_saved = await self._save_effects(new_effects)
+            except errors.WriteError as exc:
+                all_effects += self._handle_write_error(exc, new_effects)
+                break
             for effect in new_effects:
                 self._apply_effect(effect)
             all_effects += new_effects
@@ -283,6 +294,46 @@
             await self._notify_waiters()
         return all_effects
 
+    def _handle_write_error(
+        self, exc: errors.WriteError, unsaved_effects: list[effects.Effect]
+    ) -> list[effects.Effect]:
+        """Carry out what needs no write; return the effects carried out.
+
+        No reply is sent, because it could promise what was not saved.
+        """
+        now = self._clock.now()
+        self._unwritable_since_ms = now
+        self._next_write_ms = now + WRITE_RETRY_INTERVAL_MS
+        self._events.write('log-unwritable', reason=str(exc))
+        remaining_effects = [
+            effect for effect in unsaved_effects if not _needs_write(effect)
+        ]
+        remaining_effects += self.replica.handle(messages.WriteFailed(), now)
+        for effect in remaining_effects:
+            self._apply_effect(effect)
+        return remaining_effects
+
+    async def _restore_writes_if_due(self) -> None:
+        """Write the whole state if the disk takes writes again."""
+        state = self.replica.state
+        if state.can_write or self._clock.now() < self._next_write_ms:
+            return
+        try:
+            # Encoding the state takes long, so try a small file first.
+            await self._run_in_executor(self._store.check_space)
+            await self._run_in_executor(
+                self._store.save_all, state.build_stored()
+            )
+        except errors.WriteError:
+            # The failure that began this state was logged.
+            self._next_write_ms = self._clock.now() + WRITE_RETRY_INTERVAL_MS
+            return
+        now = self._clock.now()
+        self.replica.handle(messages.WritesRestored(), now)
+        self._events.write(
+            'log-writable', unwritable_ms=now - self._unwritable_since_ms
+        )
+
     async def _save_effects(self, new_effects: list[effects.Effect]) -> bool:
         vote: effects.SaveVote | None = None
         new_records: tuple[records.Record, ...] = ()
@@ -306,10 +357,10 @@
         return True
 
     async def _run_in_executor(
-        self, save: typing.Callable[[typing.Any], None], content: typing.Any
+        self, save: typing.Callable[..., None], *content: typing.Any
     ) -> None:
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._executor, save, content)
+        await loop.run_in_executor(self._executor, save, *content)
 
     def _apply_effect(self, effect: effects.Effect) -> None:
         match effect:
@@ -348,5 +399,18 @@
             self._applied_condition.notify_all()
 
 
+def _needs_write(effect: effects.Effect) -> bool:
+    match effect:
+        case (
+            effects.SaveVote()
+            | effects.SaveRecords()
+            | effects.SaveAll()
+            | effects.Respond()
+        ):
+            return True
+        case _:
+            return False
+
+
 def _create_future() -> asyncio.Future[typing.Any]:
     return asyncio.get_running_loop().create_future()
--- a/src/gentianspoke/storage/folder.py
+++ b/src/gentianspoke/storage/folder.py
@@ -86,6 +86,8 @@
 
     def remove(self, name: str) -> None:
         """Remove a file."""
+        if self._open_name == name:
+            self.close()
         (self._root / name).unlink()
 
     def sync_names(self) -> None:
--- a/src/gentianspoke/storage/journal.py
+++ b/src/gentianspoke/storage/journal.py
@@ -17,6 +17,8 @@
 FILE_PREFIX = 'journal-'
 UNFINISHED_FILE = 'unfinished'
 NUMBER_DIGITS = 12
+# Size of the file that is written to see whether the disk takes writes.
+PROBE_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,16 +84,27 @@
             self._folder.append(name, frames.encode_frame(entry))
             self._folder.sync(name)
 
+    def check_space(self) -> None:
+        """Write and sync a small file, to see whether the disk takes writes.
+
+        Raises :class:`gentianspoke.errors.WriteError` if it does not.
+        """
+        with self._convert_errors(UNFINISHED_FILE, is_new_file=True):
+            self._remove_unfinished_file()
+            self._folder.append(UNFINISHED_FILE, bytes(PROBE_BYTES))
+            self._folder.sync(UNFINISHED_FILE)
+
     def rewrite(self, head: bytes) -> None:
         """Write ``head`` to a new file, and then remove the older files.
 
-        Raises :class:`gentianspoke.errors.WriteError` if this or an earlier
-        write or sync failed.
+        After a failed write, entries can be appended again once this call
+        has succeeded.
+
+        Raises :class:`gentianspoke.errors.WriteError` if a write or sync
+        failed.
         """
-        with self._convert_errors(UNFINISHED_FILE):
-            # A crash during an earlier rewrite can leave this file behind.
-            if UNFINISHED_FILE in self._folder.list_names():
-                self._folder.remove(UNFINISHED_FILE)
+        with self._convert_errors(UNFINISHED_FILE, is_new_file=True):
+            self._remove_unfinished_file()
             self._folder.append(UNFINISHED_FILE, frames.encode_frame(head))
             self._folder.sync(UNFINISHED_FILE)
             self._folder.rename(
@@ -100,6 +113,12 @@
             self._folder.sync_names()
             self._number += 1
             self._remove_older_files()
+        self._has_failed = False
+
+    def _remove_unfinished_file(self) -> None:
+        # A crash or a failed write can leave this file behind.
+        if UNFINISHED_FILE in self._folder.list_names():
+            self._folder.remove(UNFINISHED_FILE)
 
     def _remove_older_files(self) -> None:
         older_numbers = [
@@ -118,14 +137,19 @@
         ]
 
     @contextlib.contextmanager
-    def _convert_errors(self, name: str) -> collections.abc.Iterator[None]:
-        """Raise ``WriteError`` if this or an earlier write has failed."""
+    def _convert_errors(
+        self, name: str, *, is_new_file: bool = False
+    ) -> collections.abc.Iterator[None]:
+        """Raise ``WriteError`` if this or an earlier write has failed.
+
+        An earlier failure does not matter if a new file is written.
+        """
         # After a failed sync, the operating system may discard the written
-        # data and report the next sync as successful. Writes are therefore
-        # not retried: after a restart, the process reads what is stored and
-        # writes all of it to a new file.
+        # data and report the next sync as successful. A file is therefore not
+        # written any more after a failure, and the whole state is written to
+        # a new file.
         path = f'{self._folder.path}/{name}'
-        if self._has_failed:
+        if self._has_failed and not is_new_file:
             raise errors.WriteError(path, 'an earlier write failed')
         try:
             yield
--- a/src/gentianspoke/storage/replica_store.py
+++ b/src/gentianspoke/storage/replica_store.py
@@ -56,6 +56,13 @@
         """
         self._journal.rewrite(codec.encode_journal_head(stored))
 
+    def check_space(self) -> None:
+        """See whether the disk takes writes, with a small file.
+
+        Raises :class:`gentianspoke.errors.WriteError` if it does not.
+        """
+        self._journal.check_space()
+
     def save(self, entry: codec.JournalEntry) -> None:
         """Add the vote and the records of an entry, durably on return.
 
--- a/tests/faulty_folder.py
+++ b/tests/faulty_folder.py
@@ -28,6 +28,8 @@
         self.fail_at = fail_at
         self.fault = fault
         self.operation_count = 0
+        # While it is set, all writes fail as on a full disk.
+        self.is_full = False
         self.files = {}
         self.synced_files = {}
         self.synced_names = {}
@@ -48,6 +50,8 @@
             self.synced_files[self._last_number] = b''
         content = self._content[self.files[name]]
         fault = self._begin_operation()
+        if self.is_full and data:
+            fault = 'full'
         if fault:
             content += data[: len(data) // 2]
             self._raise_fault(fault)
--- a/tests/replica_network.py
+++ b/tests/replica_network.py
@@ -18,6 +18,7 @@
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import state as states
+from gentianspoke import errors
 from gentianspoke.storage import journal
 from gentianspoke.storage import replica_store
 
@@ -135,13 +136,18 @@
 
     def start(self, number):
         """Start a member from the state in its store."""
+        stored = self.stores[number].load().stored
         self.replicas[number] = replica.Replica(
-            self.stores[number].load().stored,
+            stored,
             states.Timing(),
             self.limits,
             random.Random(self.rng.random()),
             self.now(number),
         )
+        try:
+            self.stores[number].save_all(stored)
+        except errors.WriteError:
+            self.replicas[number].start_without_writes()
 
     def now(self, number):
         """Return the time of a member's own clock in milliseconds."""
@@ -178,6 +184,7 @@
                 self._clock_gain_us[number] += self.step_ms * (speed - 1000)
             self._deliver_due_items()
             for number in tuple(self.replicas):
+                self._restore_writes(number)
                 self.step(number, messages.Tick())
                 self._send_requests(number)
             self._check_single_leader()
@@ -195,7 +202,14 @@
         all_effects = []
         pending_effects = member_replica.handle(event, self.now(number))
         while pending_effects:
-            apply_effects(self.stores[number], pending_effects)
+            try:
+                apply_effects(self.stores[number], pending_effects)
+            except errors.WriteError:
+                all_effects += self._drop_unsaved(pending_effects)
+                all_effects += member_replica.handle(
+                    messages.WriteFailed(), self.now(number)
+                )
+                break
             all_effects += pending_effects
             synced = messages.Synced(member_replica.state.log.last_index)
             pending_effects = member_replica.handle(synced, self.now(number))
@@ -212,6 +226,32 @@
                     )
         return all_effects
 
+    def _drop_unsaved(self, pending_effects):
+        """Return the effects that a control instance carries out unsaved."""
+        unsaved = (
+            effects.SaveVote,
+            effects.SaveRecords,
+            effects.SaveAll,
+            effects.Respond,
+        )
+        return [
+            effect
+            for effect in pending_effects
+            if not isinstance(effect, unsaved)
+        ]
+
+    def _restore_writes(self, number):
+        """Write the whole state of a member whose writes failed."""
+        member_replica = self.replicas[number]
+        if member_replica.state.can_write:
+            return
+        try:
+            stored = member_replica.state.build_stored()
+            self.stores[number].save_all(stored)
+        except errors.WriteError:
+            return
+        self.step(number, messages.WritesRestored())
+
     def leader(self):
         """Return the member that leads now, or ``None`` if none does."""
         for number, member_replica in self.replicas.items():
@@ -284,7 +324,7 @@
         The result also names the link, which is its key in the table.
         """
         link = (sent_request.sender, sent_request.to)
-        if getattr(sent_request, 'is_extra_heartbeat', False):
+        if getattr(sent_request, 'is_heartbeat_only', False):
             return self._pending_heartbeats, link
         return self._pending_requests, link
 
--- a/tests/storage/test_crash_points.py
+++ b/tests/storage/test_crash_points.py
@@ -14,9 +14,19 @@
 POWER_FAULTS = ('before', 'after', 'torn')
 
 
+def write_with(writer):
+    """Write heads and entries with a journal."""
+    for _ in write_steps(writer):
+        pass
+
+
 def write_all(folder):
     """Write heads and entries, and yield the durable state after each."""
-    writer = journal.Journal(folder)
+    yield from write_steps(journal.Journal(folder))
+
+
+def write_steps(writer):
+    """Write with a journal, and yield the durable state after each write."""
     yield None, ()
     writer.rewrite(HEAD)
     yield HEAD, ()
@@ -87,7 +97,7 @@
     folder = faulty_folder.FaultyFolder(fail_at, fault)
     durable_states, exc = write_until_fault(folder)
     assert type(exc) is errors.WriteError
-    assert 'start this instance again' in str(exc)
+    assert 'check the free space' in str(exc)
     allowed_states = list_fault_free_states()[
         len(durable_states) - 1 : len(durable_states) + 1
     ]
@@ -96,6 +106,45 @@
         assert load(folder_after_failure) in allowed_states
 
 
+@pytest.mark.parametrize('fault', ['error', 'full'])
+@pytest.mark.parametrize('fail_at', range(1, OPERATION_COUNT + 1))
+def test_the_whole_state_in_a_new_file_ends_a_failure(fail_at, fault):
+    folder = faulty_folder.FaultyFolder(fail_at, fault)
+    writer = journal.Journal(folder)
+    with pytest.raises(errors.WriteError):
+        write_with(writer)
+    writer.check_space()
+    writer.rewrite(b'whole state')
+    writer.append(b'more')
+    reopened_folder = folder.copy_after_power_failure(False)
+    assert load(reopened_folder) == (b'whole state', (b'more',))
+
+
+def test_a_full_disk_refuses_each_attempt_until_there_is_room():
+    folder = faulty_folder.FaultyFolder()
+    writer = journal.Journal(folder)
+    writer.rewrite(HEAD)
+    folder.is_full = True
+    for write in (
+        lambda: writer.append(ENTRIES[0]),
+        writer.check_space,
+        lambda: writer.rewrite(NEXT_HEAD),
+        writer.check_space,
+    ):
+        with pytest.raises(errors.WriteError):
+            write()
+        for keeps_unsynced in (False, True):
+            copy = folder.copy_after_power_failure(keeps_unsynced)
+            assert load(copy) == (HEAD, ())
+    folder.is_full = False
+    writer.check_space()
+    with pytest.raises(errors.WriteError):
+        writer.append(ENTRIES[0])
+    writer.rewrite(NEXT_HEAD)
+    writer.append(ENTRIES[0])
+    assert load(folder) == (NEXT_HEAD, (ENTRIES[0],))
+
+
 def test_nothing_is_written_after_a_failed_sync():
     folder = faulty_folder.FaultyFolder()
     writer = journal.Journal(folder)
