Model failed writes in the specification of the catalogue log

A full disk refuses writes until there is room, also across a crash. Two seeded mistakes are found: a record and a vote that count although the disk refused them.

--- a/specs/catalogue_cases.py
+++ b/specs/catalogue_cases.py
@@ -13,6 +13,9 @@
     'elections and a crash': Bounds(
         records=2, sends_a=0, sends_b=0, crashes=1
     ),
+    'a full disk and a crash in one term': Bounds(
+        records=2, sends_a=0, sends_b=0, terms=1, crashes=1, refusals=1
+    ),
 }
 # Searches that take one or two minutes each to visit all states; "make model"
 # runs these, too.
@@ -27,6 +30,15 @@
     'a lost disk, a crash and a new member': Bounds(
         spares=1, losses=1, sends_a=0, sends_b=0, terms=1, tolerate=1
     ),
+    'a full disk and a crash': Bounds(
+        records=2, sends_a=0, sends_b=0, refusals=1
+    ),
+    'a full disk, a crash and an edit in one term': Bounds(
+        sends_a=1, sends_b=0, terms=1, refusals=1
+    ),
+    'two full disks one after another': Bounds(
+        records=2, sends_a=0, sends_b=0, crashes=0, refusals=2
+    ),
     'a lost disk and a new member': Bounds(
         spares=1, losses=1, crashes=0, sends_a=0, sends_b=0, terms=1
     ),
@@ -75,6 +87,14 @@
         Bounds(tolerate=1, losses=1, crashes=0, terms=1, records=4),
         'what-was-committed-is-on-a-disk',
     ),
+    Mistake.UNSAVED_RECORD_COUNTS: (
+        Bounds(sends_a=0, sends_b=0, refusals=1),
+        'leader-has-what-was-committed',
+    ),
+    Mistake.UNSAVED_VOTE_COUNTS: (
+        Bounds(terms=1, refusals=1),
+        'one-leader-per-term',
+    ),
     Mistake.BASE_VERSION_IGNORED: (
         Bounds(records=4, terms=1),
         'one-winner-per-version',
--- a/specs/catalogue_log.py
+++ b/specs/catalogue_log.py
@@ -9,7 +9,8 @@
 delayed. It may then arrive late, more than once or never. An append carries
 the log from its first record on. An instance that crashes restarts with the
 records that it had synced. An instance that loses its disk does not return. A
-spare instance joins under a new identity, at the same address or another, and
+disk that is full refuses all writes until there is room, also across a crash.
+A spare instance joins under a new identity, at the same address or another, and
 receives the log before it votes.
 The leader replaces members without an operator where ``Bounds.tolerate`` is
 set.
@@ -64,6 +65,7 @@
             bounds.crashes,
             bounds.losses,
             bounds.delays,
+            bounds.refusals,
         )
         self.invariants: checking.Invariants = {
             'one-leader-per-term': _has_one_leader_per_term,
@@ -97,6 +99,7 @@
             steps.append(self._lose_disk(state, number))
         if self.mistake is Mistake.ANSWERS_NOT_IN_SNAPSHOT:
             steps.extend(self._list_snapshots(state, number))
+        steps.extend(_list_disk_steps(state, number))
         return steps
 
     def _find_voters(self, node: Node) -> tuple[int, ...]:
@@ -106,6 +109,8 @@
         node = state.nodes[number]
         if node.term >= self.bounds.terms or node.leads:
             return []
+        if not node.can_write:
+            return []
         voters = self._find_voters(node)
         if number not in voters:
             return []
@@ -132,6 +137,9 @@
         node = state.nodes[number]
         if not node.is_up or node.term > term:
             return False
+        ignores_disk = self.mistake is Mistake.UNSAVED_VOTE_COUNTS
+        if not node.can_write and not ignores_disk:
+            return False
         if node.term == term and node.voted_for not in (
             states.NOBODY,
             candidate,
@@ -276,8 +284,11 @@
                 after_append = self._handle_append(state, other, message)
                 label = f'{number} sends {len(message[2])} records to {other}'
                 steps.append((f'{label}, reply lost', after_append))
+                acked_index = self._find_acked_index(
+                    after_append.nodes[other], message
+                )
                 after_reply = self._handle_reply(
-                    after_append, number, other, len(message[2])
+                    after_append, number, other, acked_index
                 )
                 steps.append((label, after_reply))
         if state.delays and not state.delayed:
@@ -306,6 +317,12 @@
                 steps.append((f'{label} {other}', after_append))
         return steps
 
+    def _find_acked_index(self, node: Node, message: tuple) -> int:
+        counts_unsaved = self.mistake is Mistake.UNSAVED_RECORD_COUNTS
+        if node.can_write or counts_unsaved:
+            return len(message[2])
+        return 0
+
     def _handle_append(
         self, state: State, number: int, message: tuple
     ) -> State:
@@ -323,6 +340,12 @@
         synced = len(merged)
         if self.mistake is Mistake.NO_SYNC_BEFORE_REPLY:
             synced = min(node.synced, len(merged))
+        if not node.can_write:
+            synced = min(node.synced, len(merged))
+            if self.mistake is not Mistake.UNSAVED_RECORD_COUNTS:
+                return self._follow_without_writes(
+                    state, number, node, message
+                )
         node = node._replace(
             leads=False,
             log=merged,
@@ -331,6 +354,19 @@
         )
         return _extend_committed(_replace_node(state, number, node), node)
 
+    def _follow_without_writes(
+        self, state: State, number: int, node: Node, message: tuple
+    ) -> State:
+        """Apply what is committed and held already; append nothing."""
+        _, _, log, commit_index = message
+        shared_length = min(len(node.log), commit_index, len(log))
+        if node.log[:shared_length] == log[:shared_length]:
+            node = node._replace(
+                commit_index=max(node.commit_index, shared_length)
+            )
+        node = node._replace(leads=False)
+        return _extend_committed(_replace_node(state, number, node), node)
+
     def _handle_reply(
         self, state: State, leader: int, number: int, acked_index: int
     ) -> State:
@@ -388,6 +424,8 @@
             voted_for=node.synced_voted_for,
             match_indexes=(0,) * len(state.nodes),
         )
+        if not node.can_write:
+            node = node._replace(term=node.durable_term)
         after = _replace_node(state, number, node)
         return f'{number} crashes', after._replace(crashes=state.crashes - 1)
 
@@ -447,6 +485,34 @@
         )
 
 
+def _list_disk_steps(state: State, number: int) -> Steps:
+    node = state.nodes[number]
+    if not node.can_write:
+        writable_node = node._replace(
+            can_write=True,
+            durable_term=states.NOBODY,
+            synced_voted_for=node.voted_for,
+            synced=len(node.log),
+        )
+        label = f'{number} has room and writes its whole state'
+        return [(label, _replace_node(state, number, writable_node))]
+    if not state.refusals:
+        return []
+    unwritable_node = node._replace(
+        can_write=False,
+        durable_term=node.term,
+        leads=False,
+        match_indexes=(0,) * len(state.nodes),
+    )
+    after = _replace_node(state, number, unwritable_node)
+    return [
+        (
+            f'the disk of {number} is full',
+            after._replace(refusals=state.refusals - 1),
+        )
+    ]
+
+
 def _has_one_leader_per_term(state: dict) -> bool:
     terms = [node.term for node in state['nodes'] if node.leads]
     return len(terms) == len(set(terms))
@@ -479,7 +545,7 @@
     node: Node, term: int, candidate: int, mistake: Mistake | None
 ) -> Node:
     synced_voted_for = candidate
-    if mistake is Mistake.VOTE_NOT_SYNCED:
+    if mistake is Mistake.VOTE_NOT_SYNCED or not node.can_write:
         synced_voted_for = states.NOBODY
     return node._replace(
         term=term,
--- a/specs/catalogue_state.py
+++ b/specs/catalogue_state.py
@@ -44,6 +44,8 @@
     ANSWERS_NOT_IN_SNAPSHOT = 'a snapshot without the answers'
     NO_ANSWERS_KEPT = 'an edit that is sent again is applied again'
     SILENT_MEMBER_REMOVED = 'silent members are removed, however few are left'
+    UNSAVED_RECORD_COUNTS = 'a record counts that a full disk refused'
+    UNSAVED_VOTE_COUNTS = 'a vote counts that a full disk refused'
     BASE_VERSION_IGNORED = 'an edit is accepted on any version'
 
 
@@ -65,6 +67,8 @@
     the instance crashes. If the instance leads, ``match_indexes`` holds for
     each instance number the index up to which that instance's log is known to
     match the leader's.
+    ``can_write`` is false while the disk refuses writes; ``durable_term`` is
+    then the term that the disk holds, and ``NOBODY`` otherwise.
     ``dropped`` counts the records whose answers a snapshot has lost, which
     happens only with ``Mistake.ANSWERS_NOT_IN_SNAPSHOT``.
     """
@@ -80,6 +84,8 @@
     dropped: int = 0
     leads: bool = False
     match_indexes: tuple[int, ...] = ()
+    can_write: bool = True
+    durable_term: int = NOBODY
 
 
 class State(typing.NamedTuple):
@@ -89,8 +95,8 @@
     ``committed`` is the longest log that any instance has committed.
     ``answers`` holds the kind of the edit, whether the edit was accepted, and
     the catalogue version, for each answer that an operator received.
-    ``crashes``, ``losses`` and ``delays`` count the faults that may still
-    occur.
+    ``crashes``, ``losses``, ``delays`` and ``refusals`` count the faults that
+    may still occur.
     """
 
     nodes: tuple[Node, ...]
@@ -100,6 +106,7 @@
     crashes: int
     losses: int
     delays: int
+    refusals: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,8 +116,9 @@
     ``voters`` counts the initial voters and ``spares`` the other instances.
     ``terms`` is the highest term. A leader whose log has ``records`` records
     proposes no more. ``sends_a`` and ``sends_b`` limit how often the log holds
-    the edits A and B. ``crashes``, ``losses`` (of disks) and ``delays`` (of
-    appends) limit how often these faults occur.
+    the edits A and B. ``crashes``, ``losses`` (of disks), ``delays`` (of
+    appends) and ``refusals`` (of writes, by a full disk, until there is room)
+    limit how often these faults occur.
     """
 
     voters: int = 3
@@ -122,6 +130,7 @@
     crashes: int = 1
     losses: int = 0
     delays: int = 0
+    refusals: int = 0
     # The number of disks that may be lost before their members are replaced.
     # If it is set, the leader removes a member without an operator, but only
     # one that has lost its disk. The leader knows of the loss when another
