--- a/specs/catalogue_log.py
+++ b/specs/catalogue_log.py
@@ -10,10 +10,9 @@
 the log from its first record on. An instance that crashes restarts with the
 records that it had synced. An instance that loses its disk does not return. A
 disk that is full refuses all writes until there is room, also across a crash.
-A spare instance joins under a new identity, at the same address or another, and
-receives the log before it votes.
-The leader replaces members without an operator where ``Bounds.tolerate`` is
-set.
+A spare instance joins under a new identity, at the same address or another,
+and receives the log before it votes. The leader replaces members without an
+operator where ``Bounds.tolerate`` is set.
 
 The model calls the production code for its decisions: ``groups.Group`` for
 majorities and the commit index, and ``catalogue.Catalogue`` for the answers to
