Keep the homes of buckets across views

Cause: each change of a pool's members made every entry and agent compute the home of each bucket anew when it was next used: 221 ms for 1,024 buckets and 109 members, which is 1.4 s of an instance with 0.163 of a core, several times while 20 members are replaced at a time. Change: a home that is still live keeps its buckets, except those for which a member that joined ranks higher. The score of the greatest digests no longer divides by zero.

--- a/src/gentianspoke/decisions/hashing.py
+++ b/src/gentianspoke/decisions/hashing.py
@@ -20,6 +20,8 @@
 BUCKETS_PER_SERVICE = 1024
 HASH_BITS = 64
 HASH_RANGE = float(1 << HASH_BITS)
+# The greatest number below 1.
+MAX_SHARE = math.nextafter(1.0, 0.0)
 # Number of low bits of the hash input that hold the bucket. The bits above
 # hold the service.
 BUCKET_BITS = 32
@@ -31,6 +33,9 @@
 HOME_NONE = 1
 FIRST_POSITION = 2
 ONE_BYTE_VALUES = 1 << 8
+# If more members than this have joined since the previous view, the homes are
+# computed anew when they are needed.
+MAX_COMPARED_MEMBERS = 8
 
 
 def bucket_of(key: packets.FlowKey, service: int) -> int:
@@ -51,7 +56,15 @@
         HASH_INPUT_BYTES, 'big'
     )
     digest = xxhash.xxh3_64_intdigest(hash_input, number)
-    return -weight / math.log((digest + 0.5) / HASH_RANGE)
+    return -weight / _compute_log(digest)
+
+
+def _compute_log(digest: int) -> float:
+    """Return the logarithm of a digest's share of the range, which is < 0.
+
+    The division rounds the greatest digests to 1, whose logarithm is 0.
+    """
+    return math.log(min((digest + 0.5) / HASH_RANGE, MAX_SHARE))
 
 
 def choose_share(
@@ -67,7 +80,7 @@
 
     def score_share(share: services.Share) -> float:
         digest = xxhash.xxh3_64_intdigest(key, share.pool)
-        return -share.weight / math.log((digest + 0.5) / HASH_RANGE)
+        return -share.weight / _compute_log(digest)
 
     return max(shares, key=score_share)
 
@@ -78,8 +91,9 @@
     The order of the members for a bucket depends only on their numbers and
     weights. If a new view changes neither, its ranking can reuse the orders of
     member numbers that the previous ranking has computed. The homes also
-    depend on which members are live, and can be reused if the set of live
-    members does not change either. An entry instance rarely needs more than
+    depend on which members are live. A home that is still live keeps its
+    buckets, except those for which a member that joined has a higher score.
+    An entry instance rarely needs more than
     the homes, whose table takes one byte for each bucket, or an unsigned long
     (8 bytes on 64-bit Linux) from 254 members on. Agents need the orders too.
     """
@@ -153,20 +167,73 @@
             return previous._homes
         max_value = len(self.view.members) + FIRST_POSITION
         type_code = 'B' if max_value < ONE_BYTE_VALUES else 'L'
-        return array.array(type_code, [HOME_UNKNOWN]) * BUCKETS_PER_SERVICE
+        joined_positions = self._find_joined_positions(previous)
+        if previous is None or len(joined_positions) > MAX_COMPARED_MEMBERS:
+            return array.array(type_code, [HOME_UNKNOWN]) * BUCKETS_PER_SERVICE
+        new_values = self._map_previous_homes(previous.view)
+        homes = array.array(
+            type_code, [new_values[value] for value in previous._homes]
+        )
+        for position in joined_positions:
+            self._take_buckets(homes, position)
+        return homes
+
+    def _find_joined_positions(
+        self, previous: typing.Optional['Ranking']
+    ) -> list[int]:
+        """Return the positions of members that may take buckets of others."""
+        if previous is None:
+            return []
+        weights = {
+            member.number: member.weight
+            for member in previous.view.members
+            if member.is_live
+        }
+        return [
+            position
+            for position, member in enumerate(self.view.members)
+            if member.is_live and weights.get(member.number) != member.weight
+        ]
+
+    def _map_previous_homes(self, previous: views.View) -> list[int]:
+        """Return the new value in the table of homes for each previous value.
+
+        A home that is no longer live, or whose weight has changed, becomes
+        unknown.
+        """
+        positions = {
+            (member.number, member.weight): position + FIRST_POSITION
+            for position, member in enumerate(self.view.members)
+            if member.is_live
+        }
+        return [HOME_UNKNOWN, HOME_UNKNOWN] + [
+            positions.get((member.number, member.weight), HOME_UNKNOWN)
+            for member in previous.members
+        ]
+
+    def _take_buckets(self, homes: 'array.array[int]', position: int) -> None:
+        """Make a member the home of the buckets for which it ranks higher."""
+        for bucket, value in enumerate(homes):
+            if value == HOME_UNKNOWN:
+                continue
+            home = self.view.members[value - FIRST_POSITION]
+            member = self.view.members[position]
+            if self._rank(bucket, member) > self._rank(bucket, home):
+                homes[bucket] = position + FIRST_POSITION
+
+    def _rank(self, bucket: int, member: views.Member) -> tuple[float, int]:
+        score = compute_score(
+            self.view.service, bucket, member.number, member.weight
+        )
+        return score, member.number
 
     def _find_home(self, bucket: int) -> int:
-        service = self.view.service
         best_value = HOME_NONE
         best_rank = (-math.inf, 0)
         for position, member in enumerate(self.view.members):
             if not member.is_live:
                 continue
-            number = member.number
-            rank = (
-                compute_score(service, bucket, number, member.weight),
-                number,
-            )
+            rank = self._rank(bucket, member)
             if rank > best_rank:
                 best_rank = rank
                 best_value = position + FIRST_POSITION
