--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -5,11 +5,13 @@
 """
 
 from gentianspoke.codec import catalogue
+from gentianspoke.config import units
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.control import consumers
 from gentianspoke.decisions.control import membership
 from gentianspoke.decisions import view_delta
+from gentianspoke import errors
 from gentianspoke.generated import feed_pb2
 
 STATES = {
@@ -19,6 +21,8 @@
 }
 # An update with more entries is compressed.
 MAX_PLAIN_ENTRIES = 32
+# The greatest weight in the settings of an agent.
+MAX_WEIGHT = 1_000
 STATE_NUMBERS = {state: number for number, state in STATES.items()}
 
 
@@ -135,8 +139,13 @@
     ``numbers_by_name`` maps the names of the services in the catalogue to
     their numbers. The result omits services that are not in the catalogue.
     A member whose state is unknown counts as suspect.
+
+    Raises :class:`gentianspoke.errors.ControlError` if the member cannot be
+    reached at its address, because the entry instances and the other agents
+    would not be able to use it.
     """
     member = message.member
+    _check_address(member)
     service_numbers = [
         numbers_by_name.get(name) for name in message.service_names
     ]
@@ -147,7 +156,7 @@
         port=member.port,
         zone=member.zone,
         # A missing weight reads as 0, and the decisions divide by weights.
-        weight=max(1, member.weight),
+        weight=min(max(1, member.weight), MAX_WEIGHT),
         state=STATES.get(member.state, views.State.SUSPECT),
         recovering=member.recovering,
         services=tuple(
@@ -158,6 +167,16 @@
     )
 
 
+def _check_address(member: feed_pb2.Member) -> None:
+    try:
+        units.check_address((member.host, member.port))
+    except ValueError as exc:
+        raise errors.ControlError(
+            f'the heartbeat of {member.instance!r} states an address that'
+            f' cannot be used: {exc}'
+        ) from exc
+
+
 def encode_grant(grant: membership.Grant) -> feed_pb2.AnnouncementReply:
     """Return a grant of a lease as the protobuf reply to a heartbeat."""
     return feed_pb2.AnnouncementReply(
--- a/src/gentianspoke/config/units.py
+++ b/src/gentianspoke/config/units.py
@@ -48,11 +48,21 @@
             f'{text!r} is not an address; write an IP address and a port,'
             ' such as 127.0.0.1:7000'
         ) from exc
+    check_address((host, port))
+    return host, port
+
+
+def check_address(address: Address) -> None:
+    """Check that an address is an IP address with a port that exists.
+
+    Raises ``ValueError`` with a message that says what is wrong.
+    """
+    host, port = address
+    ipaddress.ip_address(host)
     if not 0 < port <= MAX_PORT:
         raise ValueError(
             f'port {port} does not exist; use one from 1 to {MAX_PORT}'
         )
-    return host, port
 
 
 def format_address(address: Address) -> str:
--- a/src/gentianspoke/net/datagrams.py
+++ b/src/gentianspoke/net/datagrams.py
@@ -85,7 +85,8 @@
         """Send a datagram, or count it as unsent if the system refuses it."""
         try:
             self._sock.sendto(data, address)
-        except OSError:
+        except (OSError, OverflowError, ValueError):
+            # The address may be one that does not exist. Apart from that,
             # UDP may lose any packet, and a full queue or a closed port is
             # one more cause of loss. If the datagram carries a TCP segment,
             # its sender retransmits it.
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -66,7 +66,15 @@
             if (number := self._log.catalogue.get_pool_number(name))
             is not None
         }
-        announcement = feed_codec.decode_announcement(message, pool_numbers)
+        try:
+            announcement = feed_codec.decode_announcement(
+                message, pool_numbers
+            )
+        except errors.ControlError as exc:
+            self._proc.events.write('announcement-refused', reason=str(exc))
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT, str(exc)
+            ) from exc
         try:
             grant = self._leadership.announce(announcement)
         except errors.NotLeaderError as exc:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -5,6 +5,7 @@
 from gentianspoke_platform import heartbeats
 import pytest
 
+from gentianspoke import clock
 from gentianspoke.net import http
 
 POOL = 'pricing'
@@ -50,10 +51,16 @@
     return http.Request('POST', f'/v1/instances/{id}/{operation}', raw)
 
 
+def make_handler(agent, agent_clock=None):
+    """Return a handler whose upstream sends a heartbeat each 1,200 ms."""
+    agent_clock = agent_clock or clock.ManualClock(10_000)
+    return heartbeats.HeartbeatHandler(POOL, agent, agent_clock, 1_200)
+
+
 async def handle_all(*requests):
     """Return the agent that got the requests, and the replies' statuses."""
     agent = FakeAgent()
-    heartbeat_handler = heartbeats.HeartbeatHandler(POOL, agent)
+    heartbeat_handler = make_handler(agent)
     replies = [await heartbeat_handler.handle(request) for request in requests]
     return agent, [reply.status for reply in replies]
 
@@ -154,6 +161,102 @@
     ],
 )
 async def test_an_unknown_request_is_not_found(method, path):
-    heartbeat_handler = heartbeats.HeartbeatHandler(POOL, FakeAgent())
+    heartbeat_handler = make_handler(FakeAgent())
     reply = await heartbeat_handler.handle(http.Request(method, path, b''))
     assert reply.status == 404
+
+
+# Each step is the time since the last one and the heartbeat that comes then.
+OLD = {'id': 'i-1', 'born': 1_000}
+SET_BACK = {'id': 'i-2', 'born': 900}
+
+
+@pytest.mark.parametrize(
+    ('steps', 'incarnations'),
+    [
+        pytest.param(
+            [(0, OLD, 4), (1_000, SET_BACK, 9), (1_200, OLD, 5)],
+            ['i-1/1000', 'i-1/1000'],
+            id='one-late-heartbeat',
+        ),
+        pytest.param(
+            [(0, OLD, 4), (5_000, SET_BACK, 9), (1_200, OLD, 5)],
+            ['i-1/1000', 'i-1/1000'],
+            id='one-late-heartbeat-while-silent',
+        ),
+        pytest.param(
+            [(0, OLD, 4), (5_000, SET_BACK, 9), (10, SET_BACK, 8)],
+            ['i-1/1000'],
+            id='late-heartbeats-out-of-order',
+        ),
+        pytest.param(
+            [(0, OLD, 4), (2_400, SET_BACK, 1), (1_200, SET_BACK, 2)],
+            ['i-1/1000', 'i-2/900'],
+            id='successor-whose-clock-was-set-back',
+        ),
+    ],
+)
+async def test_an_earlier_start_is_accepted_only_from_a_successor(
+    steps, incarnations
+):
+    agent, agent_clock = FakeAgent(), clock.ManualClock(10_000)
+    handler = make_handler(agent, agent_clock)
+    for delay_ms, upstream, seq in steps:
+        agent_clock.advance(delay_ms)
+        await handler.handle(make_request(seq=seq, **upstream))
+    assert [
+        status.incarnation for status in agent.received_statuses
+    ] == incarnations
+
+
+@pytest.mark.parametrize(
+    ('body', 'leave_calls'),
+    [
+        pytest.param(b'{"born":1000}', 1, id='this-start'),
+        pytest.param(b'{"born":900}', 0, id='an-earlier-start'),
+        pytest.param(b'', 1, id='no-body'),
+        pytest.param(b'{"born":"x"}', 1, id='start-that-cannot-be-read'),
+        pytest.param(b'[' * 100_000, 1, id='deeply-nested'),
+    ],
+)
+async def test_a_late_leave_of_an_earlier_start_has_no_effect(
+    body, leave_calls
+):
+    agent, _ = await handle_all(
+        make_request(), make_request(operation='leave', body=body)
+    )
+    assert agent.leave_calls == leave_calls
+
+
+@pytest.mark.parametrize(
+    ('body', 'status'),
+    [
+        pytest.param(b'{"x":' * 100_000, 400, id='deeply-nested'),
+        pytest.param(
+            json.dumps({**HEARTBEAT, 'x': [[[1]]]}).encode(), 200, id='nested'
+        ),
+        pytest.param(
+            json.dumps({**HEARTBEAT, 'slots': 2**63}).encode(),
+            200,
+            id='number-beyond-the-range',
+        ),
+        pytest.param(
+            json.dumps({**HEARTBEAT, 'slots': 10**400}).encode(),
+            200,
+            id='number-too-large',
+        ),
+        pytest.param(
+            json.dumps({**HEARTBEAT, 'addr': '10.0.0.9:99999'}).encode(),
+            200,
+            id='port-out-of-range-that-is-not-used',
+        ),
+    ],
+)
+async def test_an_odd_heartbeat_ends_nothing(body, status):
+    agent = FakeAgent()
+    handler = make_handler(agent)
+    reply = await handler.handle(make_request(body=body))
+    assert reply.status == status
+    assert all(item.slots <= 100_000 for item in agent.received_statuses)
+    reply = await handler.handle(make_request(seq=9))
+    assert reply.status == 200
