--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RUN = PYTHONPATH=src:platform:. $(BIN)/python
 SOURCES = src platform tests tools benchmarks demo specs soak
 
-.PHONY: test demo soak bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
+.PHONY: test demo soak regression bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
 test: check unit
 
@@ -94,6 +94,12 @@
 matrix: $(VENV)/.ready
 	PYTHONPATH=src:.:tests $(BIN)/python -m tests.matrix
 
+# Plays the runs of deploy/regression.yaml and compares them with accepted
+# results. REGRESSION holds the options, such as
+# REGRESSION="--bench PROGRAM --sites FOLDER --why TEXT".
+regression: $(VENV)/.ready
+	$(RUN) -m gentianspoke_bench $(REGRESSION)
+
 # Runs real processes and injects faults from outside. SOAK holds options, such
 # as SOAK="--seed 7 --seconds 60".
 soak: $(VENV)/.ready
