--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -179,6 +179,8 @@
 def _become_candidate(state: states.State, now: int) -> Effects:
     state.term += 1
     state.voted_for = state.number
+    # The pre-vote has used part of the timeout, and the votes take as long.
+    state.reset_election_timer(now)
     state.role.advance('campaign')
     state.answered_by = {state.number}
     state.granted_votes = (
--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -243,3 +243,23 @@
         for member in net.replicas.values()
     )
     assert all(net.confirmed_age_ms(number) < 1_000 for number in net.replicas)
+
+
+def test_a_candidate_has_a_whole_timeout_for_its_votes():
+    net = replica_network.Network(5)
+    member = net.replicas[1]
+    state = member.state
+    now = state.election_due_ms
+    member.handle(messages.Tick(), now)
+    # The answers to the pre-vote come just before the timeout.
+    now = state.election_due_ms - 1
+    for peer in (2, 3, 4, 5):
+        request = member.build_request(peer, now)
+        if request is None:
+            continue
+        reply = messages.VoteReply(peer, 0, False, willing=True)
+        member.handle(messages.ReplyReceived(request, reply), now)
+    assert state.role.state == roles.CANDIDATE
+    shortest_ms = state.timing.startup_election_timeout_ms
+    member.handle(messages.Tick(), now + shortest_ms - 1)
+    assert state.role.state == roles.CANDIDATE
