Drop an answer of an earlier flow between the same ports

Looked for: a server sends a second copy of an answer, late, on a connection that is in use again. Found for services with handshake: the agent passed any segment of the upstream on, and it freed the slot or ended the new flow. Segments that acknowledge nothing of this flow are dropped as late-answer now. Also: an entry forwards 1.5 s after its stop signal rather than 1.0, since a fabric that needs two missed probes may still send to it after 1.0 s.

--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -38,6 +38,9 @@
 # Largest number of packets held for one unconfirmed flow. A caller has at
 # most this many packets in flight.
 MAX_HELD_PACKETS = 16
+# How far an acknowledgement may be from the end of the caller's last segment,
+# in bytes. That segment may be the retransmission of an old one.
+MAX_ACK_DISTANCE = 1 << 20
 # Shortest time between two notices about the owner of one flow. A notice goes
 # to the first member that was asked for the flow, usually its bucket's home.
 OWNER_NOTICE_INTERVAL_MS = 1_000
@@ -90,8 +93,14 @@
 def decide_reply(
     state: State, flow: records.Flow, segment: packets.Segment, now: int
 ) -> Actions:
-    """Return the actions for the upstream's segment of a known flow."""
+    """Return the actions for the upstream's segment of a known flow.
+
+    A segment of an earlier flow between the same ports is dropped: the caller
+    could take it for an answer to its new request.
+    """
     state.last_upstream_packet_ms = now
+    if _is_of_earlier_flow(flow, segment):
+        return [actions.Drop('late-answer')]
     result = confirm_flow(state, flow, now)
     evidence.note_upstream_segment(flow, segment, now)
     flow.opening_forward = None
@@ -195,6 +204,17 @@
     return result
 
 
+def _is_of_earlier_flow(flow: records.Flow, segment: packets.Segment) -> bool:
+    """Return whether a segment acknowledges nothing that this flow sent.
+
+    The numbers of two flows are random, so they are far apart.
+    """
+    if flow.up.end == records.NO_SEQ or not segment.flags & packets.ACK:
+        return False
+    ahead = (segment.ack - flow.up.end) % evidence.SEQ_MODULUS
+    return MAX_ACK_DISTANCE < ahead < evidence.SEQ_MODULUS - MAX_ACK_DISTANCE
+
+
 def _has_bulk_answer(state: State, flow: records.Flow) -> bool:
     service = state.services_by_number.get(flow.service)
     return service is not None and services.has_bulk_answer(service)
--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -22,8 +22,9 @@
 from gentianspoke.shells import process
 
 # After the stop signal, /ready returns 503, but packets are still forwarded
-# for this time.
-STOP_DELAY_S = 1.0
+# for this time. A fabric that probes twice a second and removes an instance
+# after two misses may take a little more than a second.
+STOP_DELAY_S = 1.5
 
 
 class Entry:
--- a/tests/agent/test_handshake_flows.py
+++ b/tests/agent/test_handshake_flows.py
@@ -151,6 +151,42 @@
     assert state.counts[POOL].mean_work_ms == 5
 
 
+OLD_ISN = 3_000_000_000
+
+
+@pytest.mark.parametrize(
+    ('flags', 'ack', 'kind'),
+    [
+        pytest.param(ACK, 1_001, actions.Answer, id='answer-to-this-flow'),
+        pytest.param(ACK, 101, actions.Answer, id='acknowledges-the-opening'),
+        pytest.param(ACK, OLD_ISN, actions.Drop, id='answer-to-another-flow'),
+        pytest.param(FIN, OLD_ISN, actions.Drop, id='end-of-an-earlier-flow'),
+        pytest.param(
+            SYN_ACK, OLD_ISN, actions.Drop, id='earlier-opening-answered-late'
+        ),
+        pytest.param(
+            packets.RST, 0, actions.Answer, id='reset-without-a-number'
+        ),
+    ],
+)
+def test_a_late_copy_of_an_earlier_flows_answer_does_not_reach_the_caller(
+    flags, ack, kind
+):
+    # The ports of an ended flow are in use again by a flow with other numbers.
+    state = agent_with_open_flow()
+    send(state, DATA, 2)
+    late_segment = packet(flags, seq=501, ack=ack, payload_bytes=600)
+    assert kinds(core.on_reply(state, late_segment, 3)) == [kind]
+
+
+def test_a_late_answer_neither_frees_the_slot_nor_ends_the_flow():
+    state = agent_with_open_flow()
+    send(state, DATA, 2)
+    core.on_reply(state, packet(FIN, seq=7, ack=OLD_ISN, payload_bytes=5), 3)
+    assert state.count_occupied_slots() == 1
+    assert not state.flows[builders.flow_key()].down.fin_seen
+
+
 @pytest.mark.parametrize(
     ('traffic', 'is_paced', 'last_ms', 'now', 'is_in_progress'),
     [
