--- a/benchmarks/catalogue_log.py
+++ b/benchmarks/catalogue_log.py
@@ -37,6 +37,7 @@
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
 from gentianspoke.shells import channel_auth
+from soak import proxy as soak_proxy
 
 BASE_PORT = int(os.environ.get('BENCH_BASE_PORT', '30600'))
 GROUP_SIZES = (1, 3, 5)
@@ -202,7 +203,7 @@
     per edit do not include the idle traffic that passes in the same time.
     """
     # The members listen on ``port`` to ``port + 2``.
-    proxy = control_group.Proxy((control_group.HOST, port + 9))
+    proxy = soak_proxy.Proxy((control_group.HOST, port + 9))
     proxied_addresses = {'control-0': proxy.address}
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(scratch)
