--- a/src/gentianspoke/shells/agent/loads.py
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -10,10 +10,15 @@
 from gentianspoke.shells import process
 
 LOAD_REPORT_INTERVAL_S = 0.5
-# Maximum number of reports that are sent in one interval, however many members
-# the services have. If there are more, the members get reports in turn. A
-# receiver assumes the median load for a member whose last report is old.
+# Maximum number of reports that are sent in one interval. If there are more
+# receivers, they get reports in turn. A receiver assumes the median load for a
+# member whose last report is old.
 MAX_REPORTS_PER_INTERVAL = 8
+# The same for an agent with more receivers than ``MANY_RECEIVERS``. Most
+# reports are too old there when the next one comes, and a report costs both
+# agents as much as a packet of a flow.
+MAX_REPORTS_TO_MANY = 3
+MANY_RECEIVERS = 24
 
 
 async def report_load(
@@ -26,14 +31,22 @@
     while True:
         await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
         receivers = _list_receivers(state)
-        for offset in range(min(MAX_REPORTS_PER_INTERVAL, len(receivers))):
+        report_count = compute_report_count(len(receivers))
+        for offset in range(report_count):
             pool, member = receivers[
                 (first_receiver_index + offset) % len(receivers)
             ]
             report = _build_report(state, pool, proc.events.logical)
             data = frame.encode(report, proc.ring)
             peer_socket.send(data, (member.host, member.port))
-        first_receiver_index += MAX_REPORTS_PER_INTERVAL
+        first_receiver_index += report_count
+
+
+def compute_report_count(receiver_count: int) -> int:
+    """Return how many receivers get a report in one interval."""
+    if receiver_count > MANY_RECEIVERS:
+        return MAX_REPORTS_TO_MANY
+    return min(MAX_REPORTS_PER_INTERVAL, receiver_count)
 
 
 def _list_receivers(
