--- a/benchmarks/policy/baselines.py
+++ b/benchmarks/policy/baselines.py
@@ -6,6 +6,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import views
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 SERVICE_NUMBER = 1
 MEMBER_WEIGHT = 100
@@ -43,7 +44,7 @@
         self._view_number = 1
         self._owners: dict[packets.FlowKey, int] = {}
         self._loads: collections.Counter[int] = collections.Counter()
-        ranking = hashing.Ranking(make_view(self._live_numbers, 1))
+        ranking = member_ranking.Ranking(make_view(self._live_numbers, 1))
         self._rankings = [ranking for _ in range(entry_count)]
 
     def apply_change(self, change: placement_rules.Change) -> None:
@@ -61,7 +62,7 @@
                 return
         self._view_number += 1
         view = make_view(self._live_numbers, self._view_number)
-        self._rankings[0] = hashing.Ranking(view)
+        self._rankings[0] = member_ranking.Ranking(view)
 
     def update_all_entries(self) -> None:
         """Give all entries the ranking that the first entry has."""
--- a/benchmarks/policy/slots.py
+++ b/benchmarks/policy/slots.py
@@ -18,6 +18,7 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 from gentianspoke.decisions import routing
 
 SEED = 20_261_204
@@ -112,7 +113,9 @@
         self._slots_per_member = slot_count
         self._candidate_count = candidate_count
         member_numbers = set(range(1, MEMBER_COUNT + 1))
-        self._ranking = hashing.Ranking(baselines.make_view(member_numbers, 1))
+        self._ranking = member_ranking.Ranking(
+            baselines.make_view(member_numbers, 1)
+        )
         self._running = dict.fromkeys(member_numbers, 0)
         self._queues: dict[int, list[tuple[bytes, int]]] = {
             member_number: [] for member_number in member_numbers
--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -23,6 +23,7 @@
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 from gentianspoke.decisions import routing
 
 # Both are multiples of ``BUCKETS_PER_SERVICE``, since rankings are built for
@@ -153,13 +154,15 @@
 def _build_rankings(
     count: int,
     compute_for_bucket: collections.abc.Callable[
-        [hashing.Ranking, int], object
+        [member_ranking.Ranking, int], object
     ],
-) -> list[hashing.Ranking]:
+) -> list[member_ranking.Ranking]:
     members = tuple(make_member(number) for number in range(7))
-    rankings: list[hashing.Ranking] = []
+    rankings: list[member_ranking.Ranking] = []
     for service_number in range(count // hashing.BUCKETS_PER_SERVICE):
-        ranking = hashing.Ranking(views.View(service_number, 1, members))
+        ranking = member_ranking.Ranking(
+            views.View(service_number, 1, members)
+        )
         for bucket in range(hashing.BUCKETS_PER_SERVICE):
             compute_for_bucket(ranking, bucket)
         rankings.append(ranking)
--- a/specs/handover_agent.py
+++ b/specs/handover_agent.py
@@ -10,6 +10,7 @@
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 from specs import handover_leader
 from specs import handover_state as states
 
@@ -117,7 +118,7 @@
         handover_leader.build_live_member(number, 1)
         for number in range(1, count + 1)
     )
-    ranking = hashing.Ranking(views.View(1, 1, members))
+    ranking = member_ranking.Ranking(views.View(1, 1, members))
     for bucket in range(hashing.BUCKETS_PER_SERVICE):
         order = [member.number for member in ranking.rank_members(bucket)]
         if order == sorted(order):
@@ -129,7 +130,7 @@
 
 def _build_state(
     view: views.View, number: int, previous: states.AppliedView
-) -> tuple[agent_state.AgentState, hashing.Ranking]:
+) -> tuple[agent_state.AgentState, member_ranking.Ranking]:
     state = agent_state.AgentState(
         number=number,
         zone='',
--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -128,7 +128,7 @@
     """
     match record.payload:
         case records.Command(request=request) if request.document is not None:
-            return _encode_document_record(record)
+            return _encode_document_record(record, request)
     message = replica_pb2.Record(index=record.index, term=record.term)
     match record.payload:
         case records.NoOp():
@@ -140,14 +140,17 @@
     return message
 
 
-def _encode_document_record(record: records.Record) -> replica_pb2.Record:
+def _encode_document_record(
+    record: records.Record, request: catalogue.Request
+) -> replica_pb2.Record:
     cached_message = _document_cache.find(record)
     if cached_message is not None:
         return cached_message
-    message = replica_pb2.Record(index=record.index, term=record.term)
-    match record.payload:
-        case records.Command(request=request):
-            message.command.CopyFrom(catalogue_codec.encode_request(request))
+    message = replica_pb2.Record(
+        index=record.index,
+        term=record.term,
+        command=catalogue_codec.encode_request(request),
+    )
     _document_cache.store(record, message)
     return message
 
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -29,7 +29,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 # A diverted opening goes to the less loaded of this many members ("power of
 # two choices").
@@ -70,7 +70,7 @@
 def compute_load_limit(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     now: int,
 ) -> int:
     """Return the number of open flows from which on openings are diverted.
@@ -96,7 +96,7 @@
 
 def choose_target(
     state: State,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     bucket: int,
     tried: tuple[int, ...] = (),
 ) -> views.Member | None:
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -19,7 +19,7 @@
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import placement
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 State = agent_state.AgentState
 
@@ -84,7 +84,7 @@
 
 
 def _route_to_home(
-    state: State, ranking: hashing.Ranking, forward: frames.Forward
+    state: State, ranking: member_ranking.Ranking, forward: frames.Forward
 ) -> actions.Action:
     home = ranking.home(forward.bucket)
     if home is None:
@@ -93,7 +93,7 @@
 
 
 def _is_home(
-    state: State, ranking: hashing.Ranking, forward: frames.Forward
+    state: State, ranking: member_ranking.Ranking, forward: frames.Forward
 ) -> bool:
     home = ranking.home(forward.bucket)
     return home is not None and home.number == state.number
@@ -102,7 +102,7 @@
 def _decide_new_opening(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
@@ -144,7 +144,7 @@
 def _make_query_frame(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
 ) -> frames.Forward:
     """Return the frame with which this home asks other members.
@@ -175,7 +175,7 @@
 def _find_members_to_ask(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     packet: packets.Packet,
 ) -> list[views.Member]:
@@ -212,7 +212,7 @@
 def _decide_offer(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
--- a/src/gentianspoke/decisions/agent/ownership.py
+++ b/src/gentianspoke/decisions/agent/ownership.py
@@ -48,7 +48,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 Members = tuple[views.Member, ...]
 
@@ -69,7 +69,7 @@
 def may_place(
     state: agent_state.AgentState,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     bucket: int,
     now: int,
 ) -> bool:
@@ -88,7 +88,7 @@
 def may_accept_offer(
     state: agent_state.AgentState,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     now: int,
 ) -> bool:
@@ -112,7 +112,7 @@
 
 def find_home_start_view(
     state: agent_state.AgentState,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     bucket: int,
     member_number: int,
 ) -> int:
@@ -142,7 +142,7 @@
 
 
 def find_members_to_ask(
-    state: agent_state.AgentState, ranking: hashing.Ranking, bucket: int
+    state: agent_state.AgentState, ranking: member_ranking.Ranking, bucket: int
 ) -> list[views.Member]:
     """Return the members that this home asks before it places an opening.
 
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -19,7 +19,7 @@
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import retry_budget
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 State = agent_state.AgentState
 
@@ -27,7 +27,7 @@
 def place_opening(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
@@ -61,7 +61,7 @@
 def decide_offer(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
@@ -99,7 +99,7 @@
 def _renew_offer(
     state: State,
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     earlier_offer: records.Diversion,
     forward: frames.Forward,
     packet: packets.Packet,
--- a/src/gentianspoke/decisions/agent/record_counts.py
+++ b/src/gentianspoke/decisions/agent/record_counts.py
@@ -5,7 +5,7 @@
 """
 
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 State = agent_state.AgentState
 
@@ -32,7 +32,7 @@
     return own_view if decided_view is None else min(own_view, decided_view)
 
 
-def find_oldest_view(state: State, ranking: hashing.Ranking) -> int:
+def find_oldest_view(state: State, ranking: member_ranking.Ranking) -> int:
     """Return the oldest view under which a record of this agent is counted.
 
     Records in the buckets of which this agent is the home are left out,
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -10,7 +10,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import timer_wheel
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 from gentianspoke.decisions import routing
 
 # Number of earlier views kept for each pool. They show since which view a
@@ -114,11 +114,11 @@
         default_factory=dict
     )
     # Rankings from the current views, by pool.
-    rankings: dict[int, hashing.Ranking] = dataclasses.field(
+    rankings: dict[int, member_ranking.Ranking] = dataclasses.field(
         default_factory=dict
     )
     # Rankings from the earlier views of each pool, the newest last.
-    past_rankings: dict[int, list[hashing.Ranking]] = dataclasses.field(
+    past_rankings: dict[int, list[member_ranking.Ranking]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
     flows: dict[packets.FlowKey, records.Flow] = dataclasses.field(
@@ -245,7 +245,7 @@
             return False
         if current is not None and current.view.number < view.number:
             self._keep_past_ranking(current)
-        self.rankings[view.service] = hashing.Ranking(view, current)
+        self.rankings[view.service] = member_ranking.Ranking(view, current)
         return True
 
     def check_feed_gap(self, now: int) -> None:
@@ -319,7 +319,7 @@
         """Return whether a planned stop still has to wait for a flow."""
         return self.count_unfinished_flows(now).in_progress > 0
 
-    def _keep_past_ranking(self, ranking: hashing.Ranking) -> None:
+    def _keep_past_ranking(self, ranking: member_ranking.Ranking) -> None:
         past_rankings = self.past_rankings[ranking.view.service]
         if self.views_missed:
             past_rankings.clear()
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 # Maximum number of times that agents forward a frame after the entry instance
 # has sent it.
@@ -32,7 +33,7 @@
     services_by_endpoint: dict[Endpoint, services.Service] = dataclasses.field(
         default_factory=dict
     )
-    rankings: dict[int, hashing.Ranking] = dataclasses.field(
+    rankings: dict[int, member_ranking.Ranking] = dataclasses.field(
         default_factory=dict
     )
 
@@ -57,7 +58,7 @@
         current = self.rankings.get(view.service)
         if current is not None and current.view.order > view.order:
             return False
-        self.rankings[view.service] = hashing.Ranking(view)
+        self.rankings[view.service] = member_ranking.Ranking(view)
         return True
 
 
@@ -128,7 +129,7 @@
 
 def _choose_ranking(
     table: RouteTable, service: services.Service, key: packets.FlowKey
-) -> hashing.Ranking | None:
+) -> member_ranking.Ranking | None:
     if not service.shares:
         return table.rankings.get(service.number)
     routable_shares = [
@@ -147,7 +148,7 @@
 
 def _choose_member(
     service: services.Service,
-    ranking: hashing.Ranking,
+    ranking: member_ranking.Ranking,
     bucket: int,
     packet: packets.Packet,
 ) -> tuple[views.Member | None, frames.Purpose]:
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -13,15 +13,14 @@
 import typing
 
 from gentianspoke import clock
-from gentianspoke.codec import replica as codec
 from gentianspoke.decisions.control import catalogue as catalogues
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import messages
-from gentianspoke.decisions.control.replica import records
 from gentianspoke.decisions.control.replica import replica
 from gentianspoke.decisions.control.replica import roles
 from gentianspoke import errors
+from gentianspoke.shells.control import log_writer
 from gentianspoke.shells.control import pending
 from gentianspoke.storage import replica_store
 from gentianspoke.telemetry import logs
@@ -30,8 +29,6 @@
 SUBMIT_TIMEOUT_S = 4.0
 CONFIRM_TIMEOUT_S = 0.8
 CONFIRM_POLL_INTERVAL_S = 0.02
-# How often a disk that refused a write is tried again.
-WRITE_RETRY_INTERVAL_MS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,15 +78,13 @@
         """Apply a replica's effects; writes to disk run in ``executor``."""
         self.replica = own_replica
         self.catalogue = own_replica.state.catalogue
-        self._store = store
-        self._executor = executor
+        self._writer = log_writer.LogWriter(
+            store, executor, process_clock, events
+        )
         self._clock = process_clock
         self._events = events
         self._jobs: asyncio.Queue[Job] = asyncio.Queue()
         self._pending = pending.PendingRequests()
-        # When a write failed, and when the disk is tried again.
-        self._unwritable_since_ms = process_clock.now()
-        self._next_write_ms = 0
         self._applied_condition = asyncio.Condition()
         self.group_changed = asyncio.Event()
         self.group_known = asyncio.Event()
@@ -276,7 +271,7 @@
         new_effects = self.replica.handle(event, self._clock.now())
         while new_effects:
             try:
-                is_saved = await self._save_effects(new_effects)
+                is_saved = await self._writer.save(new_effects)
             except errors.WriteError as exc:
                 all_effects += self._handle_write_error(exc, new_effects)
                 break
@@ -301,14 +296,15 @@
 
         No reply is sent, because it could promise what was not saved.
         """
-        now = self._clock.now()
-        self._unwritable_since_ms = now
-        self._next_write_ms = now + WRITE_RETRY_INTERVAL_MS
-        self._events.write('log-unwritable', reason=str(exc))
+        self._writer.note_failure(exc)
         remaining_effects = [
-            effect for effect in unsaved_effects if not _needs_write(effect)
+            effect
+            for effect in unsaved_effects
+            if not log_writer.needs_write(effect)
         ]
-        remaining_effects += self.replica.handle(messages.WriteFailed(), now)
+        remaining_effects += self.replica.handle(
+            messages.WriteFailed(), self._clock.now()
+        )
         for effect in remaining_effects:
             self._apply_effect(effect)
         return remaining_effects
@@ -316,51 +312,8 @@
     async def _restore_writes_if_due(self) -> None:
         """Write the whole state if the disk takes writes again."""
         state = self.replica.state
-        if state.can_write or self._clock.now() < self._next_write_ms:
-            return
-        try:
-            # Encoding the state takes long, so try a small file first.
-            await self._run_in_executor(self._store.check_space)
-            await self._run_in_executor(
-                self._store.save_all, state.build_stored()
-            )
-        except errors.WriteError:
-            # The failure that began this state was logged.
-            self._next_write_ms = self._clock.now() + WRITE_RETRY_INTERVAL_MS
-            return
-        now = self._clock.now()
-        self.replica.handle(messages.WritesRestored(), now)
-        self._events.write(
-            'log-writable', unwritable_ms=now - self._unwritable_since_ms
-        )
-
-    async def _save_effects(self, new_effects: list[effects.Effect]) -> bool:
-        vote: effects.SaveVote | None = None
-        new_records: tuple[records.Record, ...] = ()
-        is_saved = False
-        for effect in new_effects:
-            match effect:
-                case effects.SaveVote():
-                    vote = effect
-                case effects.SaveRecords(records=more_records):
-                    new_records = (*new_records, *more_records)
-                case effects.SaveAll(stored=stored):
-                    # SaveAll includes all that the earlier effects of this
-                    # step would save.
-                    vote, new_records, is_saved = None, (), True
-                    await self._run_in_executor(self._store.save_all, stored)
-        if vote is None and not new_records:
-            return is_saved
-        await self._run_in_executor(
-            self._store.save, codec.JournalEntry(vote, new_records)
-        )
-        return True
-
-    async def _run_in_executor(
-        self, save: typing.Callable[..., None], *content: typing.Any
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._executor, save, *content)
+        if not state.can_write and await self._writer.try_again(state):
+            self.replica.handle(messages.WritesRestored(), self._clock.now())
 
     def _apply_effect(self, effect: effects.Effect) -> None:
         match effect:
@@ -399,18 +352,5 @@
             self._applied_condition.notify_all()
 
 
-def _needs_write(effect: effects.Effect) -> bool:
-    match effect:
-        case (
-            effects.SaveVote()
-            | effects.SaveRecords()
-            | effects.SaveAll()
-            | effects.Respond()
-        ):
-            return True
-        case _:
-            return False
-
-
 def _create_future() -> asyncio.Future[typing.Any]:
     return asyncio.get_running_loop().create_future()
--- a/tests/decisions/test_hashing.py
+++ b/tests/decisions/test_hashing.py
@@ -5,6 +5,7 @@
 
 from gentianspoke.core import views
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 # A sample of the buckets: every seventh.
 BUCKETS = range(0, hashing.BUCKETS_PER_SERVICE, 7)
@@ -29,7 +30,7 @@
         )
         for number in range(1, member_count + 1)
     )
-    ranking = hashing.Ranking(make_view(*members))
+    ranking = member_ranking.Ranking(make_view(*members))
     for bucket in BUCKETS:
         live_members = [
             item for item in ranking.rank_members(bucket) if item.is_live
@@ -55,11 +56,11 @@
 )
 def test_homes_after_a_change_equal_recomputed_homes(later_members):
     first_view = make_view(builders.member(1), builders.member(2))
-    previous = hashing.Ranking(first_view)
+    previous = member_ranking.Ranking(first_view)
     for bucket in BUCKETS:
         previous.home(bucket)
     second_view = make_view(*later_members, number=2)
-    ranking = hashing.Ranking(second_view, previous)
-    recomputed = hashing.Ranking(second_view)
+    ranking = member_ranking.Ranking(second_view, previous)
+    recomputed = member_ranking.Ranking(second_view)
     for bucket in BUCKETS:
         assert ranking.home(bucket) == recomputed.home(bucket)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,7 @@
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 LEASE_MS = 3_000
 
@@ -46,7 +47,7 @@
     The members are 1 to ``members``; the flow is the one with the source
     port ``sport``.
     """
-    ranking = hashing.Ranking(
+    ranking = member_ranking.Ranking(
         builders.view(*(builders.member(n + 1) for n in range(members)))
     )
     bucket = hashing.bucket_of(builders.flow_key(sport), 1)
--- a/tests/model/test_handover.py
+++ b/tests/model/test_handover.py
@@ -7,7 +7,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import state as agent_state
-from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 from specs import handover
 from specs import handover_agent
 from specs import handover_cases
@@ -104,6 +104,6 @@
         handover_agent.handover_leader.build_live_member(number, 1)
         for number in (1, 2, 3)
     )
-    ranking = hashing.Ranking(views.View(1, 1, members))
+    ranking = member_ranking.Ranking(views.View(1, 1, members))
     order = ranking.rank_members(handover_agent.find_ordered_bucket(3))
     assert [member.number for member in order] == [1, 2, 3]
--- a/tests/routing/test_ranking_updates.py
+++ b/tests/routing/test_ranking_updates.py
@@ -8,6 +8,7 @@
 
 from gentianspoke.core import views
 from gentianspoke.decisions import hashing
+from gentianspoke.decisions import member_ranking
 
 BUCKETS = range(hashing.BUCKETS_PER_SERVICE)
 
@@ -45,7 +46,7 @@
 ):
     rng = random.Random(seed)
     members = {n: builders.member(n) for n in range(1, member_count + 1)}
-    ranking = hashing.Ranking(make_view(members, 1))
+    ranking = member_ranking.Ranking(make_view(members, 1))
     for number in range(2, 30):
         # Only some homes are known when the next view comes.
         find_homes(ranking, rng.sample(BUCKETS, 200))
@@ -53,12 +54,12 @@
             ranking.rank_members(bucket)
         change(members, rng)
         view = make_view(members, number)
-        ranking = hashing.Ranking(view, ranking)
+        ranking = member_ranking.Ranking(view, ranking)
         buckets = rng.sample(BUCKETS, 40)
         for bucket in buckets:
-            expected_order = hashing.Ranking(view).rank_members(bucket)
+            expected_order = member_ranking.Ranking(view).rank_members(bucket)
             assert ranking.rank_members(bucket) == expected_order
-        expected_homes = find_homes(hashing.Ranking(view), buckets)
+        expected_homes = find_homes(member_ranking.Ranking(view), buckets)
         assert find_homes(ranking, buckets) == expected_homes
 
 
