Store a document as its changes to a version of the catalogue

The changes were counted from a version of the document; an operator's edit between the two would have survived the document. Tests: documents stored as changes have the effect of whole ones over random sequences, and changes to another catalogue are not accepted.

--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -58,10 +58,10 @@
     ``entries`` refer to pools by name, and the catalogue assigns the pool
     numbers. A document replaces only documents with a lower version.
 
-    In the log, a document holds only its changes to an earlier document if
-    ``base_version``, the version of the earlier document, is not 0. Then
-    ``entries`` lists the new and changed entries, and ``removed`` the names
-    of those that the document omits.
+    In the log, a document holds only its changes to the catalogue if
+    ``base_version``, the version of that catalogue, is not 0. Then ``entries``
+    lists the new and changed entries, and ``removed`` the names of those that
+    the document omits.
     """
 
     version: int
@@ -215,8 +215,8 @@
         Edits whose request has a known idempotency key change nothing and
         get the stored answer. A document changes nothing unless its version
         is higher than that of the current document; the idempotency key of a
-        document is not used. A document with the changes to another document
-        than the current one is not accepted.
+        document is not used. A document with the changes to another version
+        of the catalogue than the current one is not accepted.
         """
         if request.document is not None:
             return self._apply_document(request.document)
@@ -256,7 +256,7 @@
         current_version = self.document.version if self.document else 0
         if document.version <= current_version:
             return Answer(True, self.version)
-        if document.base_version not in (0, current_version):
+        if document.base_version not in (0, self.version):
             return Answer(False, self.version)
         self.version += 1
         numbered_entries = [
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -102,7 +102,7 @@
         if current is not None and document.version <= current.version:
             return await self._accept_without_write(self._log, document)
         key = f'document/{document.version}'
-        change = _build_change(document, self._log.catalogue)
+        change = build_change(document, self._log.catalogue)
         try:
             answer = await self._log.submit(
                 catalogue.Request(key, '', (), change)
@@ -139,15 +139,15 @@
         return AskLeader(leader)
 
 
-def _build_change(
+def build_change(
     document: catalogue.Document, state: catalogue.Catalogue
 ) -> catalogue.Document:
-    """Return a document as its changes to the current one, text compressed.
+    """Return a document as its changes to the catalogue, text compressed.
 
-    It stays a whole document if there is no current one.
+    It stays a whole document if the catalogue is empty.
     """
     text = packing.pack(document.text)
-    if state.document is None:
+    if state.version == 0:
         return dataclasses.replace(document, text=text)
     return catalogue.Document(
         version=document.version,
@@ -155,6 +155,6 @@
         entries=documents.find_changed_entries(
             state.entries, document.entries
         ),
-        base_version=state.document.version,
+        base_version=state.version,
         removed=documents.find_removed_names(state.entries, document.entries),
     )
--- a/tests/decisions/test_documents.py
+++ b/tests/decisions/test_documents.py
@@ -2,16 +2,19 @@
 
 import dataclasses
 import itertools
+import random
 
 import builders
 import pytest
 
 from gentianspoke.codec import catalogue as codec
+from gentianspoke.codec import packing
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control.replica import records
+from gentianspoke.shells.control import documents as control_documents
 
 
 def make_entry(name='a', pool='p', port=443, **fields):
@@ -152,3 +155,78 @@
     error = documents.find_error(entries, {'p'})
     assert bool(error) is bool(expected_word)
     assert expected_word in error
+
+
+def draw_document(rng, version):
+    """Return a whole document with some of eight entries."""
+    entries = [
+        make_entry(
+            name, rng.choice('pq'), 440 + number, priority=rng.randrange(2)
+        )
+        for number, name in enumerate('abcdefgh')
+        if rng.random() < 0.7
+    ]
+    return make_request(version, *entries).document
+
+
+def apply_document(state, document):
+    return state.apply(catalogue.Request('key', '', (), document))
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_a_document_stored_as_changes_has_the_effect_of_the_whole_one(seed):
+    rng = random.Random(seed)
+    whole, changed = catalogue.Catalogue(), catalogue.Catalogue()
+    for version in range(1, 30):
+        document = draw_document(rng, version)
+        change = control_documents.build_change(document, changed)
+        encoded = codec.encode_document(change)
+        assert codec.decode_document(encoded) == change
+        apply_document(whole, document)
+        assert apply_document(changed, change).accepted
+        assert changed.entries == whole.entries
+        assert changed.pools == whole.pools
+        assert packing.unpack(changed.document.text) == document.text
+
+
+def test_a_document_that_changes_one_entry_stores_only_this_entry():
+    state = apply_requests(
+        make_request(1, make_entry('a'), make_entry('b', port=8))
+    )
+    document = make_request(2, make_entry('a', 'q'), make_entry('b', port=8))
+    change = control_documents.build_change(document.document, state)
+    assert [entry.name for entry in change.entries] == ['a']
+    assert (change.base_version, change.removed) == (1, ())
+
+
+@pytest.mark.parametrize(
+    ('base_version', 'version', 'accepted', 'is_applied'),
+    [
+        pytest.param(2, 9, True, True, id='changes-to-this-catalogue'),
+        pytest.param(1, 9, False, False, id='changes-to-an-earlier-one'),
+        pytest.param(3, 9, False, False, id='changes-to-another-one'),
+        pytest.param(1, 7, True, False, id='older-document'),
+        pytest.param(0, 9, True, True, id='whole-document'),
+    ],
+)
+def test_changes_to_another_catalogue_are_not_accepted(
+    base_version, version, accepted, is_applied
+):
+    state = apply_requests(
+        make_request(3, make_entry()), make_request(7, make_entry('b', port=8))
+    )
+    before = state.export()
+    document = catalogue.Document(
+        version, b'text', (make_entry('c', port=9),), base_version
+    )
+    assert apply_document(state, document).accepted is accepted
+    assert (state.export() != before) is is_applied
+
+
+def test_an_edit_after_documents_finds_the_owner_of_a_port():
+    state = apply_requests(make_request(3, make_entry()))
+    entry = dataclasses.replace(make_entry('other'), shares=())
+    edit = catalogue.Edit('other', 0, catalogue.Put(entry))
+    answer = state.apply(catalogue.Request('edit', 'operator', (edit,)))
+    assert not answer.accepted
+    assert 'belongs to a' in answer.conflicts[0].reason
