Let one of the members that start together go on with the election

Change: while it is starting, a pre-candidate that is asked for a pre-vote by a member with a greater number and a current log becomes a follower again.

--- a/src/gentianspoke/decisions/control/replica/elections.py
+++ b/src/gentianspoke/decisions/control/replica/elections.py
@@ -90,13 +90,16 @@
         is_eligible = request.term > state.term and _has_current_log(
             state, request
         )
-        return [
-            _build_reply(
-                state,
-                is_eligible and not must_withhold_vote,
-                is_eligible and may_skip_wait,
-            )
-        ]
+        pre_vote = _build_reply(
+            state,
+            is_eligible and not must_withhold_vote,
+            is_eligible and may_skip_wait,
+        )
+        if is_eligible and _must_yield(state, request, now):
+            state.reset_election_timer(now)
+            state.role.advance('follow')
+            return [*_report_role(state), pre_vote]
+        return [pre_vote]
     skips_wait = may_skip_wait and request.unopposed
     if (must_withhold_vote and not skips_wait) or request.term < state.term:
         return [_build_reply(state, False)]
@@ -226,6 +229,21 @@
     return now - state.leader_contact_ms < state.timing.min_election_timeout_ms
 
 
+def _must_yield(
+    state: states.State, request: messages.VoteRequest, now: int
+) -> bool:
+    """Return whether this pre-candidate leaves the election to another one.
+
+    Members that start at the same moment would otherwise become candidates
+    together and split the votes. The one with the greatest number goes on.
+    """
+    return (
+        state.role.state == roles.PRE_CANDIDATE
+        and state.is_starting(now)
+        and request.sender > state.number
+    )
+
+
 def _has_current_log(
     state: states.State, request: messages.VoteRequest
 ) -> bool:
--- a/tests/replica/test_elections.py
+++ b/tests/replica/test_elections.py
@@ -263,3 +263,29 @@
     shortest_ms = state.timing.startup_election_timeout_ms
     member.handle(messages.Tick(), now + shortest_ms - 1)
     assert state.role.state == roles.CANDIDATE
+
+
+@pytest.mark.parametrize('size', [3, 5])
+@pytest.mark.parametrize('seed', range(4))
+def test_members_that_start_together_elect_a_leader_in_the_first_term(
+    size, seed
+):
+    net = replica_network.Network(size, seed)
+    due_ms = net.clock.now() + 20
+    for member in net.replicas.values():
+        member.state.election_due_ms = due_ms
+    net.run(120)
+    assert list(net.leaders_by_term) == [1]
+    assert net.leader() == net.leaders_by_term[1]
+
+
+def test_a_member_that_has_run_for_long_yields_to_nobody():
+    net = replica_network.Network(3)
+    net.wait_for_leader()
+    state = net.replicas[1].state
+    now = net.clock.now() + 10 * SILENT_MS
+    net.replicas[1].handle(messages.Tick(), now)
+    assert state.role.state == roles.PRE_CANDIDATE
+    request = messages.VoteRequest(3, 1, state.term + 1, 99, 99, pre=True)
+    net.replicas[1].handle(messages.RequestReceived(request), now)
+    assert state.role.state == roles.PRE_CANDIDATE
