Claim no flow that its upstream has not shown

Cause: a recovering agent delivered the first packet of an unknown flow to its upstream and took the flow for its own unless the packet came back within 50 ms. The ownership notice was sent on the same grounds.

Change: only a segment of the upstream makes a flow its own. The end of an incarnation resets only flows whose caller acknowledges this upstream's numbers. The search for owners has a module of its own.

--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -10,9 +10,9 @@
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import established_flows
-from gentianspoke.decisions.agent import handshake_flows
 from gentianspoke.decisions.agent import held_openings
 from gentianspoke.decisions.agent import opening
+from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import returned_packets
@@ -83,12 +83,13 @@
     Only the upstreams of services with ``handshake`` send packets back.
     """
     admission.note_upstream_activity(state)
+    state.last_upstream_packet_ms = now
     return returned_packets.decide_returned_packet(state, segment, now)
 
 
 def on_owned(state: State, owned: frames.Owned, now: int) -> None:
     """Record which member owns a flow that this agent did not know."""
-    handshake_flows.record_owner(state, owned, now)
+    owner_search.record_owner(state, owned, now)
 
 
 def on_tick(state: State, now: int) -> Actions:
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -6,6 +6,9 @@
 from gentianspoke.decisions.agent import state as agent_state
 
 SEQ_MODULUS = 1 << 32
+# How far an acknowledgement may be from the end of the other side's last
+# segment, in bytes. That segment may be the retransmission of an old one.
+MAX_ACK_DISTANCE = 1 << 20
 # Number of reports kept between two ticks. Further ones are only counted.
 MAX_FLOW_REPORTS = 1_000
 
@@ -32,9 +35,34 @@
     """
     flow.last_down_ms = now
     flow.answered = True
+    flow.upstream_seen = True
     _record_segment(flow.down, segment, now)
 
 
+def is_established(flow: records.Flow) -> bool:
+    """Return whether the caller and the upstream have the flow open together.
+
+    The upstream has sent a segment of the flow, and the caller acknowledges
+    this upstream's sequence numbers. An upstream that is down or silent shows
+    nothing, and a caller whose opening reached several upstreams acknowledges
+    the numbers of one of them only.
+    """
+    if not flow.upstream_seen or flow.up.ack == records.NO_SEQ:
+        return False
+    if flow.down.end == records.NO_SEQ:
+        return True
+    return is_near(flow.up.ack, flow.down.end)
+
+
+def is_near(first: int, second: int) -> bool:
+    """Return whether two sequence numbers can be of the same flow.
+
+    The initial numbers of two flows are random, so they are far apart.
+    """
+    ahead = (first - second) % SEQ_MODULUS
+    return ahead <= MAX_ACK_DISTANCE or ahead >= SEQ_MODULUS - MAX_ACK_DISTANCE
+
+
 def report_flow(
     state: State,
     flow: records.Flow,
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -98,6 +98,8 @@
     opening_forward: frames.Forward | None = None
     # Whether the upstream has sent a segment other than its SYN-ACK.
     answered_after_syn_ack: bool = False
+    # Whether the upstream has sent any segment of the flow to this agent.
+    upstream_seen: bool = False
     # Whether the flow occupies a slot, and since when.
     holds_slot: bool = False
     slot_since_ms: int = 0
@@ -115,6 +117,8 @@
     # The frame with the packet for which the flow was adopted, until the
     # upstream has confirmed the flow.
     unconfirmed_forward: frames.Forward | None = None
+    # Whether another owner of the unconfirmed flow is searched for.
+    is_searched: bool = False
     up: Direction = dataclasses.field(default_factory=Direction)
     down: Direction = dataclasses.field(default_factory=Direction)
 
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -57,11 +57,12 @@
     An incarnation is the upstream's run from one restart to the next.
     ``number`` is the member number of the new incarnation. All flow records
     are removed, because the restarted upstream knows none of the flows. The
-    result holds the resets for the callers of the open flows.
+    result holds the resets for the callers of the flows that the ended
+    incarnation had open. Other flows may be open at another upstream.
     """
     result: list[actions.Action] = []
     for flow in tuple(state.flows.values()):
-        if flow.phase is records.Phase.OPEN:
+        if flow.phase is records.Phase.OPEN and evidence.is_established(flow):
             result.extend(_reset_caller(state, flow, now))
         flow_table.remove_flow(state, flow, now)
     state.number = number
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -15,7 +15,7 @@
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import flow_table
-from gentianspoke.decisions.agent import handshake_flows
+from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import placement
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
@@ -73,12 +73,10 @@
         held_packets, flow.held_packets = flow.held_packets, []
         flow_table.remove_flow(state, flow, now)
     returned_frame = dataclasses.replace(forward, packet=segment.raw)
-    result = [handshake_flows.ask_next_member(state, service, returned_frame)]
+    result = [owner_search.ask_next_member(state, service, returned_frame)]
     for held_packet in held_packets:
         result.append(
-            handshake_flows.ask_next_member(
-                state, service, held_packet.forward
-            )
+            owner_search.ask_next_member(state, service, held_packet.forward)
         )
     return result
 
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -108,13 +108,16 @@
         return []
     forward = flow.unconfirmed_forward
     # ``slot_per_request`` means that the service has ``handshake``. Its
-    # upstreams return packets of unknown flows, so the flow is confirmed if
-    # its packet was not returned in time.
+    # upstreams return packets of unknown flows.
     if flow.slot_per_request and forward is not None:
-        state.flow_timers.add(
-            flow, now + flow_table.get_half_open_timeout_ms(flow)
-        )
-        return handshake_flows.confirm_flow(state, flow, now)
+        half_open_ms = flow_table.get_half_open_timeout_ms(flow)
+        if now - flow.opened_ms >= half_open_ms:
+            # The upstream has shown nothing. The caller's next packet begins
+            # anew, and the caller is not reset.
+            flow_table.remove_flow(state, flow, now)
+            return []
+        state.flow_timers.add(flow, now + half_open_ms)
+        return handshake_flows.check_unconfirmed_flow(state, flow, now)
     if forward is not None:
         return [adoption.disown(state, flow, forward, now)]
     idle_since_ms = max(flow.last_up_ms, flow.last_down_ms)
