--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RUN = PYTHONPATH=src:platform:. $(BIN)/python
 SOURCES = src platform tests tools benchmarks demo specs soak
 
-.PHONY: test demo soak regression bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
+.PHONY: test demo soak review regression bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
 test: check unit
 
@@ -90,6 +90,15 @@
 model: $(VENV)/.ready
 	$(RUN) -m specs
 
+# Plays the cases of the independent review with real processes. Each exits
+# with 1 if the rule that it names is broken, and with 2 if it could not run.
+review:
+	sh deploy/build.sh
+	sh review/build.sh
+	sh review/1/run.sh
+	sh review/2/run.sh
+	sh review/3/run.sh
+
 # Runs the fault matrix and writes docs/fault-matrix.md.
 matrix: $(VENV)/.ready
 	PYTHONPATH=src:.:tests $(BIN)/python -m tests.matrix
--- a/demo/plan.py
+++ b/demo/plan.py
@@ -4,13 +4,11 @@
 import dataclasses
 import pathlib
 
+from demo import loopback
 from demo import scenarios
 
 Address = tuple[str, int]
 ZONES = ('zone-a', 'zone-b', 'zone-c')
-# Outgoing connections on loopback have the source address 127.0.0.1, so
-# their ephemeral ports cannot conflict with ports on this other address.
-HOST = '127.0.1.1'
 MAX_PORTS = 200
 
 
@@ -88,7 +86,7 @@
     from ``base_port`` on, at most ``MAX_PORTS`` of them.
     """
     ports = iter(range(base_port, base_port + MAX_PORTS))
-    addresses = ((HOST, port) for port in ports)
+    addresses = ((loopback.HOST, port) for port in ports)
     agents = [
         _plan_agent(index, pool, addresses)
         for index, pool in enumerate(
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -10,6 +10,7 @@
 import sys
 
 from demo import faults as fabric_faults
+from demo import loopback
 from demo import plan as plans
 from demo import scenarios
 from demo import testbed as testbeds
@@ -164,7 +165,7 @@
     )
     first_port = base_port + PROXY_PORT_OFFSET
     proxies = [
-        proxy.Proxy((plans.HOST, first_port + index))
+        proxy.Proxy((loopback.HOST, first_port + index))
         for index in range(CONTROL_INSTANCE_COUNT)
     ]
     plan = dataclasses.replace(
