Check catalogue entries before they are sent

Cause: operators learned of an entry without effect, or of limits that contradict each other, only once the entry was in force.

--- a/src/gentianspoke/commands/config.py
+++ b/src/gentianspoke/commands/config.py
@@ -1,4 +1,4 @@
-"""Define the subcommands that check settings files."""
+"""Define the subcommands that check settings and catalogue files."""
 
 import dataclasses
 import importlib
@@ -6,6 +6,7 @@
 
 import cappa
 
+from gentianspoke.commands import catalogue_check
 from gentianspoke.config import key_file
 from gentianspoke.config import settings_file
 from gentianspoke import errors
@@ -61,6 +62,6 @@
 @cappa.command(name='config')
 @dataclasses.dataclass
 class Config:
-    """Check settings files."""
+    """Check settings files and catalogue entries."""
 
-    command: cappa.Subcommands[Check]
+    command: cappa.Subcommands[Check | catalogue_check.CheckCatalogue]
