Evacuate availability zones: log, views, agents, entries, HTTP API

The catalogue holds the set of evacuated zones. The leader lists live members of such a zone as evacuated, agents there accept no opening, and entries refuse openings of services with handshake where only evacuated members are left.

--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import zone_orders
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_pb2
 
@@ -97,6 +98,7 @@
         operator=request.operator,
         edits=[_encode_edit(edit) for edit in request.edits],
         document=encode_document(document) if document else None,
+        evacuation=_encode_evacuation(request.evacuation),
     )
 
 
@@ -160,16 +162,22 @@
     invalid.
     """
     has_document = message.HasField('document')
-    if not message.idempotency_key or not (message.edits or has_document):
+    has_evacuation = message.HasField('evacuation')
+    if not message.idempotency_key or not (
+        message.edits or has_document or has_evacuation
+    ):
         raise errors.ControlError(
             'the request has no idempotency key, or neither an edit nor a'
-            ' document; send what is missing'
+            ' document nor an evacuation; send what is missing'
         )
     return catalogue.Request(
         idempotency_key=message.idempotency_key,
         operator=message.operator,
         edits=tuple(_decode_edit(edit) for edit in message.edits),
         document=decode_document(message.document) if has_document else None,
+        evacuation=(
+            _decode_evacuation(message.evacuation) if has_evacuation else None
+        ),
     )
 
 
@@ -300,6 +308,37 @@
     return catalogue.Edit(message.name, message.base_version, change)
 
 
+def _encode_evacuation(
+    order: zone_orders.Order | None,
+) -> catalogue_pb2.Evacuation | None:
+    match order:
+        case zone_orders.Start(zone=zone):
+            return catalogue_pb2.Evacuation(zone=zone, start=True)
+        case zone_orders.End(zone=zone):
+            return catalogue_pb2.Evacuation(zone=zone, end=True)
+        case None:
+            return None
+
+
+def _decode_evacuation(
+    message: catalogue_pb2.Evacuation,
+) -> zone_orders.Order:
+    match message.zone, message.WhichOneof('change'):
+        case '', _:
+            raise errors.ControlError(
+                'the evacuation names no availability zone; send its name'
+            )
+        case zone, 'start':
+            return zone_orders.Start(zone)
+        case zone, 'end':
+            return zone_orders.End(zone)
+        case zone, _:
+            raise errors.ControlError(
+                f'evacuation of {zone!r}: neither start nor end given; send'
+                ' one of them'
+            )
+
+
 def _encode_conflict(
     conflict: catalogue.Conflict,
 ) -> catalogue_pb2.Conflict:
--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -18,6 +18,13 @@
     feed_pb2.MEMBER_STATE_LIVE: views.State.LIVE,
     feed_pb2.MEMBER_STATE_DRAINING: views.State.DRAINING,
     feed_pb2.MEMBER_STATE_SUSPECT: views.State.SUSPECT,
+    feed_pb2.MEMBER_STATE_EVACUATED: views.State.EVACUATED,
+}
+# Only control decides which members are evacuated.
+ANNOUNCED_STATES = {
+    number: state
+    for number, state in STATES.items()
+    if state is not views.State.EVACUATED
 }
 # An update with more entries is compressed.
 MAX_PLAIN_ENTRIES = 32
@@ -157,7 +164,7 @@
         zone=member.zone,
         # A missing weight reads as 0, and the decisions divide by weights.
         weight=min(max(1, member.weight), MAX_WEIGHT),
-        state=STATES.get(member.state, views.State.SUSPECT),
+        state=ANNOUNCED_STATES.get(member.state, views.State.SUSPECT),
         recovering=member.recovering,
         services=tuple(
             number for number in service_numbers if number is not None
@@ -235,6 +242,7 @@
         acked_view=member.acked_view,
         oldest_flow_view=member.oldest_flow_view,
         recovering=member.recovering,
+        zone_evacuated=member.zone_evacuated,
     )
 
 
@@ -253,6 +261,7 @@
         acked_view=message.acked_view,
         oldest_flow_view=message.oldest_flow_view,
         recovering=message.recovering,
+        zone_evacuated=message.zone_evacuated,
     )
 
 
--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -265,6 +265,7 @@
             replica_pb2.PoolNumber(name=pool.name, number=pool.number)
             for pool in state.pools
         ],
+        evacuated_zones=state.evacuated_zones,
     )
 
 
@@ -297,4 +298,5 @@
             catalogue.PoolNumber(pool.name, pool.number)
             for pool in message.pools
         ),
+        evacuated_zones=tuple(message.evacuated_zones),
     )
--- a/src/gentianspoke/commands/catalogue.py
+++ b/src/gentianspoke/commands/catalogue.py
@@ -5,6 +5,7 @@
 import cappa
 
 from gentianspoke.commands import catalogue_edits as edits
+from gentianspoke.commands import catalogue_evacuation as evacuation
 from gentianspoke.commands import catalogue_reads as reads
 
 
@@ -16,6 +17,8 @@
     command: cappa.Subcommands[
         edits.Apply
         | edits.Retire
+        | evacuation.Evacuate
+        | evacuation.Restore
         | reads.Get
         | reads.ListEntries
         | reads.Diff
--- a/src/gentianspoke/commands/catalogue_edits.py
+++ b/src/gentianspoke/commands/catalogue_edits.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import dataclasses
-import getpass
-import os
 import typing
 import uuid
 
@@ -17,8 +15,6 @@
 from gentianspoke import errors
 from gentianspoke.shells import catalogue_client
 
-UNKNOWN_OPERATOR = 'unknown'
-
 Edits = tuple[catalogue.Edit, ...]
 
 
@@ -142,7 +138,7 @@
 ) -> int:
     request = catalogue.Request(
         idempotency_key=key or uuid.uuid4().hex,
-        operator=_find_operator_name(),
+        operator=options.find_operator_name(),
         edits=edits,
     )
     result = asyncio.run(client.apply(request))
@@ -157,13 +153,6 @@
     return result.answer.version
 
 
-def _find_operator_name() -> str:
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return os.environ.get('LOGNAME', UNKNOWN_OPERATOR)
-
-
 def _wait_until_in_force(
     client: catalogue_client.CatalogueClient,
     version: int,
--- a/src/gentianspoke/commands/catalogue_options.py
+++ b/src/gentianspoke/commands/catalogue_options.py
@@ -1,5 +1,7 @@
 """Define the options and helpers that the catalogue's subcommands share."""
 
+import getpass
+import os
 import typing
 
 import cappa
@@ -10,6 +12,8 @@
 from gentianspoke import errors
 from gentianspoke.shells import catalogue_client
 
+UNKNOWN_OPERATOR = 'unknown'
+
 Control = typing.Annotated[
     str,
     cappa.Arg(
@@ -80,6 +84,14 @@
         ) from exc
 
 
+def find_operator_name() -> str:
+    """Return the name of the user who runs the command, for the history."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return os.environ.get('LOGNAME', UNKNOWN_OPERATOR)
+
+
 def find_entry(
     listing: catalogue_client.Listing, name: str
 ) -> services.Service:
--- a/src/gentianspoke/commands/catalogue_output.py
+++ b/src/gentianspoke/commands/catalogue_output.py
@@ -104,7 +104,9 @@
             print_table(('VERSION', 'OPERATOR', 'CHANGE'), rows)
 
     def print_statuses(self, statuses: list[catalogue_client.Status]) -> None:
-        """Print one row for each control instance, then lagging consumers.
+        """Print one row for each control instance, then what needs attention.
+
+        This is the evacuated zones and the lagging consumers.
 
         A consumer lags if it does not run the leader's newest version yet, or
         if its connection was lost recently and it has not connected again.
@@ -117,6 +119,9 @@
         print_table(
             header, [_format_status_row(status) for status in statuses]
         )
+        newest_status = max(statuses, key=lambda status: status.version)
+        if newest_status.evacuated_zones:
+            print('evacuated: ' + ' '.join(newest_status.evacuated_zones))
         for status in statuses:
             if status.laggards:
                 print('lagging: ' + ' '.join(status.laggards))
--- a/src/gentianspoke/core/views.py
+++ b/src/gentianspoke/core/views.py
@@ -18,12 +18,14 @@
     after its agent has received a view in which the member is not live, so the
     agent never acts on a view from before its own start. A member is suspect
     if its heartbeats are overdue, or if a new leader knows it only from the
-    view of an earlier term.
+    view of an earlier term. A member that would be live is evacuated as long
+    as its availability zone is evacuated.
     """
 
     LIVE = 'live'
     DRAINING = 'draining'
     SUSPECT = 'suspect'
+    EVACUATED = 'evacuated'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +43,8 @@
     views, over the records in buckets of which the member is not the home. It
     is 0 if there is no such record, and if all services have ``handshake``.
     ``recovering`` is true while the agent, after a restart, does not know its
-    upstream's older flows.
+    upstream's older flows. ``zone_evacuated`` is true while the member's
+    availability zone is evacuated, also if the member is draining or suspect.
     """
 
     number: int
@@ -56,6 +59,10 @@
     acked_view: int = 0
     oldest_flow_view: int = 0
     recovering: bool = False
+    # Left out of the representation, because the digest of a view is computed
+    # from it: a view without evacuated zones has the same digest as in earlier
+    # versions. ``view_delta.compute_view_digest`` adds this field.
+    zone_evacuated: bool = dataclasses.field(default=False, repr=False)
 
     @property
     def is_live(self) -> bool:
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -51,6 +51,8 @@
     if pool not in services.get_current_pools(service):
         # A former pool keeps its open flows, but gets no new ones.
         return Admission.NO
+    if state.is_evacuated(pool):
+        return Admission.NO
     counts = state.counts[pool]
     if counts.open_flows >= service.limits.connections:
         return Admission.NO
@@ -187,6 +189,7 @@
         service
         for service in waiting_services
         if has_free_slot(state, service)
+        and not state.is_evacuated(state.get_pool(service))
         and ownership.holds_lease(state, service, now)
     ]
 
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -116,7 +116,7 @@
             state, service, ranking, forward, packet, now
         )
     if home is None:
-        return _reject_without_home(service, packet)
+        return _reject_without_home(service, ranking, packet)
     if home.number != state.number:
         return forwarding.forward_to(
             state, home, forward, frames.Purpose.ROUTE
@@ -197,16 +197,21 @@
 
 
 def _reject_without_home(
-    service: services.Service, packet: packets.Packet
+    service: services.Service,
+    ranking: member_ranking.Ranking,
+    packet: packets.Packet,
 ) -> actions.Action:
+    reason = 'no-live-upstream'
+    if ranking.has_evacuated_member:
+        reason = member_ranking.EVACUATED_REASON
     if services.needs_single_decider(service):
         # A member that is no longer live may have placed a copy of this
         # opening, so the caller must not be told that the request was not run.
-        return actions.Drop('no-live-upstream')
+        return actions.Drop(reason)
     if packets.is_retransmission(packet):
         # Another member may have accepted an earlier copy of the opening.
-        return actions.Drop('no-live-upstream')
-    return actions.Refuse(packet, 'no-live-upstream')
+        return actions.Drop(reason)
+    return actions.Refuse(packet, reason)
 
 
 def _decide_offer(
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -248,6 +248,8 @@
 ) -> tuple[str, verdicts.Fault]:
     if service.retired:
         return 'service-retired', verdicts.Fault.NONE
+    if state.is_evacuated(state.get_pool(service)):
+        return member_ranking.EVACUATED_REASON, verdicts.Fault.NONE
     if state.draining:
         return 'draining', verdicts.Fault.UPSTREAM
     return 'no-capacity', verdicts.Fault.UPSTREAM
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -268,16 +268,34 @@
         """Return whether all own pools' views list this agent as not live.
 
         The result is False if one of the views does not list the agent or is
-        not known yet, or if the agent has no pool.
+        not known yet, or if the agent has no pool. An evacuated member does
+        not count, because a view may list the agent as evacuated before the
+        leader knows that the agent accepts no flows.
         """
         own_members = [
             self.find_member(pool, self.number)
             for pool in self.get_own_pools()
         ]
         return bool(own_members) and not any(
-            member is None or member.is_live for member in own_members
+            member is None
+            or member.is_live
+            or member.state is views.State.EVACUATED
+            for member in own_members
         )
 
+    def is_evacuated(self, pool: int) -> bool:
+        """Return whether a pool's view lists this agent's zone as evacuated.
+
+        The agent then accepts no opening of the pool, also while it is joining
+        or listed as suspect.
+        """
+        member = self.find_member(pool, self.number)
+        return member is not None and member.zone_evacuated
+
+    def is_evacuated_anywhere(self) -> bool:
+        """Return whether this agent is evacuated in any of its own pools."""
+        return any(map(self.is_evacuated, self.get_own_pools()))
+
     def get_own_pools(self) -> list[int]:
         """Return the numbers of the pools that the upstream belongs to."""
         return (
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -1,5 +1,7 @@
 """Time limits of queued openings, flows, diversions and adoptions."""
 
+import dataclasses
+
 from gentianspoke.core import packets
 from gentianspoke.core import verdicts
 from gentianspoke.decisions import actions
@@ -16,6 +18,7 @@
 from gentianspoke.decisions.agent import returned_packets
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
+from gentianspoke.decisions import member_ranking
 
 # Longest time until a record is checked again. The timer wheel keeps a removed
 # record until its next check, so this limits how long it uses memory.
@@ -26,6 +29,31 @@
 State = agent_state.AgentState
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalCause:
+    """Why a queued opening is refused.
+
+    ``reason`` is the name for counters, and ``text`` is what the agent's
+    verdict says.
+    """
+
+    reason: str
+    fault: verdicts.Fault
+    text: str
+
+
+WAIT_EXPIRED = RefusalCause(
+    'wait-expired',
+    verdicts.Fault.UPSTREAM,
+    'no slot became free within the wait limit',
+)
+EVACUATED = RefusalCause(
+    member_ranking.EVACUATED_REASON,
+    verdicts.Fault.NONE,
+    'the availability zone was evacuated while the opening waited',
+)
+
+
 def run_due_checks(state: State, now: int) -> list[actions.Action]:
     """Carry out the checks that are due at ``now``; return the actions.
 
@@ -64,21 +92,26 @@
 
 
 def expire_queued_flows(state: State, now: int) -> list[actions.Action]:
-    """End the queued flows whose wait has expired; return the actions.
+    """End the queued flows that cannot start any more; return the actions.
 
+    Their wait has expired, or their pool has become evacuated at this agent.
     An opening is refused. It is dropped if the agent's lease has expired or
     the service is no longer in the catalogue.
     """
     result: list[actions.Action] = []
     for queue in state.queues.values():
         for flow in tuple(queue):
-            if now >= flow.queued_until_ms:
-                result.extend(_refuse_queued_flow(state, flow, now))
+            if state.is_evacuated(flow.pool):
+                result.extend(_refuse_queued_flow(state, flow, now, EVACUATED))
+            elif now >= flow.queued_until_ms:
+                result.extend(
+                    _refuse_queued_flow(state, flow, now, WAIT_EXPIRED)
+                )
     return result
 
 
 def _refuse_queued_flow(
-    state: State, flow: records.Flow, now: int
+    state: State, flow: records.Flow, now: int, cause: RefusalCause
 ) -> list[actions.Action]:
     opening = flow.queued_opening
     service = state.services_by_number.get(flow.service)
@@ -94,11 +127,11 @@
         state,
         flow.key,
         flow.service,
-        verdicts.Fault.UPSTREAM,
-        'no slot became free within the wait limit',
+        cause.fault,
+        cause.text,
     )
     flow_table.end_flow(state, flow, now, records.Phase.REFUSED)
-    return [actions.Refuse(opening, 'wait-expired')]
+    return [actions.Refuse(opening, cause.reason)]
 
 
 def _check_flow(
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -3,8 +3,9 @@
 Every control instance applies the same requests in the same order, so
 all instances return the same answers. Each accepted request increments
 the catalogue version by one, except a document that is not newer than the
-current one. The catalogue stores the newest answers to edits by idempotency
-key, so that a retried request gets its first answer again.
+current one, and an evacuation order that changes nothing. The catalogue stores
+the newest answers to edits and evacuation orders by idempotency key, so that a
+retried request gets its first answer again.
 """
 
 import collections
@@ -13,6 +14,7 @@
 from gentianspoke.core import services
 from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control import endpoints
+from gentianspoke.decisions.control import zone_orders
 
 MAX_STORED_ANSWERS = 10_000
 MAX_HISTORY_ITEMS = 50_000
@@ -73,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """An atomic list of edits, or a complete document.
+    """An atomic list of edits, a complete document, or an evacuation order.
 
     Either all edits of a request are accepted or none is.
     """
@@ -82,6 +84,7 @@
     operator: str
     edits: tuple[Edit, ...]
     document: Document | None = None
+    evacuation: zone_orders.Order | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +150,7 @@
     ``last_number`` is the last number that was assigned to a service or a
     pool. ``history`` and ``answers`` are ordered from the oldest to the
     newest item. ``document`` is the newest document, without its entries.
+    ``evacuated_zones`` is sorted.
     """
 
     version: int = 0
@@ -156,10 +160,11 @@
     answers: tuple[KeptAnswer, ...] = ()
     document: Document | None = None
     pools: tuple[PoolNumber, ...] = ()
+    evacuated_zones: tuple[str, ...] = ()
 
 
 class Catalogue:
-    """The entries, their history and the stored answers to requests."""
+    """The entries, the evacuated zones and the stored answers to requests."""
 
     def __init__(self) -> None:
         """Initialize an empty catalogue at version 0."""
@@ -171,6 +176,7 @@
         )
         self.document: Document | None = None
         self.pools: dict[str, int] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
         self._last_number = 0
         self._owners = endpoints.EndpointOwners()
         # Whether the owners of endpoints match the entries.
@@ -190,6 +196,7 @@
             pools=tuple(
                 PoolNumber(name, number) for name, number in self.pools.items()
             ),
+            evacuated_zones=tuple(sorted(self.evacuated_zones)),
         )
 
     def restore(self, state: CatalogueState) -> None:
@@ -202,6 +209,7 @@
             self.answers[kept_answer.idempotency_key] = kept_answer.answer
         self.document = state.document
         self.pools = {pool.name: pool.number for pool in state.pools}
+        self.evacuated_zones = frozenset(state.evacuated_zones)
         self._last_number = state.last_number
         self._owners_are_current = False
 
@@ -212,17 +220,22 @@
     def apply(self, request: Request) -> Answer:
         """Apply a request and return its answer.
 
-        Edits whose request has a known idempotency key change nothing and
-        get the stored answer. A document changes nothing unless its version
-        is higher than that of the current document; the idempotency key of a
-        document is not used. A document with the changes to another version
-        of the catalogue than the current one is not accepted.
+        Edits and evacuation orders whose request has a known idempotency key
+        change nothing and get the stored answer. A document changes nothing
+        unless its version is higher than that of the current document; the
+        idempotency key of a document is not used. A document with the changes
+        to another version of the catalogue than the current one is not
+        accepted. An evacuation order is always accepted.
         """
         if request.document is not None:
             return self._apply_document(request.document)
         stored_answer = self.known_answer(request.idempotency_key)
         if stored_answer is not None:
             return stored_answer
+        if request.evacuation is not None:
+            answer = self._apply_evacuation(request.evacuation)
+            self._store_answer(request.idempotency_key, answer)
+            return answer
         conflicts = self._find_conflicts(request)
         if conflicts:
             answer = Answer(False, self.version, conflicts)
@@ -249,6 +262,13 @@
             number = self.entries[name].number
         return number
 
+    def _apply_evacuation(self, order: zone_orders.Order) -> Answer:
+        zones = zone_orders.apply_order(self.evacuated_zones, order)
+        if zones != self.evacuated_zones:
+            self.version += 1
+            self.evacuated_zones = zones
+        return Answer(True, self.version)
+
     def _apply_document(self, document: Document) -> Answer:
         # A document whose version is not higher is older, a retry, or another
         # document with the same version. It changes nothing, but is accepted,
--- a/src/gentianspoke/decisions/control/membership.py
+++ b/src/gentianspoke/decisions/control/membership.py
@@ -35,9 +35,9 @@
 # How long a leader collects heartbeats before it issues views if no agent
 # acts on leases of an earlier leader.
 GRACE_WITHOUT_LEASES_MS = 150
-# How long silent members stay listed if no member of their service is live.
-# If all members are silent, the leader itself may be isolated. A member that
-# has announced that it is leaving is removed without this delay.
+# How long silent members stay listed if no member of their service is live or
+# evacuated. If all members are silent, the leader itself may be isolated. A
+# member that has announced that it is leaving is removed without this delay.
 LAST_MEMBERS_RETENTION_MS = 60_000
 
 Announcement = service_members.Announcement
@@ -101,6 +101,16 @@
         self._sequence = 0
         self._services: dict[int, service_members.ServiceMembers] = {}
         self._changed_services: set[int] = set()
+        self._evacuated_zones: frozenset[str] = frozenset()
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Evacuate the members of these zones, and no others."""
+        if zones == self._evacuated_zones:
+            return
+        self._evacuated_zones = zones
+        for members in self._services.values():
+            if members.set_evacuated_zones(zones):
+                self._changed_services.add(members.service)
 
     def add_earlier_members(
         self, earlier_views: collections.abc.Iterable[views.View], now: int
@@ -197,7 +207,7 @@
         members = self._services.get(service)
         if members is None:
             members = service_members.ServiceMembers(
-                service, self._allocate_view_number
+                service, self._allocate_view_number, self._evacuated_zones
             )
             members.view_number = self._allocate_view_number()
             self._services[service] = members
@@ -230,6 +240,6 @@
         members: service_members.ServiceMembers,
         listing: service_members.Listing,
     ) -> int:
-        if listing.leaving or members.has_live_member():
+        if listing.leaving or members.has_responding_member():
             return self.limits.removal_timeout_ms
         return max(LAST_MEMBERS_RETENTION_MS, self.limits.removal_timeout_ms)
--- a/src/gentianspoke/decisions/control/service_members.py
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -76,14 +76,16 @@
 
     ``listings`` maps the numbers of the members to their listings.
     ``view_number`` grows when a member is listed and when the set of live
-    members changes. ``revision`` grows with every change of the view. All
-    times are in milliseconds of the leader's monotonic clock.
+    members changes. ``revision`` grows with every change of the view.
+    ``evacuated_zones`` are the availability zones whose members are not live.
+    All times are in milliseconds of the leader's monotonic clock.
     """
 
     def __init__(
         self,
         service: int,
         allocate_view_number: collections.abc.Callable[[], int],
+        evacuated_zones: frozenset[str] = frozenset(),
     ) -> None:
         """Initialize a service without members.
 
@@ -93,8 +95,17 @@
         self.view_number = 0
         self.revision = 0
         self.listings: dict[int, Listing] = {}
+        self.evacuated_zones = evacuated_zones
         self._allocate_view_number = allocate_view_number
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> bool:
+        """Replace the evacuated zones and return whether the view changes."""
+        self.evacuated_zones = zones
+        changed = False
+        for listing in self.listings.values():
+            changed |= self._replace_member(listing, listing.member)
+        return changed
+
     def get_view(self) -> views.View:
         """Return the members as a view."""
         members = tuple(
@@ -110,7 +121,8 @@
         """List a member of an earlier term's view.
 
         With ``as_suspect`` the member is listed as suspect; otherwise it
-        keeps its state.
+        keeps its state, except that a live or evacuated member is evacuated
+        exactly if its zone is evacuated now.
         """
         state = views.State.SUSPECT if as_suspect else member.state
         listed_member = dataclasses.replace(member, state=state, acked_view=0)
@@ -142,9 +154,15 @@
             min(report.acked_view, self.view_number) >= listing.min_lease_view
         )
 
-    def has_live_member(self) -> bool:
-        """Return whether any member is live and thus gets new flows."""
-        return any(item.member.is_live for item in self.listings.values())
+    def has_responding_member(self) -> bool:
+        """Return whether any member is live or evacuated.
+
+        The heartbeats of such a member are not overdue.
+        """
+        return any(
+            item.member.is_live or item.member.state is views.State.EVACUATED
+            for item in self.listings.values()
+        )
 
     def mark_suspect(self, number: int) -> bool:
         """Mark a member as suspect, so that it gets no new flows.
@@ -162,6 +180,7 @@
         self.revision += 1
 
     def _add_listing(self, member: views.Member, now: int) -> None:
+        member = self._apply_evacuations(member)
         # A new listing always gets a new view number, so that no
         # acknowledgement of an earlier listing can match it. A member that
         # is not live needs the number as its closed_view.
@@ -173,7 +192,22 @@
             self.view_number,
         )
 
+    def _apply_evacuations(self, member: views.Member) -> views.Member:
+        is_evacuated = member.zone in self.evacuated_zones
+        state = member.state
+        match state:
+            case views.State.LIVE if is_evacuated:
+                state = views.State.EVACUATED
+            case views.State.EVACUATED if not is_evacuated:
+                state = views.State.LIVE
+        if (state, is_evacuated) == (member.state, member.zone_evacuated):
+            return member
+        return dataclasses.replace(
+            member, state=state, zone_evacuated=is_evacuated
+        )
+
     def _replace_member(self, listing: Listing, member: views.Member) -> bool:
+        member = self._apply_evacuations(member)
         if member.is_live != listing.member.is_live:
             self.view_number = self._allocate_view_number()
             member = _replace_joined_or_closed_view(member, self.view_number)
--- a/src/gentianspoke/decisions/member_ranking.py
+++ b/src/gentianspoke/decisions/member_ranking.py
@@ -11,6 +11,9 @@
 from gentianspoke.core import views
 from gentianspoke.decisions import hashing
 
+# The reason for refusing an opening because the upstreams that could take it
+# are in evacuated availability zones.
+EVACUATED_REASON = 'evacuated'
 # Values in the table of homes. HOME_UNKNOWN means that the home has not been
 # computed, HOME_NONE that no member is live. A value of FIRST_POSITION or more
 # is the index of a member in the view plus FIRST_POSITION.
@@ -45,6 +48,9 @@
             member.number: member for member in view.members
         }
         self.live_count = sum(member.is_live for member in view.members)
+        self.has_evacuated_member = any(
+            member.zone_evacuated for member in view.members
+        )
         self._weights = {
             member.number: member.weight for member in view.members
         }
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -96,14 +96,14 @@
     # Openings to a retired service without ``handshake`` are forwarded, and
     # the agent refuses them.
     if service.handshake and service.retired and _is_opening(packet):
-        return _refuse_or_drop(service, packet)
+        return _refuse_or_drop(service, packet, 'service-retired')
     ranking = _choose_ranking(table, service, key)
     if ranking is None:
         return actions.Drop('no-view')
     bucket = hashing.bucket_of(key, service.number)
     member, purpose = _choose_member(service, ranking, bucket, packet)
     if member is None:
-        return _refuse_or_drop(service, packet)
+        return _refuse_or_drop(service, packet, _find_reason(ranking))
     forward = frames.Forward(
         service=service.number,
         view=ranking.view.number,
@@ -156,7 +156,9 @@
 
     The member is the home of the bucket. If no member is live, it is the
     member with the highest score for the bucket, or ``None`` in a view
-    without members.
+    without members. A member of an evacuated zone accepts no new flow. If the
+    service has ``handshake`` and all members are in such zones, the result is
+    therefore ``None`` for the first transmission of an opening.
     If the service has ``handshake``, with which its upstreams guarantee that a
     request runs at most once, a retransmitted opening goes to the live members
     in turn, because the home may have failed.
@@ -172,14 +174,41 @@
             return member, frames.Purpose.OFFER
     home = ranking.home(bucket)
     if home is None:
-        home = next(iter(ranking.rank_members(bucket)), None)
+        home = _choose_without_live_member(service, ranking, bucket, packet)
     return home, frames.Purpose.ROUTE
 
 
+def _choose_without_live_member(
+    service: services.Service,
+    ranking: member_ranking.Ranking,
+    bucket: int,
+    packet: packets.Packet,
+) -> views.Member | None:
+    members = ranking.rank_members(bucket)
+    # A retransmission may belong to a flow that is open in an evacuated zone.
+    # Without ``handshake``, retransmissions are not marked.
+    if (
+        service.handshake
+        and _is_opening(packet)
+        and not packets.is_retransmission(packet)
+    ):
+        members = tuple(
+            member for member in members if not member.zone_evacuated
+        )
+    return next(iter(members), None)
+
+
+def _find_reason(ranking: member_ranking.Ranking) -> str:
+    if ranking.has_evacuated_member:
+        return member_ranking.EVACUATED_REASON
+    return 'no-upstream'
+
+
 def _refuse_or_drop(
-    service: services.Service, packet: packets.Packet
+    service: services.Service, packet: packets.Packet, reason: str
 ) -> actions.Action:
-    reason = 'service-retired' if service.retired else 'no-upstream'
+    if service.retired:
+        reason = 'service-retired'
     if services.needs_single_decider(service):
         # A refusal would tell the caller that its request did not run.
         # Another entry instance may have a newer view, though, and may have
--- a/src/gentianspoke/decisions/timeline/attribution.py
+++ b/src/gentianspoke/decisions/timeline/attribution.py
@@ -96,7 +96,7 @@
     match reason:
         case 'no-capacity' | 'wait-expired' | 'draining':
             return Finding(REFUSED, verdicts.Fault.UPSTREAM, reason)
-        case 'service-retired':
+        case 'service-retired' | 'evacuated':
             return Finding(REFUSED, verdicts.Fault.NONE, reason)
         case 'no-upstream' | 'no-live-upstream':
             state = contexts.get_or_add_instance(event.instance)
--- a/src/gentianspoke/decisions/view_delta.py
+++ b/src/gentianspoke/decisions/view_delta.py
@@ -87,7 +87,13 @@
 
 def compute_view_digest(view: views.View) -> int:
     """Return a digest of a view; ``add_digests`` combines several."""
-    return xxhash.xxh3_64_intdigest(repr(view).encode())
+    text = repr(view)
+    evacuated_numbers = [
+        member.number for member in view.members if member.zone_evacuated
+    ]
+    if evacuated_numbers:
+        text += f'/evacuated {evacuated_numbers}'
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 def compute_entry_digest(entry: services.Service) -> int:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -255,7 +255,15 @@
 
     def _apply_view(self, view: views.View) -> None:
         old_ranking = self.state.rankings.get(view.service)
+        was_evacuated = self.state.is_evacuated(view.service)
         self.state.set_view(view)
+        if self.state.is_evacuated(view.service) != was_evacuated:
+            self._proc.events.write(
+                'upstream-restored' if was_evacuated else 'upstream-evacuated',
+                zone=self._proc.cfg.zone,
+                view=view.number,
+                open_flows=self.state.total_open,
+            )
         if old_ranking is None or old_ranking.view.number != view.number:
             # In a new view, other members than before decide on the openings
             # of some buckets. They place these openings only after this agent
--- a/src/gentianspoke/shells/agent/gauges.py
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -25,6 +25,7 @@
     set_gauge('orphans', len(state.orphans))
     set_gauge('lease_left_ms', max(0, lease_left_ms))
     set_gauge('draining', int(state.draining))
+    set_gauge('evacuated', int(state.is_evacuated_anywhere()))
     set_gauge('joining', int(state.joining))
     set_gauge('recovering', int(state.recovering))
     set_gauge('unsent', sum(sock.unsent_count for sock in sockets))
--- a/src/gentianspoke/shells/catalogue_client.py
+++ b/src/gentianspoke/shells/catalogue_client.py
@@ -73,6 +73,7 @@
     number of consumers that run the requested catalogue version or a newer
     one, and ``laggards`` names some of the other consumers. While
     ``complete`` is false, a new leader may not yet know all consumers.
+    ``evacuated_zones`` are those that the instance has applied.
     """
 
     address: units.Address
@@ -85,6 +86,7 @@
     in_force: int
     laggards: tuple[str, ...]
     complete: bool
+    evacuated_zones: tuple[str, ...] = ()
 
     @property
     def is_in_force_everywhere(self) -> bool:
@@ -256,6 +258,7 @@
             in_force=reply.in_force,
             laggards=tuple(reply.laggards),
             complete=reply.complete,
+            evacuated_zones=tuple(reply.evacuated_zones),
         )
 
     async def _call_or_none(
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -135,6 +135,7 @@
             leader=self._log.leader,
             term=self._log.term,
             role='leader' if self._log.is_leader else 'follower',
+            evacuated_zones=sorted(self._log.catalogue.evacuated_zones),
         )
         if self._log.is_leader:
             summary = self._hub.summarize_consumers()
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -42,6 +42,9 @@
     reason: str
 
 
+NOT_CONFIRMED = (
+    'no majority confirmed this leader in time; send the request again'
+)
 Outcome = Accepted | Found | AskLeader | Unavailable
 
 
@@ -64,9 +67,7 @@
 
     def find_redirect(self) -> AskLeader | Unavailable | None:
         """Return the outcome of all requests here, ``None`` if it leads."""
-        if self._log is None or not self._log.is_leader:
-            return self._redirect_to_leader()
-        return None
+        return find_redirect(self._proc, self._log)
 
     async def put(self, document: catalogue.Document) -> Outcome:
         """Write a document; return the outcome once it is durable.
@@ -83,12 +84,9 @@
     async def read(self) -> Outcome:
         """Return the newest document once a majority confirms this leader."""
         if self._log is None or not self._log.is_leader:
-            return self._redirect_to_leader()
+            return redirect_to_leader(self._proc, self._log)
         if not await self._log.confirm_leadership():
-            return Unavailable(
-                'no majority confirmed this leader in time; send the request'
-                ' again'
-            )
+            return Unavailable(NOT_CONFIRMED)
         current = self._log.catalogue.document
         if current is None:
             return Unavailable('no document was accepted yet; send one first')
@@ -97,7 +95,7 @@
 
     async def _put_next(self, document: catalogue.Document) -> Outcome:
         if self._log is None or not self._log.is_leader:
-            return self._redirect_to_leader()
+            return redirect_to_leader(self._proc, self._log)
         current = self._log.catalogue.document
         if current is not None and document.version <= current.version:
             return await self._accept_without_write(self._log, document)
@@ -108,13 +106,13 @@
                 catalogue.Request(key, '', (), change)
             )
         except errors.NotLeaderError:
-            return self._redirect_to_leader()
+            return redirect_to_leader(self._proc, self._log)
         except errors.ControlError as exc:
             return Unavailable(str(exc))
         if answer.accepted:
             return Accepted(document.version)
         return Unavailable(
-            'another document was accepted meanwhile; send the request again'
+            'another change was accepted meanwhile; send the request again'
         )
 
     async def _accept_without_write(
@@ -124,19 +122,30 @@
     ) -> Outcome:
         if await log.confirm_leadership():
             return Accepted(document.version)
-        return Unavailable(
-            'no majority confirmed this leader in time; send the request again'
-        )
-
-    def _redirect_to_leader(self) -> AskLeader | Unavailable:
-        leader = ''
-        if self._log is not None:
-            leader = self._log.leader.rpartition(':')[0]
-        elif self._proc.sources.leader is not None:
-            leader = self._proc.sources.leader[0]
-        if not leader:
-            return Unavailable('no leader is known; send the request again')
-        return AskLeader(leader)
+        return Unavailable(NOT_CONFIRMED)
+
+
+def find_redirect(
+    proc: process.Process, log: replicated_log.ReplicatedLog | None
+) -> AskLeader | Unavailable | None:
+    """Return the outcome of all requests here, ``None`` if it leads."""
+    if log is None or not log.is_leader:
+        return redirect_to_leader(proc, log)
+    return None
+
+
+def redirect_to_leader(
+    proc: process.Process, log: replicated_log.ReplicatedLog | None
+) -> AskLeader | Unavailable:
+    """Return where to send a request, which this instance cannot answer."""
+    leader = ''
+    if log is not None:
+        leader = log.leader.rpartition(':')[0]
+    elif proc.sources.leader is not None:
+        leader = proc.sources.leader[0]
+    if not leader:
+        return Unavailable('no leader is known; send the request again')
+    return AskLeader(leader)
 
 
 def build_change(
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -140,6 +140,9 @@
         if self._membership is None or self._membership.term != term:
             now = self._proc.clock.now()
             self._membership = membership.Membership(term, self._limits, now)
+            self._membership.set_evacuated_zones(
+                self._log.catalogue.evacuated_zones
+            )
             # Agents need leases only for services that need a single decider.
             # Without such a service, no agent acts on a lease of an earlier
             # leader.
@@ -151,4 +154,8 @@
             )
             self._apply_early_heartbeats(self._membership, now)
             self._proc.events.write('membership-begun', term=term)
+        # This instance leads, so its catalogue contains all accepted orders.
+        self._membership.set_evacuated_zones(
+            self._log.catalogue.evacuated_zones
+        )
         return self._membership
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -8,7 +8,6 @@
 from gentianspoke import errors
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
-from gentianspoke.shells.control import documents
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
@@ -17,6 +16,7 @@
 from gentianspoke.shells.control import members_service
 from gentianspoke.shells.control import monitor
 from gentianspoke.shells.control import open_log
+from gentianspoke.shells.control import operations
 from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import relay
 from gentianspoke.shells.control import replica_service
@@ -28,7 +28,7 @@
 
 async def run(
     cfg: settings.Settings,
-    own_front_end: front_end.FrontEnd[documents.Documents] | None = None,
+    own_front_end: front_end.FrontEnd[operations.Operations] | None = None,
 ) -> None:
     """Run a control instance until a planned stop.
 
@@ -55,7 +55,7 @@
 
 async def _run_without_log(
     proc: process.Process,
-    own_front_end: front_end.FrontEnd[documents.Documents],
+    own_front_end: front_end.FrontEnd[operations.Operations],
 ) -> None:
     async with (
         process.run_tasks(
@@ -63,7 +63,7 @@
                 proc, 'observer', lambda update: _handle_update(proc, update)
             ),
         ),
-        own_front_end.serve(proc, documents.Documents(proc, None)),
+        own_front_end.serve(proc, operations.create_operations(proc, None)),
     ):
         await proc.stop.wait()
         proc.life.advance('stop')
@@ -83,7 +83,7 @@
     proc: process.Process,
     log: replicated_log.ReplicatedLog,
     control_settings: settings.ControlSettings,
-    own_front_end: front_end.FrontEnd[documents.Documents],
+    own_front_end: front_end.FrontEnd[operations.Operations],
 ) -> None:
     feed_hub = hub.Hub(log, proc.clock)
     own_leadership = leadership.Leadership(
@@ -117,7 +117,7 @@
             joining.request_membership(proc, log, control_settings),
             _mark_serving(proc, log),
         ),
-        own_front_end.serve(proc, documents.Documents(proc, log)),
+        own_front_end.serve(proc, operations.create_operations(proc, log)),
     ):
         await proc.stop.wait()
         proc.life.advance('stop')
--- a/src/gentianspoke/shells/control/pending.py
+++ b/src/gentianspoke/shells/control/pending.py
@@ -35,6 +35,11 @@
         )
         self._proposed_requests: dict[int, PendingRequest] = {}
 
+    @property
+    def has_requests(self) -> bool:
+        """Whether any request is queued or proposed."""
+        return bool(self._queued_requests or self._proposed_requests)
+
     def add(
         self, request: catalogue.Request
     ) -> asyncio.Future[catalogue.Answer]:
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -119,6 +119,15 @@
         """Whether this instance knows the members of its group."""
         return bool(self.group.members)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no request is pending and all records are committed."""
+        state = self.replica.state
+        return (
+            not self._pending.has_requests
+            and state.commit_index >= state.log.last_index
+        )
+
     @property
     def leader(self) -> str:
         """Address of the leader as "host:port", empty if none is known."""
--- a/src/gentianspoke/shells/front_end.py
+++ b/src/gentianspoke/shells/front_end.py
@@ -16,7 +16,7 @@
     """A codec for callers' packets and additional servers of a process.
 
     ``serve`` gets the process and the object that does its work (the entry,
-    the agent or the document store). It returns a context in which the
+    the agent or the operators' operations). It returns a context in which the
     additional servers run. ``reports_upstream_state`` is true if an agent
     gets the state of its upstream through these servers instead of from a
     status page.
--- a/tests/agent/test_late_offers.py
+++ b/tests/agent/test_late_offers.py
@@ -14,7 +14,7 @@
 
 SYN = builders.segment()
 FIRST, SECOND, THIRD = fakes.ranked_members()
-LIVE, DRAINING, _ = views.State
+LIVE, DRAINING = views.State.LIVE, views.State.DRAINING
 # Longer than ``MAX_FEED_GAP_MS`` of the agent's state.
 FEED_GAP_MS = 2_500
 
