Test, document and show the evacuation of availability zones

Agents decide by their zone in the view, also while they join or are suspected, pass offers on without the retry budget, and write when they are evacuated.

--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -202,7 +202,7 @@
     packet: packets.Packet,
 ) -> actions.Action:
     reason = 'no-live-upstream'
-    if ranking.has_evacuated_member:
+    if ranking.evacuated_zones:
         reason = member_ranking.EVACUATED_REASON
     if services.needs_single_decider(service):
         # A member that is no longer live may have placed a copy of this
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -75,11 +75,19 @@
         target = diversion.choose_target(
             state, ranking, forward.bucket, forward.tried
         )
-        if target is not None and retry_budget.withdraw(state, service):
+        if target is not None and _may_offer_further(state, service):
             return divert_opening(state, target, forward, packet, now)
     return _admit_or_refuse(state, service, forward, packet, now)
 
 
+def _may_offer_further(state: State, service: services.Service) -> bool:
+    # The retry budget limits the offers in an overload. An evacuation is
+    # planned, and its offers end once all agents have the view.
+    if state.is_evacuated(state.get_pool(service)):
+        return True
+    return retry_budget.withdraw(state, service)
+
+
 def _decide_without_wait(
     state: State, service: services.Service, now: int
 ) -> admission.Admission:
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -289,8 +289,8 @@
         The agent then accepts no opening of the pool, also while it is joining
         or listed as suspect.
         """
-        member = self.find_member(pool, self.number)
-        return member is not None and member.zone_evacuated
+        ranking = self.rankings.get(pool)
+        return ranking is not None and self.zone in ranking.evacuated_zones
 
     def is_evacuated_anywhere(self) -> bool:
         """Return whether this agent is evacuated in any of its own pools."""
--- a/src/gentianspoke/decisions/member_ranking.py
+++ b/src/gentianspoke/decisions/member_ranking.py
@@ -48,8 +48,10 @@
             member.number: member for member in view.members
         }
         self.live_count = sum(member.is_live for member in view.members)
-        self.has_evacuated_member = any(
-            member.zone_evacuated for member in view.members
+        self.evacuated_zones = frozenset(
+            member.zone
+            for member in view.members
+            if member.zone_evacuated or member.state is views.State.EVACUATED
         )
         self._weights = {
             member.number: member.weight for member in view.members
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -193,13 +193,15 @@
         and not packets.is_retransmission(packet)
     ):
         members = tuple(
-            member for member in members if not member.zone_evacuated
+            member
+            for member in members
+            if member.zone not in ranking.evacuated_zones
         )
     return next(iter(members), None)
 
 
 def _find_reason(ranking: member_ranking.Ranking) -> str:
-    if ranking.has_evacuated_member:
+    if ranking.evacuated_zones:
         return member_ranking.EVACUATED_REASON
     return 'no-upstream'
 
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -255,9 +255,9 @@
 
     def _apply_view(self, view: views.View) -> None:
         old_ranking = self.state.rankings.get(view.service)
-        was_evacuated = self.state.is_evacuated(view.service)
+        was_evacuated = self.state.is_evacuated_anywhere()
         self.state.set_view(view)
-        if self.state.is_evacuated(view.service) != was_evacuated:
+        if self.state.is_evacuated_anywhere() != was_evacuated:
             self._proc.events.write(
                 'upstream-restored' if was_evacuated else 'upstream-evacuated',
                 zone=self._proc.cfg.zone,
--- a/src/gentianspoke/shells/control/monitor.py
+++ b/src/gentianspoke/shells/control/monitor.py
@@ -22,7 +22,7 @@
     while True:
         age_ms = log.get_confirmed_age_ms()
         _set_gauges(proc, log, age_ms)
-        _report_evacuations(proc, log, evacuated_zones)
+        report_evacuations(proc, log, evacuated_zones)
         evacuated_zones = log.catalogue.evacuated_zones
         if (age_ms >= MAX_CONFIRMED_AGE_MS) != is_isolated:
             is_isolated = not is_isolated
@@ -31,7 +31,7 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def _report_evacuations(
+def report_evacuations(
     proc: process.Process,
     log: replicated_log.ReplicatedLog,
     earlier_zones: frozenset[str],
--- a/tests/agent/test_at_most_once.py
+++ b/tests/agent/test_at_most_once.py
@@ -23,7 +23,9 @@
 SYN = builders.segment()
 NEXT_SYN = builders.segment(seq=900)
 HOME, SECOND, THIRD = fakes.ranked_members()
-LIVE, DRAINING, SUSPECT = views.State
+LIVE = views.State.LIVE
+DRAINING = views.State.DRAINING
+SUSPECT = views.State.SUSPECT
 LATER_MS = 1_000
 
 
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -146,6 +146,26 @@
     assert joining_states == [True, False, False]
 
 
+def test_an_agent_shows_that_it_is_evacuated(monkeypatch):
+    # Guards against an agent that refuses all openings without a trace.
+    with running_agent() as (agent, proc, _):
+        kinds, gauges = [], []
+        monkeypatch.setattr(
+            proc.events, 'write', lambda kind, **_: kinds.append(kind)
+        )
+        for number, state in enumerate(
+            (views.State.LIVE, views.State.EVACUATED, views.State.LIVE), 1
+        ):
+            own_member = dataclasses.replace(
+                builders.member(agent.state.number, state), zone=CFG.zone
+            )
+            agent.apply_update(builders.view(own_member, number=number))
+            page, _ = proc.metrics.render()
+            gauges.append('name="evacuated",role="agent"} 1' in page.decode())
+    assert kinds == ['upstream-evacuated', 'upstream-restored']
+    assert gauges == [False, True, False]
+
+
 @pytest.mark.parametrize(
     ('drain_accepted', 'running_count', 'unfinished_count'),
     [
--- a/tests/commands/test_catalogue_commands.py
+++ b/tests/commands/test_catalogue_commands.py
@@ -269,6 +269,34 @@
         await deployment.run(*arguments)
 
 
+@pytest.mark.parametrize(
+    ('commands', 'version', 'zones'),
+    [
+        pytest.param(['evacuate b'], 1, ['b'], id='one'),
+        pytest.param(['evacuate b', 'evacuate a'], 2, ['a', 'b'], id='two'),
+        pytest.param(['evacuate b', 'evacuate b'], 1, ['b'], id='repeated'),
+        pytest.param(['evacuate b', 'restore b'], 2, [], id='restored'),
+        pytest.param(['restore b'], 0, [], id='not-evacuated'),
+    ],
+)
+async def test_zones_are_evacuated_and_restored_by_commands(
+    deployment, capsys, commands, version, zones
+):
+    # Guards against a command that ends with an error where the zone is in the
+    # requested state already, and a status that hides an evacuated zone.
+    for command in commands:
+        await deployment.run(*command.split())
+    last_line = capsys.readouterr().out.splitlines()[-1]
+    assert last_line == f'accepted as version {version}'
+    await deployment.run('status')
+    lines = capsys.readouterr().out.splitlines()
+    expected = ['evacuated: ' + ' '.join(zones)] if zones else []
+    assert [text for text in lines if 'evacuated' in text] == expected
+    await deployment.run('status', '--json')
+    for text in capsys.readouterr().out.splitlines():
+        assert json.loads(text)['evacuated_zones'] == zones
+
+
 @pytest.mark.parametrize('is_lagging', [False, True])
 async def test_wait_ends_once_in_force_or_names_the_lagging_consumers(
     deployment, capsys, is_lagging
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -78,6 +78,17 @@
     assert cfg.grace_ms == 6_000 - boot.STOP_MARGIN_MS
 
 
+@pytest.mark.parametrize(
+    ('line', 'zones'),
+    [('', ()), ('zones = ["c", "b"]', ('a', 'b', 'c'))],
+)
+def test_the_zones_include_the_own_one_if_any_is_listed(tmp_path, line, zones):
+    # Guards against a zone that the operator cannot evacuate because the
+    # settings list only the other zones.
+    platform_settings = read(tmp_path, line + FRONT)
+    assert boot.list_zones(platform_settings) == zones
+
+
 @pytest.mark.parametrize(
     ('old', 'new'),
     [
--- a/tests/telemetry/test_external_names.py
+++ b/tests/telemetry/test_external_names.py
@@ -112,6 +112,7 @@
                 'in_force',
                 'laggards',
                 'complete',
+                'evacuated_zones',
             ],
             id='JSON keys of catalogue status',
         ),
--- a/tests/timeline/test_flow_failures.py
+++ b/tests/timeline/test_flow_failures.py
@@ -77,6 +77,12 @@
             'refused-not-run',
             id='draining',
         ),
+        pytest.param(
+            [events.FlowRefused('evacuated')],
+            'none',
+            'refused-not-run',
+            id='evacuated',
+        ),
         pytest.param(
             [events.FlowRefused('refused-before')],
             'unknown',
