Read the zones of the settings as a table

Cause: the platform's settings hold a table of zones by region; the schema read a list, so a process would not have started.

--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -80,7 +80,7 @@
 
 @pytest.mark.parametrize(
     ('line', 'zones'),
-    [('', ()), ('zones = ["c", "b"]', ('a', 'b', 'c'))],
+    [('', ()), ('zones = {c = "r", b = "r"}', ('a', 'b', 'c'))],
 )
 def test_the_zones_include_the_own_one_if_any_is_listed(tmp_path, line, zones):
     # Guards against a zone that the operator cannot evacuate because the
