Ask all members about flows that no agent knows, and end those that are gone

Cause: after a loss of power, callers' packets of lost flows came to agents that know none of them. A packet was searched for at 12 members and dropped, and the caller waited until its deadline.

Change: the agent that gets such a packet first collects the flows for 100 ms and asks all instances of the service's pools in one frame. A named owner is recorded and gets the packet. A flow is reset only if every instance that may have it has denied it with a complete record and the same list of instances, the feed was confirmed after the packet, and this agent neither joins nor drains.

--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -5,6 +5,7 @@
 
 import google.protobuf.message
 
+from gentianspoke.codec import inquiry_body
 from gentianspoke.codec import keys
 from gentianspoke.core import frames
 from gentianspoke import errors
@@ -25,6 +26,10 @@
             body = _encode_load_report(frame)
         case frames.Owned():
             body = _encode_owned(frame)
+        case frames.FlowInquiry():
+            body = inquiry_body.encode_inquiry(frame)
+        case frames.FlowInquiryReply():
+            body = inquiry_body.encode_reply(frame)
     body_bytes = body.SerializeToString()
     envelope = envelope_pb2.Envelope()
     envelope.version = ENVELOPE_VERSION
@@ -59,6 +64,10 @@
             return _decode_load_report(body)
         case 'owned':
             return _decode_owned(body)
+        case 'flow_inquiry':
+            return inquiry_body.decode_inquiry(body)
+        case 'flow_inquiry_reply':
+            return inquiry_body.decode_reply(body)
         case _:
             raise errors.PacketError('empty-frame')
 
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -46,7 +46,9 @@
     match role:
         case settings_model.EntrySettings():
             return settings.EntrySettings(
-                units.parse_address(role.listen.root), role.link_kbps
+                units.parse_address(role.listen.root),
+                role.link_kbps,
+                role.hold_ms,
             )
         case settings_model.AgentSettings():
             return _convert_agent(role)
@@ -69,6 +71,7 @@
         weight=role.weight,
         ramp_ms=_parse_duration_ms(role.ramp),
         link_kbps=role.link_kbps,
+        inquire_flows=bool(role.inquire_flows),
     )
 
 
@@ -85,6 +88,7 @@
         members=members,
         lease_ms=_parse_duration_ms(role.lease),
         join=bool(role.join),
+        retention_ms=_parse_duration_ms(role.retention),
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -11,11 +11,13 @@
 
     ``listen`` receives the packets of the fabric. ``link_kbps`` is the
     capacity of the instance's network link in kbit/s. It is 0 if the capacity
-    is unknown.
+    is unknown. Openings that cannot be routed yet are held for ``hold_ms``; 0
+    means that they are decided at once.
     """
 
     listen: units.Address
     link_kbps: int = 0
+    hold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,7 +39,9 @@
     adopts flows that it does not know. An upstream that reports its status
     gets no new flow once its last report is older than ``silent_ms``; 0
     disables this limit. ``link_kbps`` is the capacity of the instance's
-    network link in kbit/s. It is 0 if the capacity is unknown.
+    network link in kbit/s. It is 0 if the capacity is unknown. With
+    ``inquire_flows``, agents ask each other about flows that none of them
+    finds, and end those that no upstream has any more.
     """
 
     listen: units.Address
@@ -55,6 +59,7 @@
     recovery_ms: int = 7_200_000
     silent_ms: int = 0
     link_kbps: int = 0
+    inquire_flows: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +77,9 @@
     instance hears nothing from the leader for ``election_ms``, it considers
     the leader lost. The log is compacted after each ``compact_records``
     applied records. The newest ``kept_records`` records that the snapshot
-    covers stay in the log.
+    covers stay in the log. A silent member stays listed for ``retention_ms``,
+    unless its upstream has left or restarted; with 0 it is removed once its
+    lease has expired.
     """
 
     listen: units.Address
@@ -85,6 +92,7 @@
     election_ms: int = 1_000
     compact_records: int = 1_000
     kept_records: int = 200
+    retention_ms: int = 0
 
 
 Role = EntrySettings | AgentSettings | ControlSettings
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -12,6 +12,9 @@
 
 # The sender number of an entry instance, which is not a member of a view.
 ENTRY_SENDER = 0
+# Largest number of flows in one inquiry, which is the number of bits in the
+# fields of the reply.
+MAX_INQUIRY_FLOWS = 32
 
 
 class Purpose(enum.IntEnum):
@@ -111,4 +114,46 @@
     logical: int = 0
 
 
-Frame = Forward | LoadReport | Owned
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowInquiry:
+    """A question to other members: which of these flows they have.
+
+    ``pool`` is the pool that the sender is a member of, and ``service`` the
+    service of one of the flows. The pools of the flows' services are the same.
+    ``number`` identifies the inquiry at its sender, and stays the same when
+    the inquiry is repeated. ``keys`` holds the flow keys, and
+    ``instances_digest`` is the digest of the instances that the sender knows
+    in the pools. ``logical`` is the sender's Lamport clock.
+    """
+
+    pool: int
+    service: int
+    number: int
+    keys: tuple[bytes, ...]
+    instances_digest: int
+    sender: int
+    logical: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowInquiryReply:
+    """A member's answer to an inquiry.
+
+    Bit i of ``owned`` and ``absent`` stands for flow i of the inquiry. A flow
+    of ``owned`` is established at the sender's upstream, and the upstream
+    certainly does not have a flow of ``absent``. ``same_instances`` tells
+    whether the sender knows the same instances as the member that asked.
+    ``pool`` and ``number`` are those of the inquiry, and ``logical`` is the
+    sender's Lamport clock.
+    """
+
+    pool: int
+    number: int
+    owned: int
+    absent: int
+    same_instances: bool
+    sender: int
+    logical: int = 0
+
+
+Frame = Forward | LoadReport | Owned | FlowInquiry | FlowInquiryReply
--- a/src/gentianspoke/decisions/actions.py
+++ b/src/gentianspoke/decisions/actions.py
@@ -96,6 +96,22 @@
     owned: frames.Owned
 
 
+@dataclasses.dataclass(slots=True)
+class SendInquiry:
+    """Send an inquiry about flows to the agents of ``members``."""
+
+    members: tuple[views.Member, ...]
+    inquiry: frames.FlowInquiry
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerInquiry:
+    """Send the reply to an inquiry to the agent of ``member``."""
+
+    member: views.Member
+    reply: frames.FlowInquiryReply
+
+
 Action = (
     Deliver
     | Answer
@@ -106,4 +122,6 @@
     | Drop
     | Hold
     | NotifyOwnership
+    | SendInquiry
+    | AnswerInquiry
 )
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -6,11 +6,15 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import established_flows
+from gentianspoke.decisions.agent import flow_inquiry
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import held_openings
+from gentianspoke.decisions.agent import known_instances
 from gentianspoke.decisions.agent import opening
 from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import record_counts
@@ -47,6 +51,7 @@
                 state, service, forward, packet, now
             )
         case _:
+            flow_inquiry.forget_flow(state, packet.key)
             result = [
                 opening.decide_opening(state, service, forward, packet, now)
             ]
@@ -92,6 +97,25 @@
     owner_search.record_owner(state, owned, now)
 
 
+def on_inquiry(state: State, inquiry: frames.FlowInquiry, now: int) -> Actions:
+    """Return the reply to an inquiry about flows."""
+    return [flow_knowledge.answer_inquiry(state, inquiry, now)]
+
+
+def on_inquiry_reply(
+    state: State, reply: frames.FlowInquiryReply, now: int
+) -> Actions:
+    """Return the actions for a member's reply to an inquiry."""
+    return flow_inquiry.record_reply(state, reply, now)
+
+
+def on_view(state: State, view: views.View, now: int) -> None:
+    """Store a view unless it is older, and note which members have left."""
+    previous = state.rankings.get(view.service)
+    if state.set_view(view):
+        known_instances.note_view(state, previous, view, now)
+
+
 def on_tick(state: State, now: int) -> Actions:
     """Return the actions that are due at ``now``; call about every 50 ms."""
     return timeouts.run_due_checks(state, now)
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -63,6 +63,13 @@
     return ahead <= MAX_ACK_DISTANCE or ahead >= SEQ_MODULUS - MAX_ACK_DISTANCE
 
 
+def is_of_earlier_flow(flow: records.Flow, segment: packets.Segment) -> bool:
+    """Return whether a segment acknowledges nothing that this flow sent."""
+    if flow.up.end == records.NO_SEQ or not segment.flags & packets.ACK:
+        return False
+    return not is_near(segment.ack, flow.up.end)
+
+
 def report_flow(
     state: State,
     flow: records.Flow,
@@ -125,6 +132,23 @@
     _add_report(state, key, service_number, outcome, fault, reason, evidence)
 
 
+def report_lost_flow(
+    state: State,
+    key: packets.FlowKey,
+    service_number: int,
+    reason: str,
+    evidence: tuple[tuple[str, str | int], ...],
+) -> None:
+    """Report a flow that no upstream has any more, as ``UNKNOWN``.
+
+    Its upstream has restarted or has lost power, and no record shows which
+    requests were run.
+    """
+    outcome = verdicts.Outcome.UNKNOWN
+    fault = verdicts.Fault.UPSTREAM
+    _add_report(state, key, service_number, outcome, fault, reason, evidence)
+
+
 def _add_report(
     state: State,
     key: packets.FlowKey,
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -0,0 +1,114 @@
+"""What an agent can say about a flow: the answers to inquiries.
+
+An agent knows all flows of its upstream if it has passed on every packet since
+the upstream's start. After a restart of the agent alone this is not so, and
+the agent does not say that a flow is absent unless its upstream has returned a
+packet of the flow. An agent may also lose single records, for example that of
+a flow that was idle for too long. Such a flow is doubtful.
+"""
+
+import enum
+
+from gentianspoke.core import frames
+from gentianspoke.core import packets
+from gentianspoke.core import services
+from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import known_instances
+from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import state as agent_state
+
+# How long a recovering agent's word about a returned packet does not count.
+# Until then, views may lack members that restart at the same time.
+MIN_RECOVERING_AGE_MS = 10_000
+# Largest number of doubtful flows. Beyond it, the whole record is incomplete.
+MAX_DOUBTFUL_FLOWS = 10_000
+
+State = agent_state.AgentState
+
+
+class Knowledge(enum.Enum):
+    """What an agent knows about a flow and its upstream.
+
+    The upstream has an ``OWNED`` flow, and the caller acknowledges the
+    upstream's sequence numbers. The upstream does not have an ``ABSENT`` flow.
+    """
+
+    OWNED = 'owned'
+    ABSENT = 'absent'
+    UNSURE = 'unsure'
+
+
+def assess_flow(state: State, key: packets.FlowKey, now: int) -> Knowledge:
+    """Return what this agent knows about a flow at its own upstream."""
+    flow = state.flows.get(key)
+    if flow is not None:
+        if flow.phase is records.Phase.OPEN and evidence.is_established(flow):
+            return Knowledge.OWNED
+        return Knowledge.UNSURE
+    if key in state.inquiries.doubtful:
+        return Knowledge.UNSURE
+    if state.recovering:
+        has_settled = now - state.started_ms >= MIN_RECOVERING_AGE_MS
+        is_absent = has_settled and key in state.returned_flows
+    else:
+        is_absent = now >= state.inquiries.complete_from_ms
+    return Knowledge.ABSENT if is_absent else Knowledge.UNSURE
+
+
+def note_doubtful(state: State, key: packets.FlowKey, now: int) -> None:
+    """Note that the upstream may have a flow that has no record."""
+    inquiries = state.inquiries
+    if not inquiries.enabled:
+        return
+    if len(inquiries.doubtful) >= MAX_DOUBTFUL_FLOWS:
+        inquiries.complete_from_ms = now + state.recovery_ms
+        return
+    inquiries.doubtful.pop(key, None)
+    inquiries.doubtful[key] = now
+
+
+def expire_doubtful(state: State, now: int) -> None:
+    """Forget the doubtful flows that are older than any flow may be."""
+    doubtful = state.inquiries.doubtful
+    while doubtful:
+        key = next(iter(doubtful))
+        if now - doubtful[key] < state.recovery_ms:
+            return
+        del doubtful[key]
+
+
+def answer_inquiry(
+    state: State, inquiry: frames.FlowInquiry, now: int
+) -> actions.Action:
+    """Return the reply to an inquiry of another member.
+
+    The inquiry is dropped if this agent does not take part in inquiries, or if
+    it does not know the service or the address of the sender.
+    """
+    service = state.services_by_number.get(inquiry.service)
+    if not state.inquiries.enabled or service is None:
+        return actions.Drop('other-service')
+    asker = state.find_member(inquiry.pool, inquiry.sender)
+    if asker is None or state.number == frames.ENTRY_SENDER:
+        return actions.Drop('unknown-sender')
+    owned = absent = 0
+    for position, key in enumerate(inquiry.keys):
+        match assess_flow(state, packets.FlowKey(key), now):
+            case Knowledge.OWNED:
+                owned |= 1 << position
+            case Knowledge.ABSENT:
+                absent |= 1 << position
+    instances = known_instances.list_instances(
+        state, services.get_all_pools(service), now
+    )
+    digest = known_instances.compute_digest(instances)
+    reply = frames.FlowInquiryReply(
+        pool=inquiry.pool,
+        number=inquiry.number,
+        owned=owned,
+        absent=absent,
+        same_instances=digest == inquiry.instances_digest,
+        sender=state.number,
+    )
+    return actions.AnswerInquiry(asker, reply)
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -24,6 +24,8 @@
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import flow_inquiry
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import forwarding
 from gentianspoke.decisions.agent import owner_search
@@ -82,7 +84,7 @@
         return [forward_action]
     if _may_deliver_here(state, service, forward, segment.key):
         return _deliver_to_confirm(state, service, forward, segment, now)
-    return [owner_search.ask_next_member(state, service, forward)]
+    return flow_inquiry.search_owner(state, service, forward, segment, now)
 
 
 def decide_reply(
@@ -94,7 +96,7 @@
     could take it for an answer to its new request.
     """
     state.last_upstream_packet_ms = now
-    if _is_of_earlier_flow(flow, segment):
+    if evidence.is_of_earlier_flow(flow, segment):
         return [actions.Drop('late-answer')]
     result = confirm_flow(state, flow, now)
     evidence.note_upstream_segment(flow, segment, now)
@@ -130,6 +132,8 @@
         bucket = hashing.bucket_of(segment.key, service.number)
         flow = flow_table.adopt_flow(state, service, segment.key, bucket, now)
         return decide_reply(state, flow, segment, now)
+    if not segment.flags & (packets.FIN | packets.RST):
+        flow_knowledge.note_doubtful(state, segment.key, now)
     return [actions.Answer(segment.raw)]
 
 
@@ -160,9 +164,12 @@
     if _has_upstream_worked(state, flow):
         return confirm_flow(state, flow, now)
     flow.is_searched = True
-    return _search_owner(state, flow, forward) + _release_held_packets(
-        state, flow, now
-    )
+    result = _release_held_packets(state, flow, now)
+    service = state.services_by_number.get(flow.service)
+    if service is not None:
+        search = owner_search.ask_next_member(state, service, forward)
+        result.insert(0, search)
+    return result
 
 
 def _has_upstream_worked(state: State, flow: records.Flow) -> bool:
@@ -208,7 +215,7 @@
     if packets.ends_message(segment) and _is_new_data(flow, segment):
         flow_table.begin_request(state, flow, now)
     evidence.note_caller_segment(flow, segment, now)
-    result = _search_or_notify(state, flow, forward, now)
+    result = _search_or_notify(state, flow, forward, segment, now)
     result.append(actions.Deliver(segment.raw))
     if segment.flags & (packets.FIN | packets.RST):
         teardown.handle_caller_fin_or_reset(state, flow, segment, now)
@@ -216,7 +223,11 @@
 
 
 def _search_or_notify(
-    state: State, flow: records.Flow, forward: frames.Forward, now: int
+    state: State,
+    flow: records.Flow,
+    forward: frames.Forward,
+    segment: packets.Segment,
+    now: int,
 ) -> Actions:
     """Return the notice of a confirmed flow, or the search for another owner.
 
@@ -228,23 +239,10 @@
         return owner_search.notify_first_member_asked(
             state, flow, forward, now
         )
-    return _search_owner(state, flow, forward)
-
-
-def _search_owner(
-    state: State, flow: records.Flow, forward: frames.Forward
-) -> Actions:
     service = state.services_by_number.get(flow.service)
     if service is None or not flow.is_searched:
         return []
-    return [owner_search.ask_next_member(state, service, forward)]
-
-
-def _is_of_earlier_flow(flow: records.Flow, segment: packets.Segment) -> bool:
-    """Return whether a segment acknowledges nothing that this flow sent."""
-    if flow.up.end == records.NO_SEQ or not segment.flags & packets.ACK:
-        return False
-    return not evidence.is_near(segment.ack, flow.up.end)
+    return flow_inquiry.search_owner(state, service, forward, segment, now)
 
 
 def _has_bulk_answer(state: State, flow: records.Flow) -> bool:
@@ -275,7 +273,9 @@
     forward: frames.Forward,
     key: packets.FlowKey,
 ) -> bool:
-    if not state.recovering or state.number in forward.tried:
+    if not state.recovering and key not in state.inquiries.doubtful:
+        return False
+    if state.number in forward.tried:
         return False
     if state.get_pool(service) not in services.get_all_pools(service):
         return False
--- a/src/gentianspoke/decisions/agent/known_flows.py
+++ b/src/gentianspoke/decisions/agent/known_flows.py
@@ -7,6 +7,7 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import flow_table
@@ -102,6 +103,11 @@
     member = state.find_member(diversion.pool, diversion.target)
     if member is None:
         return decide_lost_target(state, service, diversion, packet)
+    if state.inquiries.enabled and _is_for_silent_target(
+        member, diversion, packet
+    ):
+        diversion_table.remove(state, packet.key)
+        return None
     diversion.last_used_ms = now
     _update_diversion(state, service, diversion, forward, now)
     if forward.purpose is frames.Purpose.ASK:
@@ -118,6 +124,19 @@
     )
 
 
+def _is_for_silent_target(
+    member: views.Member,
+    diversion: records.Diversion,
+    packet: packets.Packet,
+) -> bool:
+    """Return whether another opening would go to a member that is silent.
+
+    With inquiries about flows, control keeps silent members listed for long.
+    """
+    is_copy = diversion.isn == get_opening_isn(packet)
+    return member.state is views.State.SUSPECT and not is_copy
+
+
 def _update_diversion(
     state: State,
     service: services.Service,
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -5,6 +5,7 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import adoption
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import handshake_flows
 from gentianspoke.decisions.agent import records
@@ -64,8 +65,15 @@
     for flow in tuple(state.flows.values()):
         if flow.phase is records.Phase.OPEN and evidence.is_established(flow):
             result.extend(_reset_caller(state, flow, now))
+        elif flow.phase is records.Phase.OPEN:
+            # The new incarnation may have received the opening before this
+            # agent learned of it.
+            flow_knowledge.note_doubtful(state, flow.key, now)
         flow_table.remove_flow(state, flow, now)
     state.number = number
+    state.inquiries.complete_from_ms = now
+    state.inquiries.unknown.clear()
+    state.inquiries.outstanding.clear()
     state.started_ms = now
     # The upstream has no earlier flows that could be adopted, and the agent
     # joins again, as a new member without a lease.
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -14,6 +14,7 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import flow_inquiry
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import placement
@@ -73,7 +74,9 @@
         held_packets, flow.held_packets = flow.held_packets, []
         flow_table.remove_flow(state, flow, now)
     returned_frame = dataclasses.replace(forward, packet=segment.raw)
-    result = [owner_search.ask_next_member(state, service, returned_frame)]
+    result = flow_inquiry.search_owner(
+        state, service, returned_frame, segment, now
+    )
     for held_packet in held_packets:
         result.append(
             owner_search.ask_next_member(state, service, held_packet.forward)
@@ -82,6 +85,7 @@
 
 
 def _note_returned_flow(state: State, key: packets.FlowKey, now: int) -> None:
+    state.inquiries.doubtful.pop(key, None)
     if len(state.returned_flows) < MAX_RETURNED_FLOWS:
         state.returned_flows[key] = now
 
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import verdicts
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import inquiry_records
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import timer_wheel
 from gentianspoke.decisions import member_ranking
@@ -206,6 +207,10 @@
     returned_flows: dict[packets.FlowKey, int] = dataclasses.field(
         default_factory=dict
     )
+    # Inquiries about flows that this agent does not know.
+    inquiries: inquiry_records.Inquiries = dataclasses.field(
+        default_factory=inquiry_records.Inquiries
+    )
     # When the first opening of a service with ``handshake`` was delivered
     # after the upstream's last packet, ``None`` if there was none.
     unanswered_since_ms: int | None = None
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -8,9 +8,11 @@
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import handshake_flows
 from gentianspoke.decisions.agent import held_openings
+from gentianspoke.decisions.agent import inquiry_results
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import returned_packets
@@ -45,6 +47,7 @@
             _check_diversion(state, (key, record), now)
     _expire_orphans(state, now)
     returned_packets.expire_returned_flows(state, now)
+    result.extend(inquiry_results.run_due(state, now))
     diversion.expire_reports(state, now)
     if state.recovering and now - state.started_ms >= state.recovery_ms:
         state.recovering = False
@@ -128,6 +131,7 @@
         flow.phase is records.Phase.OPEN
         and teardown.is_adopted_and_half_closed(flow)
     ):
+        _note_if_still_open(state, flow, now)
         flow_table.end_flow(state, flow, now)
     elif flow.phase is records.Phase.QUEUED:
         # A queued flow leaves this phase when it starts or when its wait
@@ -152,6 +156,12 @@
             return flow_table.get_idle_timeout_ms(state, flow.service)
 
 
+def _note_if_still_open(state: State, flow: records.Flow, now: int) -> None:
+    # The upstream may keep a flow that this agent forgets.
+    if flow.slot_per_request and flow.upstream_seen:
+        flow_knowledge.note_doubtful(state, flow.key, now)
+
+
 def _remove_idle_flow(state: State, flow: records.Flow, now: int) -> None:
     if flow.phase is records.Phase.OPEN:
         if flow.answered:
@@ -162,6 +172,7 @@
             fault = verdicts.Fault.UPSTREAM
         outcome = verdicts.Outcome.UNKNOWN
         evidence.report_flow(state, flow, outcome, fault, reason, now)
+        _note_if_still_open(state, flow, now)
     flow_table.remove_flow(state, flow, now)
 
 
--- a/src/gentianspoke/decisions/control/membership.py
+++ b/src/gentianspoke/decisions/control/membership.py
@@ -49,11 +49,14 @@
     """The lease duration and the heartbeat timeout, both in milliseconds.
 
     ``lease_ms`` is the lease duration, and ``suspect_timeout_ms`` is the time
-    without a heartbeat after which a member becomes suspect.
+    without a heartbeat after which a member becomes suspect. A silent member
+    whose upstream may still run stays listed for ``retention_ms``, if that is
+    longer than its lease.
     """
 
     lease_ms: int
     suspect_timeout_ms: int
+    retention_ms: int = 0
 
     @property
     def removal_timeout_ms(self) -> int:
@@ -218,7 +221,10 @@
         changed = False
         for number, listing in tuple(members.listings.items()):
             silent_ms = confirmed_ms - listing.last_heartbeat_ms
-            if silent_ms >= self._get_removal_timeout_ms(members, listing):
+            if (
+                silent_ms >= self.limits.removal_timeout_ms
+                and silent_ms >= self._get_removal_timeout_ms(members, listing)
+            ):
                 members.remove(number)
                 changed = True
             elif silent_ms >= self.limits.suspect_timeout_ms:
@@ -230,6 +236,12 @@
         members: service_members.ServiceMembers,
         listing: service_members.Listing,
     ) -> int:
-        if listing.leaving or members.has_live_member():
-            return self.limits.removal_timeout_ms
-        return max(LAST_MEMBERS_RETENTION_MS, self.limits.removal_timeout_ms)
+        removal_timeout_ms = self.limits.removal_timeout_ms
+        if listing.leaving or members.has_newer_incarnation(listing):
+            return removal_timeout_ms
+        if members.has_live_member():
+            # The agent may be restarting, or cut off from control, while its
+            # upstream keeps its flows. Agents end no flow that a listed
+            # member may have.
+            return max(self.limits.retention_ms, removal_timeout_ms)
+        return max(LAST_MEMBERS_RETENTION_MS, removal_timeout_ms)
--- a/src/gentianspoke/decisions/control/service_members.py
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -146,6 +146,17 @@
         """Return whether any member is live and thus gets new flows."""
         return any(item.member.is_live for item in self.listings.values())
 
+    def has_newer_incarnation(self, listing: Listing) -> bool:
+        """Return whether the upstream of a listed member has restarted.
+
+        Another member of the same instance has announced itself later.
+        """
+        return any(
+            other.member.instance == listing.member.instance
+            and other.last_heartbeat_ms > listing.last_heartbeat_ms
+            for other in self.listings.values()
+        )
+
     def mark_suspect(self, number: int) -> bool:
         """Mark a member as suspect, so that it gets no new flows.
 
--- a/src/gentianspoke/shells/agent/action_executor.py
+++ b/src/gentianspoke/shells/agent/action_executor.py
@@ -1,11 +1,15 @@
 """Executes the actions that an agent's decisions return."""
 
+import dataclasses
+
 from gentianspoke import clock
 from gentianspoke.codec import frame
 from gentianspoke.codec import packet_codec
 from gentianspoke.config import settings
 from gentianspoke.config import units
+from gentianspoke.core import frames
 from gentianspoke.core import packets
+from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
@@ -70,6 +74,32 @@
         counts.dropped['report-overflow'] += state.dropped_flow_reports
         state.dropped_flow_reports = 0
 
+    def write_inquiry_reports(self, state: agent_state.AgentState) -> None:
+        """Write the results of inquiries as events, and update metrics."""
+        counts = self._proc.metrics.counts
+        for report in state.inquiries.reports:
+            counts.inquiries['flows-found'] += report.found
+            counts.inquiries['flows-ended'] += report.ended
+            counts.inquiries['flows-undecided'] += report.undecided
+            self._proc.events.write(
+                'flow-inquiry', **dataclasses.asdict(report)
+            )
+        state.inquiries.reports.clear()
+
+    def _send_inquiry(
+        self,
+        members: tuple[views.Member, ...],
+        inquiry: frames.FlowInquiry,
+    ) -> None:
+        # All members get the same frame, which is encoded only once.
+        stamped_inquiry = dataclasses.replace(
+            inquiry, logical=self._proc.events.logical
+        )
+        data = frame.encode(stamped_inquiry, self._proc.ring)
+        for member in members:
+            self._send(data, (member.host, member.port))
+        self._proc.metrics.counts.inquiries['sent'] += len(members)
+
     def _execute(self, action: actions.Action) -> None:
         counts = self._proc.metrics.counts
         match action:
@@ -87,6 +117,15 @@
             case actions.NotifyOwnership(member=member, owned=owned):
                 data = frame.encode(owned, self._proc.ring)
                 self._send(data, (member.host, member.port))
+            case actions.SendInquiry(members=members, inquiry=inquiry):
+                self._send_inquiry(members, inquiry)
+            case actions.AnswerInquiry(member=member, reply=reply):
+                stamped_reply = dataclasses.replace(
+                    reply, logical=self._proc.events.logical
+                )
+                data = frame.encode(stamped_reply, self._proc.ring)
+                self._send(data, (member.host, member.port))
+                counts.inquiries['answered'] += 1
             case actions.Drop(reason=reason):
                 counts.dropped[reason] += 1
             case actions.Hold(reason=reason):
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import secrets
 import time
 
 import loguru
@@ -29,6 +30,9 @@
 TICK_INTERVAL_S = 0.05
 STATUS_POLL_INTERVAL_S = 0.5
 NS_PER_S = 1_000_000_000
+# Number of random bits of the first inquiry's number. The numbers that follow
+# still fit into 64 bits.
+INQUIRY_BITS = 62
 # Placeholder for the member number of an agent whose upstream has not reported
 # its incarnation yet. No member of a view has this number.
 UNKNOWN_NUMBER = frames.ENTRY_SENDER
@@ -79,6 +83,14 @@
             joining=True,
             draining=not incarnation,
         )
+        # Until the upstream turns out to be new, it may have flows that this
+        # agent does not know.
+        self.state.inquiries.complete_from_ms = (
+            self.state.started_ms + cfg.recovery_ms
+        )
+        self.state.inquiries.enabled = cfg.inquire_flows
+        # Late replies to an earlier run of the agent must match no inquiry.
+        self.state.inquiries.next_number = secrets.randbits(INQUIRY_BITS)
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
         if incarnation:
             self.heartbeat.upstream_known.set()
@@ -162,6 +174,7 @@
             self._executor.execute_all(core.on_tick(self.state, now))
             self.link.send_due()
             self._executor.write_flow_reports(self.state)
+            self._executor.write_inquiry_reports(self.state)
             self._check_upstream_silence(now)
 
     async def poll_status(self) -> None:
@@ -246,16 +259,22 @@
             # from a frame that was addressed to it; see _handle_forward.
             self.state.number = number
             self.state.recovering = not upstream_status.is_young
+            if upstream_status.is_young:
+                self.state.inquiries.complete_from_ms = 0
             self.heartbeat.announce_now()
             return
         now = self._proc.clock.now()
         decided_actions = core.on_incarnation(self.state, number, now)
+        if not upstream_status.is_young and self._cfg.status is None:
+            # The first heartbeats were lost, or a late one of the earlier
+            # incarnation came after the start of this agent.
+            self.state.inquiries.complete_from_ms = now + self._cfg.recovery_ms
         self._executor.execute_all(decided_actions)
         self.heartbeat.announce_now()
 
     def _apply_view(self, view: views.View) -> None:
         old_ranking = self.state.rankings.get(view.service)
-        self.state.set_view(view)
+        core.on_view(self.state, view, self._proc.clock.now())
         if old_ranking is None or old_ranking.view.number != view.number:
             # In a new view, other members than before decide on the openings
             # of some buckets. They place these openings only after this agent
@@ -320,6 +339,16 @@
             case frames.Owned() as owned:
                 self._proc.events.observe(owned.logical)
                 core.on_owned(self.state, owned, now)
+            case frames.FlowInquiry() as inquiry:
+                self._proc.events.observe(inquiry.logical)
+                self._executor.execute_all(
+                    core.on_inquiry(self.state, inquiry, now)
+                )
+            case frames.FlowInquiryReply() as reply:
+                self._proc.events.observe(reply.logical)
+                self._executor.execute_all(
+                    core.on_inquiry_reply(self.state, reply, now)
+                )
 
     def _handle_forward(
         self, forward: frames.Forward, packet: packets.Packet, now: int
--- a/src/gentianspoke/shells/agent/gauges.py
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -24,6 +24,8 @@
     set_gauge('diversions', len(state.diversions))
     set_gauge('orphans', len(state.orphans))
     set_gauge('lease_left_ms', max(0, lease_left_ms))
+    set_gauge('unknown_flows', len(state.inquiries.unknown))
+    set_gauge('doubtful_flows', len(state.inquiries.doubtful))
     set_gauge('draining', int(state.draining))
     set_gauge('joining', int(state.joining))
     set_gauge('recovering', int(state.recovering))
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -41,13 +41,20 @@
         log: catalogue_log.CatalogueLog,
         feed_hub: hub.Hub,
         lease_ms: int,
+        retention_ms: int = 0,
     ) -> None:
-        """Start without a membership; ``lease_ms`` is a lease's duration."""
+        """Start without a membership.
+
+        ``lease_ms`` is a lease's duration, and ``retention_ms`` the time for
+        which a silent member stays listed.
+        """
         self._proc = proc
         self._log = log
         self._hub = feed_hub
         self._limits = membership.MembershipLimits(
-            lease_ms, lease_ms * SUSPECT_AFTER_PERMILLE // shares.PERMILLE
+            lease_ms,
+            lease_ms * SUSPECT_AFTER_PERMILLE // shares.PERMILLE,
+            retention_ms,
         )
         self._membership: membership.Membership | None = None
         # The newest heartbeat of each agent, by the agent's number, that was
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -87,7 +87,11 @@
 ) -> None:
     feed_hub = hub.Hub(log, proc.clock)
     own_leadership = leadership.Leadership(
-        proc, log, feed_hub, control_settings.lease_ms
+        proc,
+        log,
+        feed_hub,
+        control_settings.lease_ms,
+        control_settings.retention_ms,
     )
     view_relay = relay.Relay(proc, log, feed_hub)
     services: list[typing.Any] = [
--- a/src/gentianspoke/telemetry/metrics.py
+++ b/src/gentianspoke/telemetry/metrics.py
@@ -45,6 +45,12 @@
     verdicts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    inquiries: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    holds: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Metrics:
@@ -77,6 +83,14 @@
         self.verdicts = self._create_counter(
             'gentianspoke_verdicts_total', 'Failed flows, by outcome and fault'
         )
+        self.inquiries = self._create_counter(
+            'gentianspoke_inquiries_total',
+            'Frames of flow inquiries, and flows by the result',
+        )
+        self.holds = self._create_counter(
+            'gentianspoke_held_openings_total',
+            'Openings that an entry held, by what became of them',
+        )
         self.counts = Counts()
         self._render_hooks: list[collections.abc.Callable[[], None]] = []
         self.queue_wait = aioprometheus.Histogram(
@@ -124,6 +138,8 @@
         _copy_counts(counts.refused, self.refused, 'reason')
         _copy_counts(counts.resets, self.resets, 'reason')
         _copy_counts(counts.verdicts, self.verdicts, 'verdict')
+        _copy_counts(counts.inquiries, self.inquiries, 'result')
+        _copy_counts(counts.holds, self.holds, 'result')
         return aioprometheus.render(self.registry, [])
 
     def _create_counter(self, name: str, text: str) -> aioprometheus.Counter:
--- a/tests/agent/test_drop_reasons.py
+++ b/tests/agent/test_drop_reasons.py
@@ -15,6 +15,7 @@
     SOURCE / 'decisions' / 'routing.py',
     SOURCE / 'codec' / 'ip.py',
     SOURCE / 'codec' / 'frame.py',
+    SOURCE / 'codec' / 'inquiry_body.py',
     SOURCE / 'codec' / 'keys.py',
 )
 
