Hold openings that an entry cannot route yet

Cause: after a loss of power, entries refused or dropped the first openings, because their feed was not confirmed or no member of the pool was live yet.

--- a/src/gentianspoke/shells/entry.py
+++ b/src/gentianspoke/shells/entry.py
@@ -12,6 +12,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
+from gentianspoke.decisions import entry_hold
 from gentianspoke.decisions import pacing
 from gentianspoke.decisions import routing
 from gentianspoke import errors
@@ -36,10 +37,12 @@
         sock: datagrams.DatagramSocket,
         codec: packet_codec.PacketCodec,
         link: paced_link.Link,
+        hold_ms: int = 0,
     ) -> None:
         """Start without a catalogue.
 
-        Packets are dropped until the first confirmation from the feed.
+        Until the first confirmation from the feed, openings are held for
+        ``hold_ms``, and other packets are dropped.
         """
         self._link = link
         self._proc = proc
@@ -47,6 +50,9 @@
         self._sock = sock
         self._catalogue_entries: dict[str, services.Service] = {}
         self._is_confirmed = False
+        self._hold: entry_hold.HoldState | None = None
+        if hold_ms:
+            self._hold = entry_hold.HoldState(hold_ms, proc.clock.now())
         self.table = routing.RouteTable()
         proc.metrics.on_render(self._set_gauges)
 
@@ -61,6 +67,8 @@
                 self._is_confirmed = True
                 if self._proc.life.state == 'syncing':
                     self._proc.life.advance('serve')
+        if self._hold is not None and self._hold.openings:
+            self._decide_held_openings(self._hold)
         return self.table.catalogue_version
 
     async def forward_packets(self) -> None:
@@ -100,15 +108,82 @@
         self._proc.events.write('catalogue-in-force', version=update.version)
 
     def _forward(self, raw: bytes, sender: units.Address) -> None:
-        counts = self._proc.metrics.counts
+        if not self._is_confirmed and self._hold is None:
+            self._proc.metrics.counts.dropped[entry_hold.NOT_CONFIRMED] += 1
+            return
+        packet = self._codec.parse(raw)
+        action = self._decide(packet)
+        if self._hold is None or not self._hold_opening(
+            self._hold, action, packet, sender
+        ):
+            self._execute(action, packet, sender)
+
+    def _decide(self, packet: packets.Packet) -> actions.Action:
         if not self._is_confirmed:
             # The catalogue from the first source may be older than the one
             # that a majority has accepted.
-            counts.dropped['not-confirmed'] += 1
-            return
-        packet = self._codec.parse(raw)
-        match routing.route(self.table, packet):
-            case actions.SendFrame() as action:
+            return actions.Drop(entry_hold.NOT_CONFIRMED)
+        return routing.route(self.table, packet)
+
+    def _hold_opening(
+        self,
+        hold: entry_hold.HoldState,
+        action: actions.Action,
+        packet: packets.Packet,
+        sender: units.Address,
+    ) -> bool:
+        """Hold an opening that cannot be routed yet; return whether it is."""
+        match action, packet:
+            case actions.SendFrame(member=member), _ if member.is_live:
+                return False
+            case _, packets.Segment():
+                now = self._proc.clock.now()
+                if not entry_hold.may_hold(hold, action, packet, now):
+                    return False
+                opening = entry_hold.HeldOpening(packet, *sender, now)
+                result = entry_hold.hold(hold, opening)
+                self._proc.metrics.counts.holds[result.value] += 1
+                return True
+            case _:
+                return False
+
+    def _decide_held_openings(self, hold: entry_hold.HoldState) -> None:
+        """Decide the held openings again after an update of the feed."""
+        now = self._proc.clock.now()
+        due = entry_hold.pop_openings(hold, self.table, now)
+        routed_count = 0
+        for opening in due.openings:
+            action = self._decide(opening.packet)
+            if entry_hold.may_hold(hold, action, opening.packet, now):
+                entry_hold.hold(hold, opening)
+                continue
+            routed_count += 1
+            sender = opening.sender_host, opening.sender_port
+            self._execute(
+                entry_hold.decide_again(action), opening.packet, sender
+            )
+        counts = self._proc.metrics.counts.holds
+        counts['routed'] += routed_count
+        counts['expired'] += due.expired_count
+        if routed_count or due.expired_count:
+            self._proc.events.write(
+                'held-openings-decided',
+                routed=routed_count,
+                expired=due.expired_count,
+                still_held=len(hold.openings),
+                is_confirmed=self._is_confirmed,
+            )
+            self._link.send_due()
+
+    def _execute(
+        self,
+        action: actions.Action,
+        packet: packets.Packet,
+        sender: units.Address,
+    ) -> None:
+        counts = self._proc.metrics.counts
+        match action:
+            case actions.SendFrame():
                 self._send_frame(action, packet)
             case actions.Refuse(packet=refused_packet, reason=reason):
                 reset = self._codec.make_refusal(refused_packet)
@@ -144,6 +219,8 @@
     def _set_gauges(self) -> None:
         set_gauge = self._proc.metrics.set_gauge
         set_gauge('services', len(self.table.rankings))
+        if self._hold is not None:
+            set_gauge('openings_held', len(self._hold.openings))
         set_gauge('unsent', self._sock.unsent_count)
 
 
@@ -158,14 +235,15 @@
     """
     own_front_end = own_front_end or front_end.make_default_front_end()
     match cfg.role:
-        case settings.EntrySettings(listen=listen, link_kbps=link_kbps):
+        case settings.EntrySettings(listen=listen) as role:
             pass
         case _:
             raise errors.SettingsError('settings', 'entry', 'missing; add it')
     async with process.run_process(cfg, 'entry') as proc:
         with datagrams.open_datagrams(listen) as sock:
-            link = paced_link.Link(sock, proc.clock, link_kbps)
-            entry = Entry(proc, sock, own_front_end.codec, link)
+            link = paced_link.Link(sock, proc.clock, role.link_kbps)
+            codec = own_front_end.codec
+            entry = Entry(proc, sock, codec, link, role.hold_ms)
             async with (
                 process.run_tasks(
                     entry.forward_packets(),
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -90,6 +90,26 @@
     assert cfg.role.join and cfg.role.members == ()
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'is_on'),
+    [
+        pytest.param('', False, id='none-listed'),
+        pytest.param('contracts = ["rolling"]\n', False, id='others-listed'),
+        pytest.param('contracts = ["rolling", "health"]\n', True, id='health'),
+    ],
+)
+def test_the_health_contract_switches_on_inquiries_holds_and_retention(
+    tmp_path, contracts, is_on
+):
+    # Deployments without the contract must behave as before.
+    entry = boot.build_entry_settings(read(tmp_path, contracts + FRONT))
+    agent = boot.build_agent_settings(read(tmp_path, contracts + SIDE))
+    control = boot.build_control_settings(read(tmp_path, contracts + FRONT))
+    assert entry.role.hold_ms == 400 * is_on
+    assert agent.role.inquire_flows == is_on
+    assert control.role.retention_ms == 60_000 * is_on
+
+
 def test_an_agent_serves_the_pool_of_its_upstream(tmp_path):
     cfg = boot.build_agent_settings(read(tmp_path, SIDE))
     assert (cfg.role.pool, cfg.role.services) == ('pricing', ('pricing',))
