Count the answers of members that know fewer instances

Cause: while members come back one after the other, views differ for a second, and an answer counted only if both agents knew the same instances.

Change: an inquiry lists the digests of the instances that its sender knows, and a member's answer counts if that list has all instances that it knows. An inquiry carries at most 640 bytes of flow keys, so that it fits into a packet. Tests state when an agent may deny a flow.

--- a/src/gentianspoke/codec/inquiry_body.py
+++ b/src/gentianspoke/codec/inquiry_body.py
@@ -15,7 +15,7 @@
             service=frame.service,
             number=frame.number,
             keys=frame.keys,
-            instances_digest=frame.instances_digest,
+            instances=frame.instances,
         ),
     )
 
@@ -33,7 +33,7 @@
         service=inquiry.service,
         number=inquiry.number,
         keys=tuple(inquiry.keys),
-        instances_digest=inquiry.instances_digest,
+        instances=tuple(inquiry.instances),
         sender=body.sender,
         logical=body.logical,
     )
@@ -49,7 +49,7 @@
             number=frame.number,
             owned=frame.owned,
             absent=frame.absent,
-            same_instances=frame.same_instances,
+            lists_all=frame.lists_all,
         ),
     )
 
@@ -62,7 +62,7 @@
         number=reply.number,
         owned=reply.owned,
         absent=reply.absent,
-        same_instances=reply.same_instances,
+        lists_all=reply.lists_all,
         sender=body.sender,
         logical=body.logical,
     )
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -121,16 +121,16 @@
     ``pool`` is the pool that the sender is a member of, and ``service`` the
     service of one of the flows. The pools of the flows' services are the same.
     ``number`` identifies the inquiry at its sender, and stays the same when
-    the inquiry is repeated. ``keys`` holds the flow keys, and
-    ``instances_digest`` is the digest of the instances that the sender knows
-    in the pools. ``logical`` is the sender's Lamport clock.
+    the inquiry is repeated. ``keys`` holds the flow keys, and ``instances``
+    the digests of the names of all instances that the sender knows in the
+    pools. ``logical`` is the sender's Lamport clock.
     """
 
     pool: int
     service: int
     number: int
     keys: tuple[bytes, ...]
-    instances_digest: int
+    instances: tuple[int, ...]
     sender: int
     logical: int = 0
 
@@ -141,8 +141,8 @@
 
     Bit i of ``owned`` and ``absent`` stands for flow i of the inquiry. A flow
     of ``owned`` is established at the sender's upstream, and the upstream
-    certainly does not have a flow of ``absent``. ``same_instances`` tells
-    whether the sender knows the same instances as the member that asked.
+    certainly does not have a flow of ``absent``. ``lists_all`` tells whether
+    the inquiry lists all instances that the sender of the reply knows.
     ``pool`` and ``number`` are those of the inquiry, and ``logical`` is the
     sender's Lamport clock.
     """
@@ -151,7 +151,7 @@
     number: int
     owned: int
     absent: int
-    same_instances: bool
+    lists_all: bool
     sender: int
     logical: int = 0
 
--- a/src/gentianspoke/decisions/agent/flow_inquiry.py
+++ b/src/gentianspoke/decisions/agent/flow_inquiry.py
@@ -139,7 +139,8 @@
 ) -> Actions:
     """Record a member's reply; return the packets for the owners it names.
 
-    A reply counts only if the member knows the same instances as this agent.
+    A reply counts only if this agent knows all instances that the member
+    knows.
     If a member answers differently to repeated inquiries, a flow is absent
     only if it is so in all answers.
     """
@@ -150,7 +151,7 @@
     instance = known_instances.find_instance(instances, reply.sender)
     if instance is None:
         return [actions.Drop('unknown-sender')]
-    if reply.same_instances:
+    if reply.lists_all:
         earlier_absent = inquiry.absent.get(instance, reply.absent)
         inquiry.absent[instance] = earlier_absent & reply.absent
     result: Actions = []
--- a/src/gentianspoke/decisions/agent/flow_knowledge.py
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -102,13 +102,13 @@
     instances = known_instances.list_instances(
         state, services.get_all_pools(service), now
     )
-    digest = known_instances.compute_digest(instances)
+    digests = known_instances.compute_digests(instances)
     reply = frames.FlowInquiryReply(
         pool=inquiry.pool,
         number=inquiry.number,
         owned=owned,
         absent=absent,
-        same_instances=digest == inquiry.instances_digest,
+        lists_all=set(digests) <= set(inquiry.instances),
         sender=state.number,
     )
     return actions.AnswerInquiry(asker, reply)
--- a/src/gentianspoke/decisions/agent/inquiry_results.py
+++ b/src/gentianspoke/decisions/agent/inquiry_results.py
@@ -6,7 +6,7 @@
 * Each instance that may have the flow has answered that its upstream does not
   have it. ``known_instances`` lists these instances, which include members
   that left the view. Each answer came after the caller's packet, from an agent
-  that knew the same instances as this one.
+  that knew no instance that this one did not know.
 * This agent's own upstream does not have the flow either.
 * A majority of control has confirmed the feed after the caller's packet, so
   the view lists each member that was live when the flow was opened.
--- a/src/gentianspoke/decisions/agent/inquiry_rounds.py
+++ b/src/gentianspoke/decisions/agent/inquiry_rounds.py
@@ -18,6 +18,9 @@
 # Shortest time between two rounds of inquiries about the same pools.
 ROUND_INTERVAL_MS = 400
 MAX_FRAMES_PER_ROUND = 64
+# Largest size of the flow keys in an inquiry, which has to fit into a packet
+# together with the digests of the instances.
+MAX_KEY_BYTES = 640
 
 State = agent_state.AgentState
 Actions = list[actions.Action]
@@ -45,9 +48,9 @@
 
     A member that has left the view is asked too. It may still be reachable.
     """
-    digest = known_instances.compute_digest(instances)
+    digests = known_instances.compute_digests(instances)
     inquiry.frame = dataclasses.replace(
-        inquiry.frame, instances_digest=digest, sender=state.number
+        inquiry.frame, instances=digests, sender=state.number
     )
     members = tuple(
         known_instances.choose_member(instances[name])
@@ -80,9 +83,11 @@
     instances = known_instances.list_instances(state, pools, now)
     inquiry_count = max(1, MAX_FRAMES_PER_ROUND // max(1, len(instances)))
     result: Actions = []
+    key_bytes = max(len(flow.segment.key) for flow in flows)
+    chunk_size = min(frames.MAX_INQUIRY_FLOWS, MAX_KEY_BYTES // key_bytes)
     for index in range(inquiry_count):
-        start = index * frames.MAX_INQUIRY_FLOWS
-        chunk = flows[start : start + frames.MAX_INQUIRY_FLOWS]
+        start = index * chunk_size
+        chunk = flows[start : start + chunk_size]
         if chunk:
             inquiry = _add_inquiry(state, pools, tuple(chunk), now)
             result.append(send_to(state, inquiry, instances, set(instances)))
@@ -102,7 +107,7 @@
             service=flows[0].service,
             number=state.inquiries.next_number,
             keys=tuple(flow.segment.key for flow in flows),
-            instances_digest=0,
+            instances=(),
             sender=state.number,
         ),
         pools,
--- a/src/gentianspoke/decisions/agent/known_instances.py
+++ b/src/gentianspoke/decisions/agent/known_instances.py
@@ -68,9 +68,9 @@
     return instances
 
 
-def compute_digest(instances: Instances) -> int:
-    """Return the digest of the names of the instances."""
-    return xxhash.xxh3_64_intdigest('\n'.join(sorted(instances)).encode())
+def compute_digests(instances: Instances) -> tuple[int, ...]:
+    """Return the digests of the names of the instances."""
+    return tuple([xxhash.xxh32_intdigest(name.encode()) for name in instances])
 
 
 def find_instance(instances: Instances, number: int) -> str | None:
--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -146,6 +146,14 @@
     state.inquiries.departures.clear()
 
 
+def show_view_late_to_others(network):
+    # Views grow while members return one after the other.
+    newer_view = inquiry_pool.make_view(*MEMBERS, builders.member(9), number=2)
+    home = network.states[inquiry_pool.HOME]
+    core.on_view(home, newer_view, network.now)
+    network.states[9] = inquiry_pool.make_agent(9, newer_view)
+
+
 def list_member_of_former_pool(network):
     view = inquiry_pool.make_view(
         builders.member(9), pool=inquiry_pool.FORMER_POOL
@@ -243,6 +251,9 @@
         pytest.param(
             show_view_late_to_home, False, id='home-has-an-older-view'
         ),
+        pytest.param(
+            show_view_late_to_others, True, id='home-has-the-newest-view'
+        ),
         pytest.param(forget_idle_flow, False, id='idle-record-removed'),
         pytest.param(show_unknown_flow, False, id='upstream-has-a-lost-flow'),
         pytest.param(
