--- a/tests/routing/test_route.py
+++ b/tests/routing/test_route.py
@@ -148,3 +148,44 @@
     assert type(action) is action_type
     open_flow = route_to_pools(ACK, (7, [LIVE]), retired=True)
     assert type(open_flow) is actions.SendFrame
+
+
+HANDSHAKE = dataclasses.replace(
+    builders.service(NOT_IDEMPOTENT), handshake=True
+)
+WITHOUT_HANDSHAKE = builders.service(IDEMPOTENT)
+RETRANSMITTED_SYN = dataclasses.replace(SYN, retransmission=1)
+SUSPECT = builders.member(2, views.State.SUSPECT)
+EVACUATED = dataclasses.replace(
+    builders.member(4, views.State.EVACUATED), zone_evacuated=True
+)
+SUSPECT_THERE = builders.member(7, views.State.SUSPECT)
+REFUSED = actions.Refuse(SYN, 'evacuated')
+
+
+@pytest.mark.parametrize(
+    ('service', 'members', 'packet', 'expected'),
+    [
+        (HANDSHAKE, [EVACUATED], SYN, REFUSED),
+        (HANDSHAKE, [EVACUATED, SUSPECT_THERE], SYN, REFUSED),
+        (HANDSHAKE, [LIVE, EVACUATED], SYN, 1),
+        (HANDSHAKE, [SUSPECT, EVACUATED], SYN, 2),
+        (HANDSHAKE, [EVACUATED], RETRANSMITTED_SYN, 4),
+        (HANDSHAKE, [EVACUATED], ACK, 4),
+        (WITHOUT_HANDSHAKE, [EVACUATED], SYN, 4),
+    ],
+)
+def test_an_opening_is_refused_if_only_evacuated_members_are_left(
+    service, members, packet, expected
+):
+    # Guards against an opening that goes to an agent that must not deliver it,
+    # and against a refusal of an opening whose flow may be open: a copy that
+    # is marked as retransmitted, or one of a service that does not mark them.
+    table = routing.RouteTable()
+    table.set_catalogue(1, [service])
+    table.set_view(builders.view(*members))
+    match routing.route(table, packet):
+        case actions.SendFrame(member=member):
+            assert member.number == expected
+        case action:
+            assert action == expected
