Specify when a flow may be reset after an inquiry or silence

Change: specs/flow_inquiry.py states the rule for inquiries with restarts of agents and upstreams, removed members, and lost, late and repeated replies; specs/silent_upstream.py states that silence of an upstream does not show ownership. The search for a counterexample led to one more condition: a member's answer counts only if its own feed is current.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -8,8 +8,10 @@
 
 from specs import catalogue_cases
 from specs import checking
+from specs import flow_inquiry
 from specs import fresh_start
 from specs import handover_cases
+from specs import silent_upstream
 
 
 def print_proofs(results: collections.abc.Iterable[checking.Result]) -> int:
@@ -35,6 +37,31 @@
     return 0 if result.violated else 1
 
 
+def check_flow_inquiries() -> int:
+    """Check both specifications of flows; return how many results differ."""
+    unexpected_count = 0
+    for mistake, bounds in flow_inquiry.BOUNDS_OF_MISTAKES.items():
+        specification = flow_inquiry.FlowInquiry(bounds, mistake)
+        result = checking.find_violation(
+            specification, catalogue_cases.MAX_STATES
+        )
+        unexpected_count += print_mistake(mistake.value, result)
+    silence = silent_upstream.Mistake.SILENCE
+    silent = silent_upstream.SilentUpstream(silent_upstream.OTHER, silence)
+    result = checking.find_violation(silent, catalogue_cases.MAX_STATES)
+    unexpected_count += print_mistake(silence.value, result)
+    bounds_to_prove = flow_inquiry.SMALL_BOUNDS + flow_inquiry.LARGE_BOUNDS
+    specifications: list[checking.Specification] = [
+        flow_inquiry.FlowInquiry(bounds) for bounds in bounds_to_prove
+    ]
+    for holder in silent_upstream.HOLDERS:
+        specifications.append(silent_upstream.SilentUpstream(holder))
+    return unexpected_count + print_proofs(
+        checking.check(specification, catalogue_cases.MAX_STATES)
+        for specification in specifications
+    )
+
+
 def main() -> int:
     """Print all results; return 1 if any differs from what is expected."""
     unexpected_count = 0
@@ -56,6 +83,7 @@
     unexpected_count += print_proofs(
         [checking.check(without_mistake, catalogue_cases.MAX_STATES)]
     )
+    unexpected_count += check_flow_inquiries()
     log_bounds = (
         *catalogue_cases.SMALL_BOUNDS.values(),
         *catalogue_cases.LARGE_BOUNDS.values(),
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -142,7 +142,8 @@
     Bit i of ``owned`` and ``absent`` stands for flow i of the inquiry. A flow
     of ``owned`` is established at the sender's upstream, and the upstream
     certainly does not have a flow of ``absent``. ``lists_all`` tells whether
-    the inquiry lists all instances that the sender of the reply knows.
+    the inquiry lists all instances that the sender of the reply knows. It is
+    false if the sender's own feed is old.
     ``pool`` and ``number`` are those of the inquiry, and ``logical`` is the
     sender's Lamport clock.
     """
--- a/src/gentianspoke/decisions/agent/flow_knowledge.py
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -21,6 +21,10 @@
 # How long a recovering agent's word about a returned packet does not count.
 # Until then, views may lack members that restart at the same time.
 MIN_RECOVERING_AGE_MS = 10_000
+# Largest age of the feed's confirmation at an agent whose answers count. The
+# agent has then received the view with each member that control removes,
+# which takes longer.
+MAX_FEED_AGE_MS = 2_000
 # Largest number of doubtful flows. Beyond it, the whole record is incomplete.
 MAX_DOUBTFUL_FLOWS = 10_000
 
@@ -103,12 +107,13 @@
         state, services.get_all_pools(service), now
     )
     digests = known_instances.compute_digests(instances)
+    has_current_feed = now - state.feed_confirmed_ms < MAX_FEED_AGE_MS
     reply = frames.FlowInquiryReply(
         pool=inquiry.pool,
         number=inquiry.number,
         owned=owned,
         absent=absent,
-        lists_all=set(digests) <= set(inquiry.instances),
+        lists_all=has_current_feed and set(digests) <= set(inquiry.instances),
         sender=state.number,
     )
     return actions.AnswerInquiry(asker, reply)
--- a/tests/agent/inquiry_pool.py
+++ b/tests/agent/inquiry_pool.py
@@ -53,7 +53,8 @@
     ``resets`` holds the ports of the callers that were reset, ``inquiries``
     counts the frames with inquiries, and ``delivered`` lists the agents that
     delivered a caller's packet. ``lost_replies`` is the number of replies of
-    each member that are lost, by member.
+    each member that are lost, by member. The feed is confirmed at all agents
+    but ``members_without_feed``.
     """
 
     def __init__(self, states, now=START_MS):
@@ -61,7 +62,7 @@
         self.now = now
         self.cut = set()
         self.lost_replies = {}
-        self.is_feed_confirmed = True
+        self.members_without_feed = set()
         self.resets = []
         self.delivered = []
         self.inquiries = 0
@@ -85,7 +86,7 @@
         while self.now < end_ms:
             self.now += TICK_MS
             for state in tuple(self.states.values()):
-                if self.is_feed_confirmed:
+                if state.number not in self.members_without_feed:
                     state.confirm_feed(self.now)
                 self._carry_out(state, core.on_tick(state, self.now))
 
@@ -112,16 +113,12 @@
                 case actions.AnswerInquiry(member=member, reply=reply):
                     self._answer(state.number, member.number, reply)
                 case actions.SendFrame(forward=forward):
-                    packet = segment or self._find_segment(state, forward)
-                    self._forward(forward, packet)
+                    self._forward(forward, segment or make_segment())
                 case actions.Deliver():
                     self.delivered.append(state.number)
                 case actions.ResetCaller(key=key):
                     self.resets.append(packets.get_caller_port(key))
 
-    def _find_segment(self, state, forward):
-        return make_segment()
-
     def _inquire(self, members, inquiry):
         for member in members:
             self.inquiries += 1
--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -101,7 +101,12 @@
 
 
 def stop_confirming_feed(network):
-    network.is_feed_confirmed = False
+    network.members_without_feed.add(inquiry_pool.HOME)
+
+
+def cut_member_off_from_control(network):
+    # The member may not have seen another one come and go.
+    network.members_without_feed.add(3)
 
 
 def remove_silent_member(network):
@@ -235,6 +240,9 @@
         pytest.param(drain_own_agent, False, id='home-drains'),
         pytest.param(join_with_own_agent, False, id='home-joins'),
         pytest.param(stop_confirming_feed, False, id='feed-not-confirmed'),
+        pytest.param(
+            cut_member_off_from_control, False, id='member-without-a-feed'
+        ),
         pytest.param(remove_silent_member, False, id='member-left-the-view'),
         pytest.param(remove_member_long_ago, True, id='member-left-long-ago'),
         pytest.param(replace_member, True, id='upstream-of-member-ended'),
@@ -375,7 +383,7 @@
 def test_a_result_waits_for_a_confirmation_after_the_packet():
     # A view that the home has not received may list the flow's owner.
     network = make_network()
-    network.is_feed_confirmed = False
+    network.members_without_feed.add(inquiry_pool.HOME)
     home = network.states[inquiry_pool.HOME]
     network.send(DATA)
     network.run(400)
