--- a/src/gentianspoke/decisions/agent/flow_inquiry.py
+++ b/src/gentianspoke/decisions/agent/flow_inquiry.py
@@ -27,7 +27,7 @@
 MAX_UNKNOWN_FLOWS = 1_000
 # If more members may have a flow, a search does not reach all of them, and a
 # packet of a flow that will be inquired about goes to a few members only.
-QUICK_SEARCH_HOPS = 3
+QUICK_SEARCH_HOPS = 4
 # Largest number of candidates that get one packet.
 MAX_CANDIDATES_PER_PACKET = owner_search.MAX_MEMBERS_ASKED
 # Hops of such a packet. A candidate may pass it on to the flow's target.
