End no flow of a service whose pools have changed since the packet

Cause: an inquiry kept the pools of the flow's service from the time of the packet, so a pool that had joined the service meanwhile was not asked.

Change: a flow is ended only if the catalogue still names the same pools. A repetition without candidates no longer counts a drop.

--- a/src/gentianspoke/decisions/agent/inquiry_results.py
+++ b/src/gentianspoke/decisions/agent/inquiry_results.py
@@ -9,7 +9,8 @@
   that knew no instance that this one did not know.
 * This agent's own upstream does not have the flow either.
 * A majority of control has confirmed the feed after the caller's packet, so
-  the view lists each member that was live when the flow was opened.
+  the view lists each member that was live when the flow was opened, and the
+  catalogue each pool.
 * This agent is neither joining nor draining.
 
 The owner has passed on the upstream's answer to the opening before the caller
@@ -20,6 +21,7 @@
 may have it.
 """
 
+from gentianspoke.core import services
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import flow_inquiry
@@ -100,7 +102,8 @@
         if missing and not is_last:
             if is_repeat_due and not is_absent:
                 _set_candidates(inquiry, flow, position, instances, set())
-                result.extend(flow_inquiry.try_candidates(state, flow))
+                if flow.candidates:
+                    result.extend(flow_inquiry.try_candidates(state, flow))
             continue
         obstacle = _find_obstacle(state, flow, now)
         if missing or not is_absent:
@@ -147,6 +150,9 @@
         return 'own-record'
     if flow_inquiry.has_listed_target(state, key):
         return 'own-record'
+    service = state.services_by_number.get(flow.service)
+    if service is None or services.get_all_pools(service) != flow.pools:
+        return 'pools'
     if state.feed_confirmed_ms < flow.since_ms + FEED_MARGIN_MS:
         return 'feed'
     return ''
--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -12,6 +12,7 @@
 
 from gentianspoke.core import frames
 from gentianspoke.core import packets
+from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_knowledge
@@ -395,6 +396,21 @@
     assert network.resets
 
 
+def test_a_pool_that_joins_the_service_meanwhile_may_have_the_flow():
+    network = make_network()
+    network.lost_replies[3] = 1
+    network.send(DATA)
+    network.run(150)
+    home = network.states[inquiry_pool.HOME]
+    entry = dataclasses.replace(
+        inquiry_pool.ENTRY,
+        shares=(*inquiry_pool.ENTRY.shares, services.Share(9, 1, 'new')),
+    )
+    home.set_catalogue([entry])
+    network.run(RESULT_MS)
+    assert not network.resets
+
+
 def test_a_recovering_member_gets_the_packet_that_nobody_else_can_have():
     network = make_network(LARGE_POOL)
     order = (
