Limit the openings that reach an upstream that has just started

Cause: an agent delivered every opening that its home or an offer brought to its upstream, however slow the upstream still was after its start. The platform bounds what a cold upstream may receive in any sliding second.

Change: the agent counts deliveries of openings, first and repeated ones, in a sliding window of 1,100 ms, and admission declines with COLD when the window is full. The home then diverts the opening; where nobody takes it, it is dropped and not refused. Until the first report after a start, and while the upstream leaves openings unanswered, it counts as cold. Load reports carry cold_remaining_ms (field 7), and cold members are targets only if no other is left. The setting is cold_openings_per_s, 0 by default; the adapter computes it from cold_per_s, cold_excess and cold_slack.

--- a/benchmarks/policy/bucket_homes.py
+++ b/benchmarks/policy/bucket_homes.py
@@ -207,7 +207,7 @@
         report = frames.LoadReport(SERVICE_NUMBER, number, open_flows, 0, 0)
         for other, receiver in self._agents.items():
             if other != number:
-                core.on_load(receiver, report)
+                core.on_load(receiver, report, now=0)
 
     def _publish_view(self, tables: list[routing.RouteTable]) -> None:
         view = self._membership.get_view(SERVICE_NUMBER)
--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -128,6 +128,7 @@
             open_flows=frame.open_flows,
             running=frame.running,
             queued=frame.queued,
+            cold_remaining_ms=frame.cold_remaining_ms,
         ),
     )
 
@@ -140,6 +141,7 @@
         running=body.load.running,
         queued=body.load.queued,
         logical=body.logical,
+        cold_remaining_ms=body.load.cold_remaining_ms,
     )
 
 
--- a/src/gentianspoke/config/checks.py
+++ b/src/gentianspoke/config/checks.py
@@ -107,6 +107,13 @@
             'is announced to other instances; give an IP address of this'
             ' instance in place of the wildcard',
         )
+    if role.cold_openings_per_s and role.status is None:
+        raise errors.SettingsError(
+            path,
+            'agent.cold_openings_per_s',
+            'needs the status page, which reports for how long the upstream'
+            ' is cold; set agent.status, or remove the limit',
+        )
     repeated_name = _find_repeated_name(role.services)
     if repeated_name is not None:
         raise errors.SettingsError(
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -69,6 +69,7 @@
         weight=role.weight,
         ramp_ms=_parse_duration_ms(role.ramp),
         link_kbps=role.link_kbps,
+        cold_openings_per_s=role.cold_openings_per_s,
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -37,7 +37,9 @@
     adopts flows that it does not know. An upstream that reports its status
     gets no new flow once its last report is older than ``silent_ms``; 0
     disables this limit. ``link_kbps`` is the capacity of the instance's
-    network link in kbit/s. It is 0 if the capacity is unknown.
+    network link in kbit/s. It is 0 if the capacity is unknown. An upstream
+    that reports that it has just started gets at most ``cold_openings_per_s``
+    openings in any second; 0 disables this limit.
     """
 
     listen: units.Address
@@ -55,6 +57,7 @@
     recovery_ms: int = 7_200_000
     silent_ms: int = 0
     link_kbps: int = 0
+    cold_openings_per_s: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -80,7 +80,8 @@
 
     ``open_flows`` counts the open flows, ``running`` the requests that hold
     a slot, and ``queued`` the openings that wait for a slot. ``logical`` is
-    the sender's Lamport clock.
+    the sender's Lamport clock. ``cold_remaining_ms`` is the time for which the
+    sender's upstream stays cold after its start, in milliseconds.
     """
 
     pool: int
@@ -89,6 +90,7 @@
     running: int
     queued: int
     logical: int = 0
+    cold_remaining_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -8,6 +8,7 @@
 
 from gentianspoke.core import services
 from gentianspoke.core import shares
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
@@ -22,17 +23,23 @@
 
 
 class Admission(enum.Enum):
-    """Whether an upstream takes one more flow: now, after a wait, or not."""
+    """Whether an upstream takes one more flow: now, after a wait, or not.
+
+    ``COLD`` means that the upstream has just started and takes no opening at
+    the moment. It may take a retransmission of the opening.
+    """
 
     NOW = 'now'
     WAIT = 'wait'
     NO = 'no'
+    COLD = 'cold'
 
 
 def decide_admission(
     state: agent_state.AgentState,
     service: services.Service,
     wait_left_ms: int,
+    now: int,
     *,
     is_last_candidate: bool = False,
 ) -> Admission:
@@ -56,6 +63,9 @@
         return Admission.NO
     if state.total_open >= state.capacity.connections:
         return Admission.NO
+    if not may_deliver_opening(state, now):
+        state.cold.declined += not is_last_candidate
+        return Admission.COLD
     if service.handshake:
         return _decide_by_upstream_wait(state, service, is_last_candidate)
     if not services.occupies_slot(service):
@@ -69,8 +79,14 @@
     return Admission.WAIT
 
 
+def may_deliver_opening(state: agent_state.AgentState, now: int) -> bool:
+    """Return whether the limit of a cold upstream allows one more opening."""
+    is_silent = is_upstream_silent(state, now)
+    return cold_start.has_room(state.cold, now, is_silent)
+
+
 def note_opening(state: agent_state.AgentState, now: int) -> None:
-    """Record that an opening was delivered to the upstream."""
+    """Record that an opening of a service with ``handshake`` was delivered."""
     if state.unanswered_since_ms is None:
         state.unanswered_since_ms = now
 
@@ -168,10 +184,11 @@
     started_flows: list[records.Flow] = []
     while True:
         service = _choose_next_service(state, now)
-        if service is None:
+        if service is None or not may_deliver_opening(state, now):
             return started_flows
         flow = state.queues[service.number][0]
         flow_table.start_queued_flow(state, flow, now)
+        cold_start.note_delivery(state.cold, now)
         started_flows.append(flow)
 
 
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -35,6 +35,8 @@
 # two choices").
 MAX_CANDIDATES = 2
 REPORT_EXPIRY_INTERVAL_MS = 3_000
+# A member counts as cold for at most this time after its report.
+MAX_COLD_MS = 60_000
 # A reported load counts as at least the median divided by ``MIN_LOAD_DIVISOR``
 # and at most the median multiplied by ``MAX_LOAD_FACTOR``, plus one flow.
 MIN_LOAD_DIVISOR = 2
@@ -105,15 +107,20 @@
     The candidates are the first ``MAX_CANDIDATES`` live members in the order
     of the bucket; this agent and the members in ``tried`` are left out. The
     candidate with the smallest estimated load per weight is chosen, and of
-    equally loaded ones the one in this agent's zone. ``None`` is returned if
+    equally loaded ones the one in this agent's zone. A member whose upstream
+    is cold is a candidate only if there is no other. ``None`` is returned if
     there is no candidate.
     """
     candidates: list[views.Member] = []
+    cold_candidates: list[views.Member] = []
     for member in ranking.rank_members(bucket):
         if not member.is_live or member.number == state.number:
             continue
         if member.number in tried:
             continue
+        if (ranking.view.service, member.number) in state.cold_members:
+            cold_candidates.append(member)
+            continue
         candidates.append(member)
         if len(candidates) == MAX_CANDIDATES:
             break
@@ -122,6 +129,8 @@
         load = estimate_load(state, ranking.view.service, member.number)
         return (load / member.weight, member.zone != state.zone)
 
+    if not candidates:
+        candidates = cold_candidates[:MAX_CANDIDATES]
     return min(candidates, key=sort_key, default=None)
 
 
@@ -133,7 +142,7 @@
     )
 
 
-def record_report(state: State, report: frames.LoadReport) -> None:
+def record_report(state: State, report: frames.LoadReport, now: int) -> None:
     """Replace the last load report of a member by a newer one.
 
     A report of this agent or of a member that the pool's view does not list
@@ -149,6 +158,20 @@
     ].open_flows
     state.renewed_reports.add(member_key)
     state.median_loads.pop(report.pool, None)
+    if report.cold_remaining_ms:
+        cold_ms = min(report.cold_remaining_ms, MAX_COLD_MS)
+        state.cold_members[member_key] = now + cold_ms
+    else:
+        state.cold_members.pop(member_key, None)
+
+
+def expire_cold_members(state: State, now: int) -> None:
+    """Forget the members that are no longer cold."""
+    if not state.cold_members:
+        return
+    for member_key, until_ms in tuple(state.cold_members.items()):
+        if now >= until_ms:
+            del state.cold_members[member_key]
 
 
 def expire_reports(state: State, now: int) -> None:
--- a/src/gentianspoke/decisions/agent/known_flows.py
+++ b/src/gentianspoke/decisions/agent/known_flows.py
@@ -8,6 +8,8 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import forwarding
@@ -55,14 +57,7 @@
 ) -> actions.Action | None:
     match flow.phase:
         case records.Phase.OPEN:
-            # An opening with another initial sequence number is delivered
-            # too. The upstream's TCP can tell whether it is a late copy or a
-            # new connection of the caller.
-            flow.last_up_ms = now
-            isn = get_opening_isn(packet)
-            if isn != flow.isn:
-                flow.newer_isn = isn
-            return actions.Deliver(packet.raw)
+            return _deliver_repeated_opening(state, flow, packet, now)
         case records.Phase.QUEUED:
             if flow.isn == get_opening_isn(packet):
                 return actions.Drop('queued')
@@ -80,6 +75,25 @@
     return None
 
 
+def _deliver_repeated_opening(
+    state: State, flow: records.Flow, packet: packets.Packet, now: int
+) -> actions.Action:
+    match packet:
+        case packets.Segment():
+            # An upstream that is cold counts retransmissions too.
+            if not admission.may_deliver_opening(state, now):
+                return actions.Drop('cold-start')
+            cold_start.note_delivery(state.cold, now)
+    # An opening with another initial sequence number is delivered too. The
+    # upstream's TCP can tell whether it is a late copy or a new connection of
+    # the caller.
+    flow.last_up_ms = now
+    isn = get_opening_isn(packet)
+    if isn != flow.isn:
+        flow.newer_isn = isn
+    return actions.Deliver(packet.raw)
+
+
 def _is_same_opening(flow: records.Flow, packet: packets.Packet) -> bool:
     isn = get_opening_isn(packet)
     return isn != records.NO_OPENING and flow.isn == isn
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -9,6 +9,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
@@ -93,7 +94,7 @@
         # Another member is tried first. If there is none, the opening is not
         # refused merely because this upstream does not answer.
         return admission.Admission.NO
-    return admission.decide_admission(state, service, wait_left_ms=0)
+    return admission.decide_admission(state, service, 0, now)
 
 
 def _renew_offer(
@@ -161,7 +162,7 @@
 ) -> actions.Action:
     bucket = forward.bucket
     decision = admission.decide_admission(
-        state, service, forward.wait_left_ms, is_last_candidate=True
+        state, service, forward.wait_left_ms, now, is_last_candidate=True
     )
     match decision, packet:
         case admission.Admission.NOW, _:
@@ -173,6 +174,9 @@
                 state, service, packet, bucket, wait_ms, now, decided_view
             )
             return actions.Drop('queued')
+        case admission.Admission.COLD, _:
+            # The caller's retransmission comes when there may be room again.
+            return actions.Drop('cold-start')
         case _:
             return refuse_opening(state, service, forward, packet, now)
 
@@ -196,6 +200,7 @@
         if not services.is_bulk(service):
             flow_table.reserve_slot(state, flow, now)
         admission.note_opening(state, now)
+    cold_start.note_delivery(state.cold, now)
     match packet:
         case packets.Segment():
             evidence.note_caller_segment(flow, packet, now)
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import verdicts
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import timer_wheel
 from gentianspoke.decisions import member_ranking
@@ -163,6 +164,11 @@
     placed_since_report: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    # Until when a member counts as cold, according to its last load report,
+    # by pool and member.
+    cold_members: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     # Members whose load report came after the last expiry of reports.
     renewed_reports: set[tuple[int, int]] = dataclasses.field(
         default_factory=set
@@ -209,6 +215,10 @@
     # When the first opening of a service with ``handshake`` was delivered
     # after the upstream's last packet, ``None`` if there was none.
     unanswered_since_ms: int | None = None
+    # The cold phase of this agent's own upstream.
+    cold: cold_start.ColdStart = dataclasses.field(
+        default_factory=cold_start.ColdStart
+    )
     # When the last packet of any flow came from the upstream or a caller.
     last_upstream_packet_ms: int = 0
     last_caller_packet_ms: int = 0
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -46,6 +46,7 @@
     _expire_orphans(state, now)
     returned_packets.expire_returned_flows(state, now)
     diversion.expire_reports(state, now)
+    diversion.expire_cold_members(state, now)
     if state.recovering and now - state.started_ms >= state.recovery_ms:
         state.recovering = False
     return result
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -14,6 +14,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke import errors
@@ -78,6 +79,7 @@
             recovery_ms=cfg.recovery_ms,
             joining=True,
             draining=not incarnation,
+            cold=cold_start.begin(cfg.cold_openings_per_s, proc.clock.now()),
         )
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
         if incarnation:
@@ -190,6 +192,7 @@
         stop, the agent drains even if the report says otherwise.
         """
         self._last_status_ms = self._proc.clock.now()
+        self._apply_cold_remaining(upstream_status.cold_remaining_ms)
         if (
             upstream_status.incarnation
             and upstream_status.incarnation != self._incarnation
@@ -209,6 +212,16 @@
         if upstream_status.draining:
             self._proc.events.write('upstream-draining')
 
+    def _apply_cold_remaining(self, cold_remaining_ms: int) -> None:
+        now = self._proc.clock.now()
+        cold = self.state.cold
+        if cold_start.note_report(cold, cold_remaining_ms, now):
+            self._proc.events.write(
+                'upstream-cold',
+                cold_remaining_ms=cold_remaining_ms,
+                openings_per_s=cold.openings_per_s,
+            )
+
     def _check_upstream_silence(self, now: int) -> None:
         """Drain if the upstream has not reported its status for too long.
 
@@ -316,7 +329,7 @@
                 self._handle_forward(forward, packet, now)
             case frames.LoadReport() as report:
                 self._proc.events.observe(report.logical)
-                core.on_load(self.state, report)
+                core.on_load(self.state, report, now)
             case frames.Owned() as owned:
                 self._proc.events.observe(owned.logical)
                 core.on_owned(self.state, owned, now)
--- a/src/gentianspoke/shells/agent/gauges.py
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of an agent, set each time its metrics page is rendered."""
 
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.net import datagrams
 from gentianspoke.shells import process
@@ -27,4 +28,7 @@
     set_gauge('draining', int(state.draining))
     set_gauge('joining', int(state.joining))
     set_gauge('recovering', int(state.recovering))
+    cold_remaining_ms = cold_start.get_cold_remaining_ms(state.cold, now)
+    set_gauge('cold_remaining_ms', cold_remaining_ms)
+    set_gauge('cold_declined', state.cold.declined)
     set_gauge('unsent', sum(sock.unsent_count for sock in sockets))
--- a/src/gentianspoke/shells/agent/loads.py
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -5,6 +5,7 @@
 from gentianspoke.codec import frame
 from gentianspoke.core import frames
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.net import datagrams
 from gentianspoke.shells import process
@@ -36,7 +37,9 @@
             pool, member = receivers[
                 (first_receiver_index + offset) % len(receivers)
             ]
-            report = _build_report(state, pool, proc.events.logical)
+            report = _build_report(
+                state, pool, proc.events.logical, proc.clock.now()
+            )
             data = frame.encode(report, proc.ring)
             peer_socket.send(data, (member.host, member.port))
         first_receiver_index += report_count
@@ -62,7 +65,7 @@
 
 
 def _build_report(
-    state: agent_state.AgentState, pool: int, logical: int
+    state: agent_state.AgentState, pool: int, logical: int, now: int
 ) -> frames.LoadReport:
     counts = state.counts[pool]
     return frames.LoadReport(
@@ -72,4 +75,5 @@
         counts.running,
         counts.queued,
         logical,
+        cold_start.get_cold_remaining_ms(state.cold, now),
     )
--- a/src/gentianspoke/shells/agent/status.py
+++ b/src/gentianspoke/shells/agent/status.py
@@ -9,6 +9,8 @@
 from gentianspoke.net import pages
 
 HTTP_OK = 200
+# A longer time counts as this one, which is a day.
+MAX_COLD_REMAINING_MS = 86_400_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,13 +19,16 @@
 
     ``incarnation`` is empty and ``slots`` is 0 if the upstream does not report
     them. ``is_young`` is true if the upstream cannot have flows from before
-    this agent started.
+    this agent started. ``cold_remaining_ms`` is the time for which the
+    upstream stays slow after its start, in milliseconds, 0 if it does not
+    report it.
     """
 
     incarnation: str = ''
     draining: bool = False
     slots: int = 0
     is_young: bool = False
+    cold_remaining_ms: int = 0
 
 
 async def read_status(cfg: settings.AgentSettings) -> UpstreamStatus | None:
@@ -32,8 +37,9 @@
     The result is ``None`` if the settings name no page, or if the page cannot
     be read or is not valid.
 
-    The page is a JSON object with ``incarnation`` (text) and ``draining``
-    (true or false); other keys are ignored.
+    The page is a JSON object with ``incarnation`` (text), ``draining`` (true
+    or false) and ``cold_remaining_ms`` (a whole number); other keys are
+    ignored.
     """
     if cfg.status is None:
         return None
@@ -53,4 +59,17 @@
     return UpstreamStatus(
         incarnation=str(content.get('incarnation') or ''),
         draining=content.get('draining') is True,
+        cold_remaining_ms=_read_cold_remaining_ms(
+            content.get('cold_remaining_ms')
+        ),
     )
+
+
+def _read_cold_remaining_ms(value: object) -> int:
+    match value:
+        case bool():
+            return 0
+        case int():
+            return max(0, min(value, MAX_COLD_REMAINING_MS))
+        case _:
+            return 0
--- a/tests/agent/test_diversion.py
+++ b/tests/agent/test_diversion.py
@@ -33,7 +33,7 @@
     state.counts[1].open_flows = own_flows
     for sender, open_flows in reports.items():
         report = frames.LoadReport(1, sender, open_flows, 0, 0)
-        core.on_load(state, report)
+        core.on_load(state, report, now=0)
     return state
 
 
--- a/tests/agent/test_limits.py
+++ b/tests/agent/test_limits.py
@@ -84,7 +84,7 @@
     state = fakes.agent(1, entry, ONE_MEMBER_VIEW, slots=1)
     send_openings(state, 3, wait_left_ms=10_000)
     state.counts[1].mean_work_ms = mean_work_ms
-    assert admission.decide_admission(state, entry, wait_ms) is expected
+    assert admission.decide_admission(state, entry, wait_ms, now=0) is expected
 
 
 @pytest.mark.parametrize(
@@ -174,9 +174,11 @@
     view = builders.view(*(builders.member(n) for n in range(1, 6)))
     state = fakes.agent(1, builders.service(), view)
     for number in (2, 3, 4):
-        core.on_load(state, frames.LoadReport(1, number, 100, 0, 0))
+        core.on_load(state, frames.LoadReport(1, number, 100, 0, 0), now=0)
     if reported_load is not None:
-        core.on_load(state, frames.LoadReport(1, 5, reported_load, 0, 0))
+        core.on_load(
+            state, frames.LoadReport(1, 5, reported_load, 0, 0), now=0
+        )
     # A reported load counts as at least half the median of 100, and as at
     # most twice the median plus one flow.
     assert min_load <= diversion.estimate_load(state, 1, 5) <= max_load
@@ -184,7 +186,7 @@
 
 def test_a_load_report_that_is_not_renewed_is_removed():
     state = fakes.agent(1, builders.service(), THREE_MEMBER_VIEW)
-    core.on_load(state, frames.LoadReport(1, 2, 100, 0, 0))
+    core.on_load(state, frames.LoadReport(1, 2, 100, 0, 0), now=0)
     for number in (2, 3):
         diversion.note_placed_flow(state, 1, number)
     # A report is removed at the second expiry after it, and expiries are
@@ -196,13 +198,13 @@
 
 def test_a_load_report_of_an_unknown_member_is_ignored():
     state = fakes.agent(1, builders.service(), THREE_MEMBER_VIEW)
-    core.on_load(state, frames.LoadReport(1, 99, 100, 0, 0))
+    core.on_load(state, frames.LoadReport(1, 99, 100, 0, 0), now=0)
     assert state.load_reports == {}
 
 
 def test_flows_placed_since_a_report_add_to_the_estimated_load():
     state = fakes.agent(1, builders.service(), THREE_MEMBER_VIEW)
-    core.on_load(state, frames.LoadReport(1, 2, 10, 0, 0))
+    core.on_load(state, frames.LoadReport(1, 2, 10, 0, 0), now=0)
     load_before = diversion.estimate_load(state, 1, 2)
     diversion.note_placed_flow(state, 1, 2)
     assert diversion.estimate_load(state, 1, 2) == load_before + 1
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -16,6 +16,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions import lifecycle
 from gentianspoke.net import datagrams
@@ -181,6 +182,18 @@
         assert agent.state.joining and agent.state.draining
 
 
+def test_the_status_marks_the_upstream_as_cold():
+    # Guards against a report that reaches no decision.
+    with running_agent() as (agent, proc, _):
+        agent.state.cold = cold_start.begin(5, proc.clock.now())
+        agent.apply_status(
+            status.UpstreamStatus('first', cold_remaining_ms=60_000)
+        )
+        page, _ = proc.metrics.render()
+        assert cold_start.is_reported_cold(agent.state.cold, proc.clock.now())
+    assert 'name="cold_remaining_ms"' in page.decode()
+
+
 def test_metrics_contain_the_state_and_the_dropped_packets():
     with running_agent() as (agent, proc, _):
         proc.metrics.counts.dropped['bad-tag'] += 2
--- a/tests/config/test_settings_file.py
+++ b/tests/config/test_settings_file.py
@@ -95,6 +95,7 @@
         ('agent.slots', '4', 'not a number'),
         ('agent.slots', True, 'not a number'),
         ('agent.slots', 0, 'use at least 1'),
+        ('agent.cold_openings_per_s', 5, 'set agent.status'),
         ('agent.weight', 1_001, 'use at most 1000'),
         ('log_level', 'debug', "use 'DEBUG'"),
         ('instance', False, 'put it in quotes'),
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -157,7 +157,7 @@
     for state in world.agents.values():
         for number, count in zip(worlds.BOOKINGS_MEMBERS, (0, 10**6, 1)):
             report = frames.LoadReport(1, number, count, count, count)
-            core.on_load(state, report)
+            core.on_load(state, report, now=0)
     send()
 
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -97,6 +97,29 @@
     assert cfg.role.upstream_side == ('10.1.0.13', 8_162)
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'openings_per_s'),
+    [
+        pytest.param('', 0, id='no-bound'),
+        pytest.param('cold_per_s = 9', 0, id='rate-alone-is-no-bound'),
+        pytest.param('cold_slack = 5', 5, id='slack-alone'),
+        pytest.param('cold_excess = 1.5\ncold_slack = 5', 5, id='no-rate'),
+        pytest.param(
+            'cold_excess = 1.5\ncold_slack = 5\ncold_per_s = 3',
+            9,
+            id='rounded-down',
+        ),
+        pytest.param('cold_slack = 0', 1, id='never-no-limit'),
+        pytest.param('cold_slack = inf', 1_000_000, id='infinite'),
+    ],
+)
+def test_the_bounds_limit_the_openings_of_a_cold_upstream(
+    tmp_path, bounds, openings_per_s
+):
+    cfg = boot.build_agent_settings(read(tmp_path, SIDE + bounds))
+    assert cfg.role.cold_openings_per_s == openings_per_s
+
+
 @pytest.mark.parametrize(
     ('text', 'old', 'new', 'key'),
     [
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -73,6 +73,16 @@
     assert status.draining and not status.is_young
 
 
+@pytest.mark.parametrize(
+    ('sent', 'received'), [(0, 0), (7_500, 7_500), (10**400, 86_400_000)]
+)
+async def test_a_heartbeat_reports_how_long_the_upstream_stays_cold(
+    sent, received
+):
+    agent, _ = await handle_all(make_request(cold_left_ms=sent))
+    assert agent.received_statuses[0].cold_remaining_ms == received
+
+
 @pytest.mark.parametrize(
     ('seq', 'is_young'), [(0, True), (2, True), (3, False)]
 )
