Hold complete requests beside an upstream whose slots are occupied

Cause: a request on an open flow went straight to an upstream of one or two slots, whose short queue knows neither classes nor callers and refuses what does not fit.

Change: with the setting schedule_requests, an agent lets the slots plus one request be at its upstream and holds the last packet of further ones. They start by priority, with bulk requests last, and fairly between callers by address. Each is forwarded after twice the wait limit of its service or half its timeout; if more are held than can start in time, the least urgent one is forwarded at once, so that the upstream can refuse it. Copies of held packets are dropped, later data stays behind them, and a closed, reset, expired or returned flow starts nothing. Limits of a service has timeout_ms, from the route. The adapter sets the setting where the contracts contain health.

--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -68,6 +68,7 @@
             idle_ms=limits.idle_ms,
             bound_permille=limits.bound_permille,
             retry_permille=limits.retry_permille,
+            timeout_ms=limits.timeout_ms,
         ),
         version=entry.version,
         retired=entry.retired,
@@ -236,6 +237,7 @@
         idle_ms=limits.idle_ms,
         bound_permille=limits.bound_permille,
         retry_permille=limits.retry_permille,
+        timeout_ms=limits.timeout_ms,
     )
 
 
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -70,6 +70,7 @@
         ramp_ms=_parse_duration_ms(role.ramp),
         link_kbps=role.link_kbps,
         cold_openings_per_s=role.cold_openings_per_s,
+        schedule_requests=role.schedule_requests,
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -39,7 +39,9 @@
     disables this limit. ``link_kbps`` is the capacity of the instance's
     network link in kbit/s. It is 0 if the capacity is unknown. An upstream
     that reports that it has just started gets at most ``cold_openings_per_s``
-    openings in any second; 0 disables this limit.
+    openings in any second; 0 disables this limit. If ``schedule_requests`` is
+    true, complete requests wait beside the upstream while its slots are
+    occupied.
     """
 
     listen: units.Address
@@ -58,6 +60,7 @@
     silent_ms: int = 0
     link_kbps: int = 0
     cold_openings_per_s: int = 0
+    schedule_requests: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -56,7 +56,8 @@
     its share, by weight, of the pool's open flows, an opening is offered to
     another upstream. ``retry_permille`` is the maximum share of openings, in
     thousandths, that are offered to a further upstream after one has declined
-    them.
+    them. ``timeout_ms`` is the time after which a caller gives up its request,
+    in milliseconds, 0 if it is not known.
     """
 
     connections: int = 2000
@@ -66,6 +67,7 @@
     idle_ms: int = 7_200_000
     bound_permille: int = 1050
     retry_permille: int = 500
+    timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -141,7 +141,8 @@
     pool = state.get_pool(service)
     counts = state.counts[pool]
     slots = max(1, state.capacity.slots)
-    requests_ahead = max(0, counts.running - slots + 1)
+    running = counts.running + len(state.requests.held)
+    requests_ahead = max(0, running - slots + 1)
     wait_ms = counts.mean_work_ms * requests_ahead // slots
     limit_ms = service.limits.wait_ms
     if (
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -16,6 +16,7 @@
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import returned_packets
+from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import timeouts
 from gentianspoke.decisions import hashing
@@ -55,6 +56,8 @@
             )
     if state.total_running < running_before:
         result.extend(timeouts.start_queued_openings(state, now))
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
     return result
 
 
@@ -69,6 +72,8 @@
     result = replies.decide_reply(state, packet, now)
     if state.total_running < running_before:
         result.extend(timeouts.start_queued_openings(state, now))
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
     return result
 
 
@@ -84,7 +89,10 @@
     """
     admission.note_upstream_activity(state)
     state.last_upstream_packet_ms = now
-    return returned_packets.decide_returned_packet(state, segment, now)
+    result = returned_packets.decide_returned_packet(state, segment, now)
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
+    return result
 
 
 def on_owned(state: State, owned: frames.Owned, now: int) -> None:
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -54,6 +54,14 @@
     return is_near(flow.up.ack, flow.down.end)
 
 
+def is_new_data(flow: records.Flow, segment: packets.Segment) -> bool:
+    """Return whether a caller's segment has data that was not seen before."""
+    if flow.up.end == records.NO_SEQ:
+        return True
+    ahead = (compute_segment_end(segment) - flow.up.end) % SEQ_MODULUS
+    return 0 < ahead < SEQ_MODULUS // 2
+
+
 def is_near(first: int, second: int) -> bool:
     """Return whether two sequence numbers can be of the same flow.
 
--- a/src/gentianspoke/decisions/agent/flow_table.py
+++ b/src/gentianspoke/decisions/agent/flow_table.py
@@ -7,6 +7,7 @@
 from gentianspoke.core import services
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 
 # How long a slot stays reserved for the first request of an opened flow. The
@@ -121,6 +122,7 @@
         case records.Phase.OPEN:
             free_slot(state, flow, now)
             state.answering_flows.pop(flow.key, None)
+            request_queue.discard(state.requests, flow.key, 'flow-ended')
     state.counts[flow.pool].open_flows -= 1
     state.total_open -= 1
     state.total_ended += 1
@@ -262,6 +264,10 @@
     if flow.slot_reserved:
         free_slot(state, flow, now)
     occupy_slot(state, flow, now)
+    if state.requests.is_enabled:
+        flow.requests_ahead = request_queue.note_start(
+            state.requests, flow.key, state.capacity.slots, now
+        )
 
 
 def free_slot(state: State, flow: records.Flow, now: int) -> None:
@@ -272,6 +278,7 @@
     if not flow.holds_slot:
         return
     flow.holds_slot = False
+    state.requests.started_ms.pop(flow.key, None)
     counts = state.counts[flow.pool]
     counts.running -= 1
     state.total_running -= 1
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -28,6 +28,7 @@
 from gentianspoke.decisions.agent import forwarding
 from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 from gentianspoke.decisions import hashing
@@ -103,7 +104,7 @@
         flow.answered_after_syn_ack = True
     segment_id = None
     if segment.payload_bytes:
-        flow_table.free_slot(state, flow, now)
+        scheduling.note_answer(state, flow, now)
         if _has_bulk_answer(state, flow):
             state.answering_flows[flow.key] = flow
             segment_id = pacing.get_segment_id(segment)
@@ -205,10 +206,13 @@
     segment: packets.Segment,
     now: int,
 ) -> Actions:
-    if packets.ends_message(segment) and _is_new_data(flow, segment):
+    result = _search_or_notify(state, flow, forward, now)
+    waiting = scheduling.hold_request(state, flow, forward, segment, now)
+    if waiting is not None:
+        return [*result, waiting]
+    if packets.ends_message(segment) and evidence.is_new_data(flow, segment):
         flow_table.begin_request(state, flow, now)
     evidence.note_caller_segment(flow, segment, now)
-    result = _search_or_notify(state, flow, forward, now)
     result.append(actions.Deliver(segment.raw))
     if segment.flags & (packets.FIN | packets.RST):
         teardown.handle_caller_fin_or_reset(state, flow, segment, now)
@@ -252,14 +256,6 @@
     return service is not None and services.has_bulk_answer(service)
 
 
-def _is_new_data(flow: records.Flow, segment: packets.Segment) -> bool:
-    if flow.up.end == records.NO_SEQ:
-        return True
-    end = evidence.compute_segment_end(segment)
-    ahead = (end - flow.up.end) % evidence.SEQ_MODULUS
-    return 0 < ahead < evidence.SEQ_MODULUS // 2
-
-
 def _hold_packet(
     flow: records.Flow, forward: frames.Forward, segment: packets.Segment
 ) -> actions.Action:
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -19,6 +19,7 @@
 from gentianspoke.decisions.agent import placement
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import retry_budget
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
@@ -71,6 +72,7 @@
             return [_reset_lost_flow(state, flow, segment, now)]
         forward = flow.unconfirmed_forward or forward
         held_packets, flow.held_packets = flow.held_packets, []
+        held_packets += request_queue.take_packets(state.requests, flow.key)
         flow_table.remove_flow(state, flow, now)
     returned_frame = dataclasses.replace(forward, packet=segment.raw)
     result = [owner_search.ask_next_member(state, service, returned_frame)]
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -10,6 +10,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import timer_wheel
 from gentianspoke.decisions import member_ranking
 from gentianspoke.decisions import routing
@@ -61,7 +62,8 @@
 class UnfinishedFlows:
     """The numbers of flows that are not finished at a planned stop.
 
-    ``running`` flows occupy a slot, ``queued`` flows wait for one, and
+    ``running`` flows occupy a slot, ``queued`` openings and requests wait for
+    one, and
     ``answering`` flows get a bulk answer of the upstream, which occupies no
     slot. ``open_flows`` counts all flows that have not ended, the queued ones
     included.
@@ -219,6 +221,10 @@
     cold: cold_start.ColdStart = dataclasses.field(
         default_factory=cold_start.ColdStart
     )
+    # The complete requests that wait beside the upstream.
+    requests: request_queue.RequestQueue = dataclasses.field(
+        default_factory=request_queue.RequestQueue
+    )
     # When the last packet of any flow came from the upstream or a caller.
     last_upstream_packet_ms: int = 0
     last_caller_packet_ms: int = 0
@@ -317,6 +323,7 @@
         has sent nothing for ``ANSWER_IDLE_MS``.
         """
         queued = sum(len(queue) for queue in self.queues.values())
+        queued += len(self.requests.held)
         answering = sum(
             now - flow.last_down_ms < ANSWER_IDLE_MS
             for flow in self.answering_flows.values()
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -14,6 +14,7 @@
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import returned_packets
+from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 
@@ -30,14 +31,15 @@
     """Carry out the checks that are due at ``now``; return the actions.
 
     The checks remove expired records and load reports, free slots whose
-    reservation has expired, start or refuse queued openings, decide held
-    openings again, confirm or disown adopted flows, and end the recovery of a
-    restarted agent after ``AgentState.recovery_ms``.
+    reservation has expired, start or refuse queued openings, start held
+    requests, decide held openings again, confirm or disown adopted flows, and
+    end the recovery of a restarted agent after ``AgentState.recovery_ms``.
     """
     flow_table.expire_reservations(state, now)
     result = expire_queued_flows(state, now)
     result.extend(start_queued_openings(state, now))
     result.extend(held_openings.retry_openings(state, now))
+    result.extend(scheduling.run_due(state, now))
     for flow in state.flow_timers.pop_due(now):
         result.extend(_check_flow(state, flow, now))
     for key, record in state.diversion_timers.pop_due(now):
--- a/src/gentianspoke/shells/agent/action_executor.py
+++ b/src/gentianspoke/shells/agent/action_executor.py
@@ -14,6 +14,12 @@
 from gentianspoke.shells import paced_link
 from gentianspoke.shells import process
 
+# Reasons for which a held request started or was dropped, other than that the
+# upstream had room or the caller closed its flow.
+UNUSUAL_REASONS = frozenset(
+    ('answer-overdue', 'hold-limit', 'surplus', 'expired', 'flow-ended')
+)
+
 
 class ActionExecutor:
     """Sends and counts packets as the actions of one agent require."""
@@ -67,9 +73,31 @@
         while state.queue_waits:
             wait_s = state.queue_waits.popleft() / clock.MS_PER_S
             self._proc.metrics.observe_queue_wait(wait_s)
+        self._write_request_counts(state)
         counts.dropped['report-overflow'] += state.dropped_flow_reports
         state.dropped_flow_reports = 0
 
+    def _write_request_counts(self, state: agent_state.AgentState) -> None:
+        queue = state.requests
+        while queue.waits_ms:
+            wait_s = queue.waits_ms.popleft() / clock.MS_PER_S
+            self._proc.metrics.observe_request_wait(wait_s)
+        if not queue.counts:
+            return
+        self._proc.metrics.counts.requests.update(queue.counts)
+        if queue.counts.keys() & UNUSUAL_REASONS:
+            self._proc.events.write(
+                'request-queue',
+                held=len(queue.held),
+                at_upstream=len(queue.started_ms),
+                slots=state.capacity.slots,
+                reasons=' '.join(
+                    f'{reason}={count}'
+                    for reason, count in sorted(queue.counts.items())
+                ),
+            )
+        queue.counts.clear()
+
     def _execute(self, action: actions.Action) -> None:
         counts = self._proc.metrics.counts
         match action:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -16,6 +16,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke import errors
 from gentianspoke.net import datagrams
@@ -79,6 +80,7 @@
             recovery_ms=cfg.recovery_ms,
             joining=True,
             draining=not incarnation,
+            requests=request_queue.RequestQueue(cfg.schedule_requests),
             cold=cold_start.begin(cfg.cold_openings_per_s, proc.clock.now()),
         )
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
--- a/src/gentianspoke/shells/agent/gauges.py
+++ b/src/gentianspoke/shells/agent/gauges.py
@@ -28,6 +28,8 @@
     set_gauge('draining', int(state.draining))
     set_gauge('joining', int(state.joining))
     set_gauge('recovering', int(state.recovering))
+    set_gauge('requests_held', len(state.requests.held))
+    set_gauge('requests_at_upstream', len(state.requests.started_ms))
     cold_remaining_ms = cold_start.get_cold_remaining_ms(state.cold, now)
     set_gauge('cold_remaining_ms', cold_remaining_ms)
     set_gauge('cold_declined', state.cold.declined)
--- a/src/gentianspoke/shells/agent/loads.py
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -73,7 +73,7 @@
         state.number,
         counts.open_flows,
         counts.running,
-        counts.queued,
+        counts.queued + len(state.requests.held),
         logical,
         cold_start.get_cold_remaining_ms(state.cold, now),
     )
--- a/src/gentianspoke/telemetry/metrics.py
+++ b/src/gentianspoke/telemetry/metrics.py
@@ -45,6 +45,9 @@
     verdicts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    requests: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Metrics:
@@ -77,6 +80,10 @@
         self.verdicts = self._create_counter(
             'gentianspoke_verdicts_total', 'Failed flows, by outcome and fault'
         )
+        self.requests = self._create_counter(
+            'gentianspoke_requests_total',
+            'Held requests that started or were dropped, by reason',
+        )
         self.counts = Counts()
         self._render_hooks: list[collections.abc.Callable[[], None]] = []
         self.queue_wait = aioprometheus.Histogram(
@@ -86,6 +93,13 @@
             buckets=WAIT_BUCKETS_S,
             registry=self.registry,
         )
+        self.request_wait = aioprometheus.Histogram(
+            'gentianspoke_request_wait_seconds',
+            'Time that a held request waited for its start',
+            const_labels=self._labels,
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
         self.placement = aioprometheus.Histogram(
             'gentianspoke_placement_seconds',
             'Time that one decision took',
@@ -114,6 +128,10 @@
         """Record how long an opening waited for its slot."""
         self.queue_wait.observe({}, duration_s)
 
+    def observe_request_wait(self, duration_s: float) -> None:
+        """Record how long a held request waited for its start."""
+        self.request_wait.observe({}, duration_s)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body of the metrics page and its HTTP headers."""
         for update in self._render_hooks:
@@ -124,6 +142,7 @@
         _copy_counts(counts.refused, self.refused, 'reason')
         _copy_counts(counts.resets, self.resets, 'reason')
         _copy_counts(counts.verdicts, self.verdicts, 'verdict')
+        _copy_counts(counts.requests, self.requests, 'reason')
         return aioprometheus.render(self.registry, [])
 
     def _create_counter(self, name: str, text: str) -> aioprometheus.Counter:
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -97,6 +97,21 @@
     assert cfg.role.upstream_side == ('10.1.0.13', 8_162)
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'is_scheduled'),
+    [
+        pytest.param('', False, id='none'),
+        pytest.param('contracts = ["base"]', False, id='others'),
+        pytest.param('contracts = ["base", "health"]', True, id='health'),
+    ],
+)
+def test_requests_are_scheduled_where_upstreams_may_be_slow(
+    tmp_path, contracts, is_scheduled
+):
+    cfg = boot.build_agent_settings(read(tmp_path, contracts + SIDE))
+    assert cfg.role.schedule_requests is is_scheduled
+
+
 @pytest.mark.parametrize(
     ('bounds', 'openings_per_s'),
     [
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -113,6 +113,13 @@
     assert board.handshake and not services.needs_single_decider(booking)
     # A quarter of the latency target, or of the timeout if there is no target.
     assert (board.limits.wait_ms, booking.limits.wait_ms) == (69, 500)
+    assert (board.limits.timeout_ms, booking.limits.timeout_ms) == (
+        1_500,
+        2_000,
+    )
+    # The agents learn the limits from the catalogue's messages.
+    message = catalogue_codec.encode_entry(board)
+    assert catalogue_codec.decode_entry(message).limits == board.limits
     assert (board.priority, board.limits.connections) == (2, 20)
 
 
