Limit an upstream that was silent until its next report

Cause: an upstream that restarted and answered one opening before its first report was no longer silent, so it got the openings until the report without a limit.

Change: an upstream that left openings unanswered for 150 ms stays limited until it reports again, where cold_openings_per_s is set.

--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -91,8 +91,10 @@
         state.unanswered_since_ms = now
 
 
-def note_upstream_activity(state: agent_state.AgentState) -> None:
+def note_upstream_activity(state: agent_state.AgentState, now: int) -> None:
     """Record that the upstream sent a packet of any flow."""
+    if is_upstream_silent(state, now):
+        state.cold.was_silent = True
     state.unanswered_since_ms = None
 
 
--- a/src/gentianspoke/decisions/agent/cold_start.py
+++ b/src/gentianspoke/decisions/agent/cold_start.py
@@ -26,13 +26,15 @@
     ``openings_per_s`` is 0 if there is no limit. ``cold_until_ms`` is ``None``
     until the first report of the upstream. Until ``full_until_ms``, the window
     counts as full, because an earlier run of the agent may have delivered
-    openings that this one does not know. ``declined`` counts the openings that
-    found the window full.
+    openings that this one does not know. ``was_silent`` is true if the
+    upstream has been silent since its last report. ``declined`` counts the
+    openings that found the window full.
     """
 
     openings_per_s: int = 0
     cold_until_ms: int | None = None
     full_until_ms: int = 0
+    was_silent: bool = False
     declined: int = 0
     # Times of the last deliveries, at most ``openings_per_s`` of them.
     delivered_ms: collections.deque[int] = dataclasses.field(init=False)
@@ -56,6 +58,7 @@
     """
     was_cold = is_reported_cold(cold_start, now)
     cold_start.cold_until_ms = now + cold_remaining_ms
+    cold_start.was_silent = False
     return not was_cold and is_reported_cold(cold_start, now)
 
 
@@ -78,14 +81,15 @@
 def has_room(cold_start: ColdStart, now: int, is_silent: bool) -> bool:
     """Return whether one more opening may be delivered now.
 
-    The limit also holds while the upstream is silent (``is_silent``): it may
-    have been started again and not have reported yet.
+    The limit also holds while the upstream is silent (``is_silent``), and
+    after that until its next report: it may have been started again.
     """
     limit = cold_start.openings_per_s
     if not limit:
         return True
     until_ms = cold_start.cold_until_ms
-    if until_ms is not None and now >= until_ms and not is_silent:
+    may_have_restarted = is_silent or cold_start.was_silent
+    if until_ms is not None and now >= until_ms and not may_have_restarted:
         return True
     if now < cold_start.full_until_ms:
         return False
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -67,7 +67,7 @@
     The packet's flow key is the one of the direction from the caller to the
     upstream, as in :func:`on_forward`.
     """
-    admission.note_upstream_activity(state)
+    admission.note_upstream_activity(state, now)
     running_before = state.total_running
     result = replies.decide_reply(state, packet, now)
     if state.total_running < running_before:
@@ -87,7 +87,7 @@
 
     Only the upstreams of services with ``handshake`` send packets back.
     """
-    admission.note_upstream_activity(state)
+    admission.note_upstream_activity(state, now)
     state.last_upstream_packet_ms = now
     result = returned_packets.decide_returned_packet(state, segment, now)
     if state.requests.held:
