--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -46,7 +46,9 @@
     match role:
         case settings_model.EntrySettings():
             return settings.EntrySettings(
-                units.parse_address(role.listen.root), role.link_kbps
+                units.parse_address(role.listen.root),
+                role.link_kbps,
+                role.hold_ms,
             )
         case settings_model.AgentSettings():
             return _convert_agent(role)
@@ -71,6 +73,7 @@
         link_kbps=role.link_kbps,
         cold_openings_per_s=role.cold_openings_per_s,
         schedule_requests=role.schedule_requests,
+        inquire_flows=bool(role.inquire_flows),
     )
 
 
@@ -87,6 +90,7 @@
         members=members,
         lease_ms=_parse_duration_ms(role.lease),
         join=bool(role.join),
+        retention_ms=_parse_duration_ms(role.retention),
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -11,11 +11,13 @@
 
     ``listen`` receives the packets of the fabric. ``link_kbps`` is the
     capacity of the instance's network link in kbit/s. It is 0 if the capacity
-    is unknown.
+    is unknown. Openings that cannot be routed yet are held for ``hold_ms``; 0
+    means that they are decided at once.
     """
 
     listen: units.Address
     link_kbps: int = 0
+    hold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +43,8 @@
     that reports that it has just started gets at most ``cold_openings_per_s``
     openings in any second; 0 disables this limit. If ``schedule_requests`` is
     true, complete requests wait beside the upstream while its slots are
-    occupied.
+    occupied. With ``inquire_flows``, agents ask each other about flows that
+    none of them finds, and end those that no upstream has any more.
     """
 
     listen: units.Address
@@ -61,6 +64,7 @@
     link_kbps: int = 0
     cold_openings_per_s: int = 0
     schedule_requests: bool = False
+    inquire_flows: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +82,9 @@
     instance hears nothing from the leader for ``election_ms``, it considers
     the leader lost. The log is compacted after each ``compact_records``
     applied records. The newest ``kept_records`` records that the snapshot
-    covers stay in the log.
+    covers stay in the log. A silent member stays listed for ``retention_ms``,
+    unless its upstream has left or restarted; with 0 it is removed once its
+    lease has expired.
     """
 
     listen: units.Address
@@ -91,6 +97,7 @@
     election_ms: int = 1_000
     compact_records: int = 1_000
     kept_records: int = 200
+    retention_ms: int = 0
 
 
 Role = EntrySettings | AgentSettings | ControlSettings
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -1,5 +1,7 @@
 """Time limits of queued openings, flows, diversions and adoptions."""
 
+import dataclasses
+
 from gentianspoke.core import packets
 from gentianspoke.core import verdicts
 from gentianspoke.decisions import actions
@@ -8,15 +10,18 @@
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import handshake_flows
 from gentianspoke.decisions.agent import held_openings
+from gentianspoke.decisions.agent import inquiry_results
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import returned_packets
 from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
+from gentianspoke.decisions import member_ranking
 
 # Longest time until a record is checked again. The timer wheel keeps a removed
 # record until its next check, so this limits how long it uses memory.
@@ -27,6 +32,31 @@
 State = agent_state.AgentState
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalCause:
+    """Why a queued opening is refused.
+
+    ``reason`` is the name for counters, and ``text`` is what the agent's
+    verdict says.
+    """
+
+    reason: str
+    fault: verdicts.Fault
+    text: str
+
+
+WAIT_EXPIRED = RefusalCause(
+    'wait-expired',
+    verdicts.Fault.UPSTREAM,
+    'no slot became free within the wait limit',
+)
+EVACUATED = RefusalCause(
+    member_ranking.EVACUATED_REASON,
+    verdicts.Fault.NONE,
+    'the availability zone was evacuated while the opening waited',
+)
+
+
 def run_due_checks(state: State, now: int) -> list[actions.Action]:
     """Carry out the checks that are due at ``now``; return the actions.
 
@@ -47,6 +77,7 @@
             _check_diversion(state, (key, record), now)
     _expire_orphans(state, now)
     returned_packets.expire_returned_flows(state, now)
+    result.extend(inquiry_results.run_due(state, now))
     diversion.expire_reports(state, now)
     diversion.expire_cold_members(state, now)
     if state.recovering and now - state.started_ms >= state.recovery_ms:
@@ -67,21 +98,26 @@
 
 
 def expire_queued_flows(state: State, now: int) -> list[actions.Action]:
-    """End the queued flows whose wait has expired; return the actions.
+    """End the queued flows that cannot start any more; return the actions.
 
+    Their wait has expired, or their pool has become evacuated at this agent.
     An opening is refused. It is dropped if the agent's lease has expired or
     the service is no longer in the catalogue.
     """
     result: list[actions.Action] = []
     for queue in state.queues.values():
         for flow in tuple(queue):
-            if now >= flow.queued_until_ms:
-                result.extend(_refuse_queued_flow(state, flow, now))
+            if state.is_evacuated(flow.pool):
+                result.extend(_refuse_queued_flow(state, flow, now, EVACUATED))
+            elif now >= flow.queued_until_ms:
+                result.extend(
+                    _refuse_queued_flow(state, flow, now, WAIT_EXPIRED)
+                )
     return result
 
 
 def _refuse_queued_flow(
-    state: State, flow: records.Flow, now: int
+    state: State, flow: records.Flow, now: int, cause: RefusalCause
 ) -> list[actions.Action]:
     opening = flow.queued_opening
     service = state.services_by_number.get(flow.service)
@@ -97,11 +133,11 @@
         state,
         flow.key,
         flow.service,
-        verdicts.Fault.UPSTREAM,
-        'no slot became free within the wait limit',
+        cause.fault,
+        cause.text,
     )
     flow_table.end_flow(state, flow, now, records.Phase.REFUSED)
-    return [actions.Refuse(opening, 'wait-expired')]
+    return [actions.Refuse(opening, cause.reason)]
 
 
 def _check_flow(
@@ -131,6 +167,7 @@
         flow.phase is records.Phase.OPEN
         and teardown.is_adopted_and_half_closed(flow)
     ):
+        _note_if_still_open(state, flow, now)
         flow_table.end_flow(state, flow, now)
     elif flow.phase is records.Phase.QUEUED:
         # A queued flow leaves this phase when it starts or when its wait
@@ -155,6 +192,12 @@
             return flow_table.get_idle_timeout_ms(state, flow.service)
 
 
+def _note_if_still_open(state: State, flow: records.Flow, now: int) -> None:
+    # The upstream may keep a flow that this agent forgets.
+    if flow.slot_per_request and flow.upstream_seen:
+        flow_knowledge.note_doubtful(state, flow.key, now)
+
+
 def _remove_idle_flow(state: State, flow: records.Flow, now: int) -> None:
     if flow.phase is records.Phase.OPEN:
         if flow.answered:
@@ -165,6 +208,7 @@
             fault = verdicts.Fault.UPSTREAM
         outcome = verdicts.Outcome.UNKNOWN
         evidence.report_flow(state, flow, outcome, fault, reason, now)
+        _note_if_still_open(state, flow, now)
     flow_table.remove_flow(state, flow, now)
 
 
--- a/src/gentianspoke/shells/control/leadership.py
+++ b/src/gentianspoke/shells/control/leadership.py
@@ -41,13 +41,20 @@
         log: catalogue_log.CatalogueLog,
         feed_hub: hub.Hub,
         lease_ms: int,
+        retention_ms: int = 0,
     ) -> None:
-        """Start without a membership; ``lease_ms`` is a lease's duration."""
+        """Start without a membership.
+
+        ``lease_ms`` is a lease's duration, and ``retention_ms`` the time for
+        which a silent member stays listed.
+        """
         self._proc = proc
         self._log = log
         self._hub = feed_hub
         self._limits = membership.MembershipLimits(
-            lease_ms, lease_ms * SUSPECT_AFTER_PERMILLE // shares.PERMILLE
+            lease_ms,
+            lease_ms * SUSPECT_AFTER_PERMILLE // shares.PERMILLE,
+            retention_ms,
         )
         self._membership: membership.Membership | None = None
         # The newest heartbeat of each agent, by the agent's number, that was
@@ -140,6 +147,9 @@
         if self._membership is None or self._membership.term != term:
             now = self._proc.clock.now()
             self._membership = membership.Membership(term, self._limits, now)
+            self._membership.set_evacuated_zones(
+                self._log.catalogue.evacuated_zones
+            )
             # Agents need leases only for services that need a single decider.
             # Without such a service, no agent acts on a lease of an earlier
             # leader.
@@ -151,4 +161,8 @@
             )
             self._apply_early_heartbeats(self._membership, now)
             self._proc.events.write('membership-begun', term=term)
+        # This instance leads, so its catalogue contains all accepted orders.
+        self._membership.set_evacuated_zones(
+            self._log.catalogue.evacuated_zones
+        )
         return self._membership
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -78,6 +78,17 @@
     assert cfg.grace_ms == 6_000 - boot.STOP_MARGIN_MS
 
 
+@pytest.mark.parametrize(
+    ('line', 'zones'),
+    [('', ()), ('zones = {c = "r", b = "r"}', ('a', 'b', 'c'))],
+)
+def test_the_zones_include_the_own_one_if_any_is_listed(tmp_path, line, zones):
+    # Guards against a zone that the operator cannot evacuate because the
+    # settings list only the other zones.
+    platform_settings = read(tmp_path, line + FRONT)
+    assert boot.list_zones(platform_settings) == zones
+
+
 @pytest.mark.parametrize(
     ('old', 'new'),
     [
@@ -90,6 +101,26 @@
     assert cfg.role.join and cfg.role.members == ()
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'is_on'),
+    [
+        pytest.param('', False, id='none-listed'),
+        pytest.param('contracts = ["rolling"]\n', False, id='others-listed'),
+        pytest.param('contracts = ["rolling", "health"]\n', True, id='health'),
+    ],
+)
+def test_the_health_contract_switches_on_inquiries_holds_and_retention(
+    tmp_path, contracts, is_on
+):
+    # Deployments without the contract must behave as before.
+    entry = boot.build_entry_settings(read(tmp_path, contracts + FRONT))
+    agent = boot.build_agent_settings(read(tmp_path, contracts + SIDE))
+    control = boot.build_control_settings(read(tmp_path, contracts + FRONT))
+    assert entry.role.hold_ms == 400 * is_on
+    assert agent.role.inquire_flows == is_on
+    assert control.role.retention_ms == 60_000 * is_on
+
+
 def test_an_agent_serves_the_pool_of_its_upstream(tmp_path):
     cfg = boot.build_agent_settings(read(tmp_path, SIDE))
     assert (cfg.role.pool, cfg.role.services) == ('pricing', ('pricing',))
