Log unusual starts of held requests at most once a second

Cause: an overload forwards surplus in most ticks, so an agent wrote up to 20 lines a second about it.

Change: the reasons are counted, and one event a second names their numbers.

Result: tests/agent/test_shell.py covers the counters and the histogram of held requests, which no test did before.

--- a/src/gentianspoke/shells/agent/action_executor.py
+++ b/src/gentianspoke/shells/agent/action_executor.py
@@ -1,5 +1,6 @@
 """Executes the actions that an agent's decisions return."""
 
+import collections
 import dataclasses
 
 from gentianspoke import clock
@@ -23,6 +24,8 @@
 UNUSUAL_REASONS = frozenset(
     ('answer-overdue', 'hold-limit', 'surplus', 'expired', 'flow-ended')
 )
+# Shortest time between two events about such requests.
+REQUEST_LOG_INTERVAL_MS = 1_000
 
 
 class ActionExecutor:
@@ -46,6 +49,11 @@
         self._codec = codec
         self._link = link
         self._upstream_socket = upstream_socket
+        # Unusual starts and drops of held requests since the last log line.
+        self._unlogged_requests: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._requests_logged_ms = 0
 
     def execute_all(self, decided_actions: core.Actions) -> None:
         """Execute actions in their order."""
@@ -86,21 +94,30 @@
         while queue.waits_ms:
             wait_s = queue.waits_ms.popleft() / clock.MS_PER_S
             self._proc.metrics.observe_request_wait(wait_s)
-        if not queue.counts:
+        if queue.counts:
+            self._proc.metrics.counts.requests.update(queue.counts)
+            for reason in UNUSUAL_REASONS & queue.counts.keys():
+                self._unlogged_requests[reason] += queue.counts[reason]
+            queue.counts.clear()
+        if self._unlogged_requests:
+            self._log_unusual_requests(state)
+
+    def _log_unusual_requests(self, state: agent_state.AgentState) -> None:
+        now = self._proc.clock.now()
+        if now - self._requests_logged_ms < REQUEST_LOG_INTERVAL_MS:
             return
-        self._proc.metrics.counts.requests.update(queue.counts)
-        if queue.counts.keys() & UNUSUAL_REASONS:
-            self._proc.events.write(
-                'request-queue',
-                held=len(queue.held),
-                at_upstream=len(queue.started_ms),
-                slots=state.capacity.slots,
-                reasons=' '.join(
-                    f'{reason}={count}'
-                    for reason, count in sorted(queue.counts.items())
-                ),
-            )
-        queue.counts.clear()
+        self._requests_logged_ms = now
+        self._proc.events.write(
+            'request-queue',
+            held=len(state.requests.held),
+            at_upstream=len(state.requests.started_ms),
+            slots=state.capacity.slots,
+            reasons=' '.join(
+                f'{reason}={count}'
+                for reason, count in sorted(self._unlogged_requests.items())
+            ),
+        )
+        self._unlogged_requests.clear()
 
     def write_inquiry_reports(self, state: agent_state.AgentState) -> None:
         """Write the results of inquiries as events, and update metrics."""
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -214,6 +214,20 @@
     assert 'name="cold_remaining_ms"' in page.decode()
 
 
+def test_metrics_contain_the_waits_and_starts_of_held_requests():
+    # Guards against counts that stay in the state and grow there.
+    with running_agent() as (agent, proc, _):
+        queue = agent.state.requests
+        queue.waits_ms.extend((20, 300))
+        queue.counts.update({'slot-free': 2, 'hold-limit': 1})
+        agent._executor.write_flow_reports(agent.state)
+        page, _ = proc.metrics.render()
+    text = page.decode()
+    assert 'gentianspoke_request_wait_seconds_count' in text
+    assert 'reason="hold-limit",role="agent"} 1' in text
+    assert not queue.waits_ms and not queue.counts
+
+
 def test_metrics_contain_the_state_and_the_dropped_packets():
     with running_agent() as (agent, proc, _):
         proc.metrics.counts.dropped['bad-tag'] += 2
