--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -71,6 +71,8 @@
         weight=role.weight,
         ramp_ms=_parse_duration_ms(role.ramp),
         link_kbps=role.link_kbps,
+        cold_openings_per_s=role.cold_openings_per_s,
+        schedule_requests=role.schedule_requests,
         inquire_flows=bool(role.inquire_flows),
     )
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -39,9 +39,12 @@
     adopts flows that it does not know. An upstream that reports its status
     gets no new flow once its last report is older than ``silent_ms``; 0
     disables this limit. ``link_kbps`` is the capacity of the instance's
-    network link in kbit/s. It is 0 if the capacity is unknown. With
-    ``inquire_flows``, agents ask each other about flows that none of them
-    finds, and end those that no upstream has any more.
+    network link in kbit/s. It is 0 if the capacity is unknown. An upstream
+    that reports that it has just started gets at most ``cold_openings_per_s``
+    openings in any second; 0 disables this limit. If ``schedule_requests`` is
+    true, complete requests wait beside the upstream while its slots are
+    occupied. With ``inquire_flows``, agents ask each other about flows that
+    none of them finds, and end those that no upstream has any more.
     """
 
     listen: units.Address
@@ -59,6 +62,8 @@
     recovery_ms: int = 7_200_000
     silent_ms: int = 0
     link_kbps: int = 0
+    cold_openings_per_s: int = 0
+    schedule_requests: bool = False
     inquire_flows: bool = False
 
 
--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -8,6 +8,7 @@
 
 from gentianspoke.core import services
 from gentianspoke.core import shares
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
@@ -22,17 +23,23 @@
 
 
 class Admission(enum.Enum):
-    """Whether an upstream takes one more flow: now, after a wait, or not."""
+    """Whether an upstream takes one more flow: now, after a wait, or not.
+
+    ``COLD`` means that the upstream has just started and takes no opening at
+    the moment. It may take a retransmission of the opening.
+    """
 
     NOW = 'now'
     WAIT = 'wait'
     NO = 'no'
+    COLD = 'cold'
 
 
 def decide_admission(
     state: agent_state.AgentState,
     service: services.Service,
     wait_left_ms: int,
+    now: int,
     *,
     is_last_candidate: bool = False,
 ) -> Admission:
@@ -58,6 +65,9 @@
         return Admission.NO
     if state.total_open >= state.capacity.connections:
         return Admission.NO
+    if not may_deliver_opening(state, now):
+        state.cold.declined += not is_last_candidate
+        return Admission.COLD
     if service.handshake:
         return _decide_by_upstream_wait(state, service, is_last_candidate)
     if not services.occupies_slot(service):
@@ -71,14 +81,22 @@
     return Admission.WAIT
 
 
+def may_deliver_opening(state: agent_state.AgentState, now: int) -> bool:
+    """Return whether the limit of a cold upstream allows one more opening."""
+    is_silent = is_upstream_silent(state, now)
+    return cold_start.has_room(state.cold, now, is_silent)
+
+
 def note_opening(state: agent_state.AgentState, now: int) -> None:
-    """Record that an opening was delivered to the upstream."""
+    """Record that an opening of a service with ``handshake`` was delivered."""
     if state.unanswered_since_ms is None:
         state.unanswered_since_ms = now
 
 
-def note_upstream_activity(state: agent_state.AgentState) -> None:
+def note_upstream_activity(state: agent_state.AgentState, now: int) -> None:
     """Record that the upstream sent a packet of any flow."""
+    if is_upstream_silent(state, now):
+        state.cold.was_silent = True
     state.unanswered_since_ms = None
 
 
@@ -127,7 +145,8 @@
     pool = state.get_pool(service)
     counts = state.counts[pool]
     slots = max(1, state.capacity.slots)
-    requests_ahead = max(0, counts.running - slots + 1)
+    running = counts.running + len(state.requests.held)
+    requests_ahead = max(0, running - slots + 1)
     wait_ms = counts.mean_work_ms * requests_ahead // slots
     limit_ms = service.limits.wait_ms
     if (
@@ -170,10 +189,11 @@
     started_flows: list[records.Flow] = []
     while True:
         service = _choose_next_service(state, now)
-        if service is None:
+        if service is None or not may_deliver_opening(state, now):
             return started_flows
         flow = state.queues[service.number][0]
         flow_table.start_queued_flow(state, flow, now)
+        cold_start.note_delivery(state.cold, now)
         started_flows.append(flow)
 
 
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -20,6 +20,7 @@
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import replies
 from gentianspoke.decisions.agent import returned_packets
+from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import timeouts
 from gentianspoke.decisions import hashing
@@ -60,6 +61,8 @@
             )
     if state.total_running < running_before:
         result.extend(timeouts.start_queued_openings(state, now))
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
     return result
 
 
@@ -69,17 +72,19 @@
     The packet's flow key is the one of the direction from the caller to the
     upstream, as in :func:`on_forward`.
     """
-    admission.note_upstream_activity(state)
+    admission.note_upstream_activity(state, now)
     running_before = state.total_running
     result = replies.decide_reply(state, packet, now)
     if state.total_running < running_before:
         result.extend(timeouts.start_queued_openings(state, now))
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
     return result
 
 
-def on_load(state: State, report: frames.LoadReport) -> None:
+def on_load(state: State, report: frames.LoadReport, now: int) -> None:
     """Record the newest load report of another member."""
-    diversion.record_report(state, report)
+    diversion.record_report(state, report, now)
 
 
 def on_returned(state: State, segment: packets.Segment, now: int) -> Actions:
@@ -87,9 +92,12 @@
 
     Only the upstreams of services with ``handshake`` send packets back.
     """
-    admission.note_upstream_activity(state)
+    admission.note_upstream_activity(state, now)
     state.last_upstream_packet_ms = now
-    return returned_packets.decide_returned_packet(state, segment, now)
+    result = returned_packets.decide_returned_packet(state, segment, now)
+    if state.requests.held:
+        result.extend(scheduling.start_requests(state, now))
+    return result
 
 
 def on_owned(state: State, owned: frames.Owned, now: int) -> None:
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -8,8 +8,10 @@
 from gentianspoke.core import services
 from gentianspoke.core import verdicts
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import inquiry_records
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import timer_wheel
 from gentianspoke.decisions import member_ranking
 from gentianspoke.decisions import routing
@@ -61,7 +63,8 @@
 class UnfinishedFlows:
     """The numbers of flows that are not finished at a planned stop.
 
-    ``running`` flows occupy a slot, ``queued`` flows wait for one, and
+    ``running`` flows occupy a slot, ``queued`` openings and requests wait for
+    one, and
     ``answering`` flows get a bulk answer of the upstream, which occupies no
     slot. ``open_flows`` counts all flows that have not ended, the queued ones
     included.
@@ -164,6 +167,11 @@
     placed_since_report: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    # Until when a member counts as cold, according to its last load report,
+    # by pool and member.
+    cold_members: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     # Members whose load report came after the last expiry of reports.
     renewed_reports: set[tuple[int, int]] = dataclasses.field(
         default_factory=set
@@ -214,6 +222,14 @@
     # When the first opening of a service with ``handshake`` was delivered
     # after the upstream's last packet, ``None`` if there was none.
     unanswered_since_ms: int | None = None
+    # The cold phase of this agent's own upstream.
+    cold: cold_start.ColdStart = dataclasses.field(
+        default_factory=cold_start.ColdStart
+    )
+    # The complete requests that wait beside the upstream.
+    requests: request_queue.RequestQueue = dataclasses.field(
+        default_factory=request_queue.RequestQueue
+    )
     # When the last packet of any flow came from the upstream or a caller.
     last_upstream_packet_ms: int = 0
     last_caller_packet_ms: int = 0
@@ -330,6 +346,7 @@
         has sent nothing for ``ANSWER_IDLE_MS``.
         """
         queued = sum(len(queue) for queue in self.queues.values())
+        queued += len(self.requests.held)
         answering = sum(
             now - flow.last_down_ms < ANSWER_IDLE_MS
             for flow in self.answering_flows.values()
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -18,6 +18,7 @@
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import returned_packets
+from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 from gentianspoke.decisions import member_ranking
@@ -60,14 +61,15 @@
     """Carry out the checks that are due at ``now``; return the actions.
 
     The checks remove expired records and load reports, free slots whose
-    reservation has expired, start or refuse queued openings, decide held
-    openings again, confirm or disown adopted flows, and end the recovery of a
-    restarted agent after ``AgentState.recovery_ms``.
+    reservation has expired, start or refuse queued openings, start held
+    requests, decide held openings again, confirm or disown adopted flows, and
+    end the recovery of a restarted agent after ``AgentState.recovery_ms``.
     """
     flow_table.expire_reservations(state, now)
     result = expire_queued_flows(state, now)
     result.extend(start_queued_openings(state, now))
     result.extend(held_openings.retry_openings(state, now))
+    result.extend(scheduling.run_due(state, now))
     for flow in state.flow_timers.pop_due(now):
         result.extend(_check_flow(state, flow, now))
     for key, record in state.diversion_timers.pop_due(now):
@@ -77,6 +79,7 @@
     returned_packets.expire_returned_flows(state, now)
     result.extend(inquiry_results.run_due(state, now))
     diversion.expire_reports(state, now)
+    diversion.expire_cold_members(state, now)
     if state.recovering and now - state.started_ms >= state.recovery_ms:
         state.recovering = False
     return result
--- a/tests/agent/test_shell.py
+++ b/tests/agent/test_shell.py
@@ -16,6 +16,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions import lifecycle
 from gentianspoke.net import datagrams
@@ -208,6 +209,32 @@
         assert agent.state.joining and agent.state.draining
 
 
+def test_the_status_marks_the_upstream_as_cold():
+    # Guards against a report that reaches no decision.
+    with running_agent() as (agent, proc, _):
+        agent.state.cold = cold_start.begin(5, proc.clock.now())
+        agent.apply_status(
+            status.UpstreamStatus('first', cold_remaining_ms=60_000)
+        )
+        page, _ = proc.metrics.render()
+        assert cold_start.is_reported_cold(agent.state.cold, proc.clock.now())
+    assert 'name="cold_remaining_ms"' in page.decode()
+
+
+def test_metrics_contain_the_waits_and_starts_of_held_requests():
+    # Guards against counts that stay in the state and grow there.
+    with running_agent() as (agent, proc, _):
+        queue = agent.state.requests
+        queue.waits_ms.extend((20, 300))
+        queue.counts.update({'slot-free': 2, 'hold-limit': 1})
+        agent._executor.write_flow_reports(agent.state)
+        page, _ = proc.metrics.render()
+    text = page.decode()
+    assert 'gentianspoke_request_wait_seconds_count' in text
+    assert 'reason="hold-limit",role="agent"} 1' in text
+    assert not queue.waits_ms and not queue.counts
+
+
 def test_metrics_contain_the_state_and_the_dropped_packets():
     with running_agent() as (agent, proc, _):
         proc.metrics.counts.dropped['bad-tag'] += 2
