--- a/benchmarks/catalogue_log.py
+++ b/benchmarks/catalogue_log.py
@@ -31,6 +31,7 @@
 from gentianspoke.codec import replica as codec
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import records
 from gentianspoke.generated import catalogue_grpc
@@ -56,7 +57,9 @@
 ADDRESS_SPACE = 1 << 32
 
 
-def make_request(number: int, base_version: int = 0) -> catalogue.Request:
+def make_request(
+    number: int, base_version: int = 0
+) -> catalogue_records.Request:
     """Return a request with one edit of the entry ``service-NUMBER``.
 
     ``base_version`` is the version that the edit replaces, or 0 for a new
@@ -74,8 +77,10 @@
         limits=services.Limits(),
         version=0,
     )
-    edit = catalogue.Edit(entry.name, base_version, catalogue.Put(entry))
-    return catalogue.Request(
+    edit = catalogue_records.Edit(
+        entry.name, base_version, catalogue_records.Put(entry)
+    )
+    return catalogue_records.Request(
         f'key-{number}-{base_version}', 'operator', (edit,)
     )
 
--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -22,7 +22,7 @@
 from benchmarks import control_daemons
 from benchmarks import tables
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.shells import catalogue_client
 
 TARGETS_TEXT = (
@@ -104,12 +104,14 @@
             limits=services.Limits(),
             version=0,
         )
-        edit = catalogue.Edit(
-            name, current.version if current else 0, catalogue.Put(entry)
+        edit = catalogue_records.Edit(
+            name,
+            current.version if current else 0,
+            catalogue_records.Put(entry),
         )
         key = f'benchmark-{next(self._request_numbers)}'
         applied = await self._client.apply(
-            catalogue.Request(key, 'benchmark', (edit,))
+            catalogue_records.Request(key, 'benchmark', (edit,))
         )
         return applied.answer.version
 
--- a/soak/operating.py
+++ b/soak/operating.py
@@ -7,7 +7,7 @@
 from gentianspoke.config import key_file
 from gentianspoke.core import packets
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.shells import catalogue_client
 from soak import environment as environments
@@ -27,8 +27,8 @@
     ``answered_at_s`` is in seconds of the event loop's clock.
     """
 
-    request: catalogue.Request
-    answer: catalogue.Answer
+    request: catalogue_records.Request
+    answer: catalogue_records.Answer
     answered_at_s: float
 
 
@@ -134,7 +134,7 @@
         )
 
 
-def _make_request(number: int) -> catalogue.Request:
+def _make_request(number: int) -> catalogue_records.Request:
     name = f'soak-{number}'
     entry = services.Service(
         number=0,
@@ -147,8 +147,8 @@
         limits=services.Limits(),
         version=0,
     )
-    edit = catalogue.Edit(name, 0, catalogue.Put(entry))
-    return catalogue.Request(name, 'operator', (edit,))
+    edit = catalogue_records.Edit(name, 0, catalogue_records.Put(entry))
+    return catalogue_records.Request(name, 'operator', (edit,))
 
 
 def _get_time_s() -> float:
--- a/specs/catalogue_state.py
+++ b/specs/catalogue_state.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import group as groups
 
 NOBODY = -1
@@ -162,14 +163,14 @@
 @functools.lru_cache(maxsize=None)
 def compute_answers(
     log: Log, dropped: int, mistake: Mistake | None
-) -> dict[int, catalogue.Answer]:
+) -> dict[int, catalogue_records.Answer]:
     """Return the production catalogue's answer to each edit, by edit kind.
 
     The answers to the first ``dropped`` records of the log are left out, as
     if a snapshot had lost them.
     """
     state = catalogue.Catalogue()
-    answers_by_kind: dict[int, catalogue.Answer] = {}
+    answers_by_kind: dict[int, catalogue_records.Answer] = {}
     for position, record in enumerate(log):
         if position == dropped:
             state = _drop_answers(state)
@@ -191,7 +192,9 @@
     return state_without_answers
 
 
-def _build_request(kind: int, mistake: Mistake | None) -> catalogue.Request:
+def _build_request(
+    kind: int, mistake: Mistake | None
+) -> catalogue_records.Request:
     entry = services.Service(
         number=0,
         name='board',
@@ -209,5 +212,5 @@
         # catalogue finds no conflict.
         name = f'board-{kind}'
         entry = dataclasses.replace(entry, name=name, ports=(kind,))
-    edit = catalogue.Edit(name, 0, catalogue.Put(entry))
-    return catalogue.Request(f'key-{kind}', 'operator', (edit,))
+    edit = catalogue_records.Edit(name, 0, catalogue_records.Put(entry))
+    return catalogue_records.Request(f'key-{kind}', 'operator', (edit,))
--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -7,7 +7,7 @@
 from gentianspoke.codec import packing
 from gentianspoke.core import packets
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_pb2
@@ -91,7 +91,9 @@
     return service
 
 
-def encode_request(request: catalogue.Request) -> catalogue_pb2.ApplyRequest:
+def encode_request(
+    request: catalogue_records.Request,
+) -> catalogue_pb2.ApplyRequest:
     """Return a request to change the catalogue as a protobuf message."""
     document = request.document
     return catalogue_pb2.ApplyRequest(
@@ -103,7 +105,9 @@
     )
 
 
-def encode_document(document: catalogue.Document) -> catalogue_pb2.Document:
+def encode_document(
+    document: catalogue_records.Document,
+) -> catalogue_pb2.Document:
     """Return a whole catalogue as a protobuf message."""
     return catalogue_pb2.Document(
         version=document.version,
@@ -138,12 +142,14 @@
     return [decode_entry(entry) for entry in entry_list.entries]
 
 
-def decode_document(message: catalogue_pb2.Document) -> catalogue.Document:
+def decode_document(
+    message: catalogue_pb2.Document,
+) -> catalogue_records.Document:
     """Return the whole catalogue that a protobuf message holds.
 
     Raises :class:`gentianspoke.errors.ControlError` if an entry is invalid.
     """
-    return catalogue.Document(
+    return catalogue_records.Document(
         version=message.version,
         text=message.packed_text or packing.pack(message.text),
         entries=(
@@ -156,7 +162,9 @@
     )
 
 
-def decode_request(message: catalogue_pb2.ApplyRequest) -> catalogue.Request:
+def decode_request(
+    message: catalogue_pb2.ApplyRequest,
+) -> catalogue_records.Request:
     """Return the request to change the catalogue that a message holds.
 
     Raises :class:`gentianspoke.errors.ControlError` if the request is
@@ -171,7 +179,7 @@
             'the request has no idempotency key, or neither an edit nor a'
             ' document nor an evacuation; send what is missing'
         )
-    return catalogue.Request(
+    return catalogue_records.Request(
         idempotency_key=message.idempotency_key,
         operator=message.operator,
         edits=tuple(_decode_edit(edit) for edit in message.edits),
@@ -182,7 +190,9 @@
     )
 
 
-def encode_answer(answer: catalogue.Answer) -> catalogue_pb2.ApplyReply:
+def encode_answer(
+    answer: catalogue_records.Answer,
+) -> catalogue_pb2.ApplyReply:
     """Return the answer to a request as a protobuf message."""
     return catalogue_pb2.ApplyReply(
         accepted=answer.accepted,
@@ -193,13 +203,15 @@
     )
 
 
-def decode_answer(message: catalogue_pb2.ApplyReply) -> catalogue.Answer:
+def decode_answer(
+    message: catalogue_pb2.ApplyReply,
+) -> catalogue_records.Answer:
     """Return the answer to a request that a protobuf message holds.
 
     Raises :class:`gentianspoke.errors.ControlError` if the current entry of a
     conflict is invalid.
     """
-    return catalogue.Answer(
+    return catalogue_records.Answer(
         accepted=message.accepted,
         version=message.version,
         conflicts=tuple(
@@ -209,7 +221,7 @@
 
 
 def encode_history_item(
-    item: catalogue.HistoryItem,
+    item: catalogue_records.HistoryItem,
 ) -> catalogue_pb2.HistoryItem:
     """Return an accepted version of an entry as a protobuf message."""
     return catalogue_pb2.HistoryItem(
@@ -222,12 +234,12 @@
 
 def decode_history_item(
     message: catalogue_pb2.HistoryItem,
-) -> catalogue.HistoryItem:
+) -> catalogue_records.HistoryItem:
     """Return the accepted version of an entry that a message holds.
 
     Raises :class:`gentianspoke.errors.ControlError` if the entry is invalid.
     """
-    return catalogue.HistoryItem(
+    return catalogue_records.HistoryItem(
         version=message.version,
         operator=message.operator,
         idempotency_key=message.idempotency_key,
@@ -282,32 +294,32 @@
             )
 
 
-def _encode_edit(edit: catalogue.Edit) -> catalogue_pb2.Edit:
+def _encode_edit(edit: catalogue_records.Edit) -> catalogue_pb2.Edit:
     message = catalogue_pb2.Edit(
         name=edit.name, base_version=edit.base_version
     )
     match edit.change:
-        case catalogue.Put(entry=entry):
+        case catalogue_records.Put(entry=entry):
             message.put.CopyFrom(encode_entry(entry))
-        case catalogue.Retire():
+        case catalogue_records.Retire():
             message.retire = True
     return message
 
 
-def _decode_edit(message: catalogue_pb2.Edit) -> catalogue.Edit:
+def _decode_edit(message: catalogue_pb2.Edit) -> catalogue_records.Edit:
     match message.WhichOneof('change'):
         case 'put':
-            change: catalogue.Put | catalogue.Retire = catalogue.Put(
-                decode_entry(message.put)
+            change: catalogue_records.Put | catalogue_records.Retire = (
+                catalogue_records.Put(decode_entry(message.put))
             )
         case 'retire':
-            change = catalogue.Retire()
+            change = catalogue_records.Retire()
         case _:
             raise errors.ControlError(
                 f'edit of {message.name!r}: no change given; send an entry'
                 ' or retire it'
             )
-    return catalogue.Edit(message.name, message.base_version, change)
+    return catalogue_records.Edit(message.name, message.base_version, change)
 
 
 def _encode_evacuation(
@@ -342,7 +354,7 @@
 
 
 def _encode_conflict(
-    conflict: catalogue.Conflict,
+    conflict: catalogue_records.Conflict,
 ) -> catalogue_pb2.Conflict:
     current = encode_entry(conflict.current) if conflict.current else None
     return catalogue_pb2.Conflict(
@@ -350,8 +362,10 @@
     )
 
 
-def _decode_conflict(message: catalogue_pb2.Conflict) -> catalogue.Conflict:
+def _decode_conflict(
+    message: catalogue_pb2.Conflict,
+) -> catalogue_records.Conflict:
     current = (
         decode_entry(message.current) if message.HasField('current') else None
     )
-    return catalogue.Conflict(message.name, message.reason, current)
+    return catalogue_records.Conflict(message.name, message.reason, current)
--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from gentianspoke.codec import catalogue as catalogue_codec
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import records
@@ -141,7 +141,7 @@
 
 
 def _encode_document_record(
-    record: records.Record, request: catalogue.Request
+    record: records.Record, request: catalogue_records.Request
 ) -> replica_pb2.Record:
     cached_message = _document_cache.find(record)
     if cached_message is not None:
@@ -238,7 +238,7 @@
 
 
 def _encode_state(
-    state: catalogue.CatalogueState,
+    state: catalogue_records.CatalogueState,
 ) -> replica_pb2.CatalogueState:
     return replica_pb2.CatalogueState(
         version=state.version,
@@ -271,8 +271,8 @@
 
 def _decode_state(
     message: replica_pb2.CatalogueState,
-) -> catalogue.CatalogueState:
-    return catalogue.CatalogueState(
+) -> catalogue_records.CatalogueState:
+    return catalogue_records.CatalogueState(
         version=message.version,
         last_number=message.last_number,
         entries=tuple(
@@ -283,7 +283,7 @@
             for item in message.history
         ),
         answers=tuple(
-            catalogue.KeptAnswer(
+            catalogue_records.KeptAnswer(
                 kept_answer.idempotency_key,
                 catalogue_codec.decode_answer(kept_answer.answer),
             )
@@ -295,7 +295,7 @@
             else None
         ),
         pools=tuple(
-            catalogue.PoolNumber(pool.name, pool.number)
+            catalogue_records.PoolNumber(pool.name, pool.number)
             for pool in message.pools
         ),
         evacuated_zones=tuple(message.evacuated_zones),
--- a/src/gentianspoke/commands/catalogue_edits.py
+++ b/src/gentianspoke/commands/catalogue_edits.py
@@ -11,11 +11,11 @@
 from gentianspoke.commands import catalogue_options as options
 from gentianspoke.commands import catalogue_output
 from gentianspoke.config import catalogue_file
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.shells import catalogue_client
 
-Edits = tuple[catalogue.Edit, ...]
+Edits = tuple[catalogue_records.Edit, ...]
 
 
 @cappa.command(name='apply')
@@ -98,7 +98,9 @@
                 asyncio.run(client.list_entries()), self.name
             )
             base_version = entry.version
-        edit = catalogue.Edit(self.name, base_version, catalogue.Retire())
+        edit = catalogue_records.Edit(
+            self.name, base_version, catalogue_records.Retire()
+        )
         output = catalogue_output.Output(self.as_json)
         version = _submit(client, (edit,), self.key, output)
         if self.wait:
@@ -118,15 +120,15 @@
 
 def _build_put_edit(
     file_entry: catalogue_file.FileEntry, listing: catalogue_client.Listing
-) -> catalogue.Edit:
+) -> catalogue_records.Edit:
     base_version = file_entry.base_version
     if base_version is None:
         current = listing.entries.get(file_entry.service.name)
         base_version = current.version if current else 0
-    return catalogue.Edit(
+    return catalogue_records.Edit(
         file_entry.service.name,
         base_version,
-        catalogue.Put(file_entry.service),
+        catalogue_records.Put(file_entry.service),
     )
 
 
@@ -136,7 +138,7 @@
     key: str,
     output: catalogue_output.Output,
 ) -> int:
-    request = catalogue.Request(
+    request = catalogue_records.Request(
         idempotency_key=key or uuid.uuid4().hex,
         operator=options.find_operator_name(),
         edits=edits,
--- a/src/gentianspoke/commands/catalogue_evacuation.py
+++ b/src/gentianspoke/commands/catalogue_evacuation.py
@@ -8,7 +8,7 @@
 
 from gentianspoke.commands import catalogue_options as options
 from gentianspoke.commands import catalogue_output
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
 
 
@@ -64,7 +64,7 @@
     as_json: bool,
 ) -> None:
     client = options.create_client(control, key_path)
-    request = catalogue.Request(
+    request = catalogue_records.Request(
         idempotency_key=key or uuid.uuid4().hex,
         operator=options.find_operator_name(),
         edits=(),
--- a/src/gentianspoke/commands/catalogue_output.py
+++ b/src/gentianspoke/commands/catalogue_output.py
@@ -8,7 +8,7 @@
 from gentianspoke.config import catalogue_file
 from gentianspoke.config import units
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.shells import catalogue_client
 
 COLUMN_GAP = '  '
@@ -81,7 +81,9 @@
         ]
         print_table(('NAME', 'FIELD', 'NOW', 'FILE'), rows)
 
-    def print_history(self, items: list[catalogue.HistoryItem]) -> None:
+    def print_history(
+        self, items: list[catalogue_records.HistoryItem]
+    ) -> None:
         """Print what each version of an entry changed, oldest first.
 
         ``items`` must be in the order of their versions. JSON lines hold
@@ -221,7 +223,7 @@
 
 
 def _build_history_content(
-    item: catalogue.HistoryItem,
+    item: catalogue_records.HistoryItem,
 ) -> dict[str, typing.Any]:
     return {
         'version': item.version,
@@ -232,7 +234,7 @@
 
 
 def _build_conflict_content(
-    conflict: catalogue.Conflict,
+    conflict: catalogue_records.Conflict,
 ) -> dict[str, typing.Any]:
     current = (
         _build_entry_content(conflict.current) if conflict.current else None
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -12,7 +12,9 @@
 import dataclasses
 
 from gentianspoke.core import services
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import documents
+from gentianspoke.decisions.control import edit_conflicts
 from gentianspoke.decisions.control import endpoints
 from gentianspoke.decisions.control import zone_orders
 
@@ -20,149 +22,6 @@
 MAX_HISTORY_ITEMS = 50_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Put:
-    """A change that adds or replaces an entry.
-
-    The catalogue assigns the number and the version of the entry.
-    """
-
-    entry: services.Service
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Retire:
-    """A change that retires an entry.
-
-    A retired entry gets no new flows, and its open flows continue.
-    """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Edit:
-    """One change to an entry, with optimistic concurrency control.
-
-    ``base_version`` is the version of the entry that the operator read
-    before the change, and 0 for a new entry.
-    """
-
-    name: str
-    base_version: int
-    change: Put | Retire
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Document:
-    """A complete catalogue with a version that the operator chose.
-
-    ``text`` is the body that the operator sent; reads return it unchanged.
-    The store of documents keeps it in compressed form. The shares of
-    ``entries`` refer to pools by name, and the catalogue assigns the pool
-    numbers. A document replaces only documents with a lower version.
-
-    In the log, a document holds only its changes to the catalogue if
-    ``base_version``, the version of that catalogue, is not 0. Then ``entries``
-    lists the new and changed entries, and ``removed`` the names of those that
-    the document omits.
-    """
-
-    version: int
-    text: bytes
-    entries: tuple[services.Service, ...] = ()
-    base_version: int = 0
-    removed: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """An atomic list of edits, a complete document, or an evacuation order.
-
-    Either all edits of a request are accepted or none is.
-    """
-
-    idempotency_key: str
-    operator: str
-    edits: tuple[Edit, ...]
-    document: Document | None = None
-    evacuation: zone_orders.Order | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """The reason for rejecting the edit of the entry ``name``.
-
-    ``current`` is the entry before the request, ``None`` if it does not
-    exist. If the edit claims a port of another entry, ``current`` is that
-    other entry.
-    """
-
-    name: str
-    reason: str
-    current: services.Service | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """The result of a request.
-
-    ``version`` is the catalogue version after the request.
-    """
-
-    accepted: bool
-    version: int
-    conflicts: tuple[Conflict, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HistoryItem:
-    """The result of one accepted edit of an entry.
-
-    ``operator`` and ``idempotency_key`` are those of the edit's request.
-    Documents add no items to the history.
-    """
-
-    version: int
-    operator: str
-    idempotency_key: str
-    entry: services.Service
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeptAnswer:
-    """An idempotency key with the answer to its first request."""
-
-    idempotency_key: str
-    answer: Answer
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolNumber:
-    """The name and the number of a pool; numbers are never reused."""
-
-    name: str
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CatalogueState:
-    """The complete state of a catalogue, as a snapshot contains it.
-
-    ``last_number`` is the last number that was assigned to a service or a
-    pool. ``history`` and ``answers`` are ordered from the oldest to the
-    newest item. ``document`` is the newest document, without its entries.
-    ``evacuated_zones`` is sorted.
-    """
-
-    version: int = 0
-    last_number: int = 0
-    entries: tuple[services.Service, ...] = ()
-    history: tuple[HistoryItem, ...] = ()
-    answers: tuple[KeptAnswer, ...] = ()
-    document: Document | None = None
-    pools: tuple[PoolNumber, ...] = ()
-    evacuated_zones: tuple[str, ...] = ()
-
-
 class Catalogue:
     """The entries, the evacuated zones and the stored answers to requests."""
 
@@ -170,11 +29,11 @@
         """Initialize an empty catalogue at version 0."""
         self.version = 0
         self.entries: dict[str, services.Service] = {}
-        self.history: list[HistoryItem] = []
-        self.answers: collections.OrderedDict[str, Answer] = (
-            collections.OrderedDict()
-        )
-        self.document: Document | None = None
+        self.history: list[catalogue_records.HistoryItem] = []
+        self.answers: collections.OrderedDict[
+            str, catalogue_records.Answer
+        ] = collections.OrderedDict()
+        self.document: catalogue_records.Document | None = None
         self.pools: dict[str, int] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
         self._last_number = 0
@@ -182,24 +41,26 @@
         # Whether the owners of endpoints match the entries.
         self._owners_are_current = True
 
-    def export(self) -> CatalogueState:
+    def export(self) -> catalogue_records.CatalogueState:
         """Return the complete state, which determines all later answers."""
-        return CatalogueState(
+        return catalogue_records.CatalogueState(
             version=self.version,
             last_number=self._last_number,
             entries=tuple(self.list_entries()),
             history=tuple(self.history),
             answers=tuple(
-                KeptAnswer(key, answer) for key, answer in self.answers.items()
+                catalogue_records.KeptAnswer(key, answer)
+                for key, answer in self.answers.items()
             ),
             document=self.document,
             pools=tuple(
-                PoolNumber(name, number) for name, number in self.pools.items()
+                catalogue_records.PoolNumber(name, number)
+                for name, number in self.pools.items()
             ),
             evacuated_zones=tuple(sorted(self.evacuated_zones)),
         )
 
-    def restore(self, state: CatalogueState) -> None:
+    def restore(self, state: catalogue_records.CatalogueState) -> None:
         """Replace the complete state with an exported one."""
         self.version = state.version
         self.entries = {entry.name: entry for entry in state.entries}
@@ -213,11 +74,15 @@
         self._last_number = state.last_number
         self._owners_are_current = False
 
-    def known_answer(self, idempotency_key: str) -> Answer | None:
+    def known_answer(
+        self, idempotency_key: str
+    ) -> catalogue_records.Answer | None:
         """Return the stored answer to an idempotency key, or ``None``."""
         return self.answers.get(idempotency_key)
 
-    def apply(self, request: Request) -> Answer:
+    def apply(
+        self, request: catalogue_records.Request
+    ) -> catalogue_records.Answer:
         """Apply a request and return its answer.
 
         Edits and evacuation orders whose request has a known idempotency key
@@ -238,12 +103,12 @@
             return answer
         conflicts = self._find_conflicts(request)
         if conflicts:
-            answer = Answer(False, self.version, conflicts)
+            answer = catalogue_records.Answer(False, self.version, conflicts)
         else:
             self.version += 1
             for edit in request.edits:
                 self._apply_edit(request, edit)
-            answer = Answer(True, self.version)
+            answer = catalogue_records.Answer(True, self.version)
         self._store_answer(request.idempotency_key, answer)
         return answer
 
@@ -262,22 +127,26 @@
             number = self.entries[name].number
         return number
 
-    def _apply_evacuation(self, order: zone_orders.Order) -> Answer:
+    def _apply_evacuation(
+        self, order: zone_orders.Order
+    ) -> catalogue_records.Answer:
         zones = zone_orders.apply_order(self.evacuated_zones, order)
         if zones != self.evacuated_zones:
             self.version += 1
             self.evacuated_zones = zones
-        return Answer(True, self.version)
+        return catalogue_records.Answer(True, self.version)
 
-    def _apply_document(self, document: Document) -> Answer:
+    def _apply_document(
+        self, document: catalogue_records.Document
+    ) -> catalogue_records.Answer:
         # A document whose version is not higher is older, a retry, or another
         # document with the same version. It changes nothing, but is accepted,
         # since the catalogue already has the newest document.
         current_version = self.document.version if self.document else 0
         if document.version <= current_version:
-            return Answer(True, self.version)
+            return catalogue_records.Answer(True, self.version)
         if document.base_version not in (0, self.version):
-            return Answer(False, self.version)
+            return catalogue_records.Answer(False, self.version)
         self.version += 1
         numbered_entries = [
             self._assign_numbers(entry) for entry in document.entries
@@ -290,10 +159,12 @@
             self.entries = documents.replace_entries(
                 self.entries, numbered_entries, self.version
             )
-        self.document = Document(document.version, document.text)
+        self.document = catalogue_records.Document(
+            document.version, document.text
+        )
         # The owners of endpoints are needed only for edits.
         self._owners_are_current = False
-        return Answer(True, self.version)
+        return catalogue_records.Answer(True, self.version)
 
     def _assign_numbers(self, entry: services.Service) -> services.Service:
         shares = tuple(
@@ -313,32 +184,36 @@
             self.pools[name] = self._allocate_number()
         return self.pools[name]
 
-    def _find_conflicts(self, request: Request) -> tuple[Conflict, ...]:
-        conflicts: list[Conflict] = []
+    def _find_conflicts(
+        self, request: catalogue_records.Request
+    ) -> tuple[catalogue_records.Conflict, ...]:
+        conflicts: list[catalogue_records.Conflict] = []
         edited_names: set[str] = set()
         for edit in request.edits:
             current = self.entries.get(edit.name)
-            reason = _find_edit_conflict_reason(edit, current)
+            reason = edit_conflicts.find_conflict_reason(edit, current)
             if edit.name in edited_names:
                 reason = 'edited twice in one request; send one edit of it'
             edited_names.add(edit.name)
             if reason:
-                conflicts.append(Conflict(edit.name, reason, current))
+                conflicts.append(
+                    catalogue_records.Conflict(edit.name, reason, current)
+                )
         conflicts.extend(self._find_endpoint_conflicts(request, edited_names))
         return tuple(conflicts)
 
     def _find_endpoint_conflicts(
-        self, request: Request, edited_names: set[str]
-    ) -> list[Conflict]:
+        self, request: catalogue_records.Request, edited_names: set[str]
+    ) -> list[catalogue_records.Conflict]:
         if not self._owners_are_current:
             self._owners.replace_all(self.list_entries())
             self._owners_are_current = True
         put_entries: dict[str, services.Service] = {}
         for edit in request.edits:
             match edit.change:
-                case Put(entry=entry):
+                case catalogue_records.Put(entry=entry):
                     put_entries[edit.name] = entry
-        conflicts: list[Conflict] = []
+        conflicts: list[catalogue_records.Conflict] = []
         for conflict in self._owners.find_conflicts(put_entries, edited_names):
             reason = (
                 f'port {conflict.port} of this address belongs to'
@@ -349,13 +224,17 @@
                 put_entries.get(conflict.holder)
                 or self.entries[conflict.holder]
             )
-            conflicts.append(Conflict(conflict.name, reason, current))
+            conflicts.append(
+                catalogue_records.Conflict(conflict.name, reason, current)
+            )
         return conflicts
 
-    def _apply_edit(self, request: Request, edit: Edit) -> None:
+    def _apply_edit(
+        self, request: catalogue_records.Request, edit: catalogue_records.Edit
+    ) -> None:
         current = self.entries.get(edit.name)
         match edit.change:
-            case Put(entry=entry):
+            case catalogue_records.Put(entry=entry):
                 number = current.number if current else self._allocate_number()
                 changed_entry = dataclasses.replace(
                     entry,
@@ -364,7 +243,7 @@
                     version=self.version,
                     retired=False,
                 )
-            case Retire():
+            case catalogue_records.Retire():
                 # _find_conflicts has rejected the edit of a missing entry.
                 assert current is not None
                 changed_entry = dataclasses.replace(
@@ -375,7 +254,7 @@
         self.entries[edit.name] = changed_entry
         self._owners.claim(changed_entry)
         self.history.append(
-            HistoryItem(
+            catalogue_records.HistoryItem(
                 self.version,
                 request.operator,
                 request.idempotency_key,
@@ -391,45 +270,9 @@
         self._last_number += 1
         return self._last_number
 
-    def _store_answer(self, key: str, answer: Answer) -> None:
+    def _store_answer(
+        self, key: str, answer: catalogue_records.Answer
+    ) -> None:
         self.answers[key] = answer
         while len(self.answers) > MAX_STORED_ANSWERS:
             self.answers.popitem(last=False)
-
-
-# Each replica stores the reason as part of its answer, so two versions of this
-# program that run side by side must give the same text.
-def _find_edit_conflict_reason(
-    edit: Edit, current: services.Service | None
-) -> str:
-    version = current.version if current else 0
-    if edit.base_version != version:
-        return (
-            f'based on version {edit.base_version}, but the entry is at'
-            f' {version}; read it again, merge and apply again'
-        )
-    match edit.change:
-        case Retire() if current is None:
-            return 'no such entry; check the name with "catalogue list"'
-        case Put(entry=entry) if current is not None:
-            return _find_identity_conflict_reason(entry, current)
-        case _:
-            return ''
-
-
-def _find_identity_conflict_reason(
-    entry: services.Service, current: services.Service
-) -> str:
-    if current.retired:
-        return 'retired; a name is not used again, so choose another one'
-    if (entry.address, entry.protocol) != (current.address, current.protocol):
-        return (
-            'address and protocol of a service do not change; add a new'
-            ' entry, then retire this one'
-        )
-    if type(entry.traffic) is not type(current.traffic):
-        return (
-            'the class of a service does not change under open flows; add'
-            ' a new entry, then retire this one'
-        )
-    return ''
--- a/src/gentianspoke/decisions/control/replica/effects.py
+++ b/src/gentianspoke/decisions/control/replica/effects.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import messages
 from gentianspoke.decisions.control.replica import records
 
@@ -83,7 +83,7 @@
 
     index: int
     term: int
-    answer: catalogue.Answer | None
+    answer: catalogue_records.Answer | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/messages.py
+++ b/src/gentianspoke/decisions/control/replica/messages.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import records
 
@@ -148,7 +148,7 @@
 class Propose:
     """Operators sent requests, which are to be appended to the log."""
 
-    requests: tuple[catalogue.Request, ...]
+    requests: tuple[catalogue_records.Request, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/replica/records.py
+++ b/src/gentianspoke/decisions/control/replica/records.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import group as groups
 
 # A batch is sent in one message and made durable by one sync. A record that
@@ -26,7 +26,7 @@
 class Command:
     """A request from an operator."""
 
-    request: catalogue.Request
+    request: catalogue_records.Request
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +67,7 @@
     index: int
     term: int
     group: groups.Group
-    state: catalogue.CatalogueState
+    state: catalogue_records.CatalogueState
 
 
 class RecordLog:
@@ -184,9 +184,9 @@
             return 1
 
 
-def _weigh_edit(edit: catalogue.Edit) -> int:
+def _weigh_edit(edit: catalogue_records.Edit) -> int:
     match edit.change:
-        case catalogue.Put(entry=entry):
+        case catalogue_records.Put(entry=entry):
             return 1 + len(entry.ports) // PORTS_PER_WEIGHT
-        case catalogue.Retire():
+        case catalogue_records.Retire():
             return 1
--- a/src/gentianspoke/decisions/control/replica/replica.py
+++ b/src/gentianspoke/decisions/control/replica/replica.py
@@ -6,7 +6,7 @@
 
 import random
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import commits
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import elections
@@ -138,7 +138,7 @@
                 return []
 
     def _propose(
-        self, requests: tuple[catalogue.Request, ...], now: int
+        self, requests: tuple[catalogue_records.Request, ...], now: int
     ) -> list[effects.Effect]:
         state = self.state
         if not state.leads(now):
--- a/src/gentianspoke/decisions/control/replica/state.py
+++ b/src/gentianspoke/decisions/control/replica/state.py
@@ -5,6 +5,7 @@
 
 from gentianspoke.core import shares
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import records
@@ -264,7 +265,9 @@
         number=number,
         instance=instance,
         vote=effects.SaveVote(0, groups.NOBODY),
-        snapshot=records.Snapshot(0, 0, group, catalogue.CatalogueState()),
+        snapshot=records.Snapshot(
+            0, 0, group, catalogue_records.CatalogueState()
+        ),
         base=records.Base(0, 0, group),
         records=(),
     )
--- a/src/gentianspoke/shells/catalogue_client.py
+++ b/src/gentianspoke/shells/catalogue_client.py
@@ -12,7 +12,7 @@
 from gentianspoke.codec import keys
 from gentianspoke.config import units
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_grpc
 from gentianspoke.generated import catalogue_pb2
@@ -45,7 +45,7 @@
     of the same request.
     """
 
-    answer: catalogue.Answer
+    answer: catalogue_records.Answer
     is_repeated: bool
 
 
@@ -109,7 +109,7 @@
         self._addresses = addresses
         self._ring = ring
 
-    async def apply(self, request: catalogue.Request) -> ApplyResult:
+    async def apply(self, request: catalogue_records.Request) -> ApplyResult:
         """Send a request to the leader and return the answer.
 
         If the answer is lost, the request is sent again with the same
@@ -153,7 +153,9 @@
             raise self._make_unreachable_error()
         return min(listings, key=lambda item: item.confirmed_age_ms)
 
-    async def fetch_history(self, name: str) -> list[catalogue.HistoryItem]:
+    async def fetch_history(
+        self, name: str
+    ) -> list[catalogue_records.HistoryItem]:
         """Return the accepted versions of an entry, oldest first.
 
         Raises :class:`gentianspoke.errors.ControlUnreachableError` if no
--- a/src/gentianspoke/shells/control/catalogue_log.py
+++ b/src/gentianspoke/shells/control/catalogue_log.py
@@ -3,6 +3,7 @@
 import typing
 
 from gentianspoke.decisions.control import catalogue as catalogues
+from gentianspoke.decisions.control import catalogue_records
 
 
 class CatalogueLog(typing.Protocol):
@@ -35,7 +36,9 @@
     def list_member_addresses(self) -> list[str]:
         """Return the addresses of all members as "host:port"."""
 
-    async def submit(self, request: catalogues.Request) -> catalogues.Answer:
+    async def submit(
+        self, request: catalogue_records.Request
+    ) -> catalogue_records.Answer:
         """Return the answer to a request once it is durable on a majority.
 
         Raises :class:`gentianspoke.errors.NotLeaderError` if this instance
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -6,7 +6,7 @@
 import grpclib.server
 
 from gentianspoke.codec import catalogue as catalogue_codec
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_grpc
 from gentianspoke.generated import catalogue_pb2
@@ -152,9 +152,9 @@
 
 
 def _decode_or_refuse(
-    decode: typing.Callable[[typing.Any], catalogue.Request],
+    decode: typing.Callable[[typing.Any], catalogue_records.Request],
     message: typing.Any,
-) -> catalogue.Request:
+) -> catalogue_records.Request:
     try:
         return decode(message)
     except errors.ControlError as exc:
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -5,6 +5,7 @@
 
 from gentianspoke.codec import packing
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import documents
 from gentianspoke import errors
 from gentianspoke.shells.control import replicated_log
@@ -25,7 +26,7 @@
     A majority confirmed the leader after the read began.
     """
 
-    document: catalogue.Document
+    document: catalogue_records.Document
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +70,7 @@
         """Return the outcome of all requests here, ``None`` if it leads."""
         return find_redirect(self._proc, self._log)
 
-    async def put(self, document: catalogue.Document) -> Outcome:
+    async def put(self, document: catalogue_records.Document) -> Outcome:
         """Write a document; return the outcome once it is durable.
 
         A document is durable once a majority of voters has stored it. One
@@ -91,9 +92,9 @@
         if current is None:
             return Unavailable('no document was accepted yet; send one first')
         text = packing.unpack(current.text)
-        return Found(catalogue.Document(current.version, text))
+        return Found(catalogue_records.Document(current.version, text))
 
-    async def _put_next(self, document: catalogue.Document) -> Outcome:
+    async def _put_next(self, document: catalogue_records.Document) -> Outcome:
         if self._log is None or not self._log.is_leader:
             return redirect_to_leader(self._proc, self._log)
         current = self._log.catalogue.document
@@ -103,7 +104,7 @@
         change = build_change(document, self._log.catalogue)
         try:
             answer = await self._log.submit(
-                catalogue.Request(key, '', (), change)
+                catalogue_records.Request(key, '', (), change)
             )
         except errors.NotLeaderError:
             return redirect_to_leader(self._proc, self._log)
@@ -118,7 +119,7 @@
     async def _accept_without_write(
         self,
         log: replicated_log.ReplicatedLog,
-        document: catalogue.Document,
+        document: catalogue_records.Document,
     ) -> Outcome:
         if await log.confirm_leadership():
             return Accepted(document.version)
@@ -149,8 +150,8 @@
 
 
 def build_change(
-    document: catalogue.Document, state: catalogue.Catalogue
-) -> catalogue.Document:
+    document: catalogue_records.Document, state: catalogue.Catalogue
+) -> catalogue_records.Document:
     """Return a document as its changes to the catalogue, text compressed.
 
     It stays a whole document if the catalogue is empty.
@@ -158,7 +159,7 @@
     text = packing.pack(document.text)
     if state.version == 0:
         return dataclasses.replace(document, text=text)
-    return catalogue.Document(
+    return catalogue_records.Document(
         version=document.version,
         text=text,
         entries=documents.find_changed_entries(
--- a/src/gentianspoke/shells/control/evacuations.py
+++ b/src/gentianspoke/shells/control/evacuations.py
@@ -2,7 +2,7 @@
 
 import uuid
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
 from gentianspoke import errors
 from gentianspoke.shells.control import documents
@@ -49,7 +49,7 @@
             return documents.redirect_to_leader(self._proc, self._log)
         if _changes_nothing(self._log, order):
             return await self._accept_without_write(self._log)
-        request = catalogue.Request(
+        request = catalogue_records.Request(
             f'evacuation/{uuid.uuid4().hex}', '', (), evacuation=order
         )
         try:
--- a/src/gentianspoke/shells/control/pending.py
+++ b/src/gentianspoke/shells/control/pending.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke import errors
 
@@ -19,8 +19,8 @@
     ``term`` is the term in which the request was proposed, 0 before that.
     """
 
-    request: catalogue.Request
-    future: asyncio.Future[catalogue.Answer]
+    request: catalogue_records.Request
+    future: asyncio.Future[catalogue_records.Answer]
     term: int = 0
 
 
@@ -41,8 +41,8 @@
         return bool(self._queued_requests or self._proposed_requests)
 
     def add(
-        self, request: catalogue.Request
-    ) -> asyncio.Future[catalogue.Answer]:
+        self, request: catalogue_records.Request
+    ) -> asyncio.Future[catalogue_records.Answer]:
         """Queue a request; return the future of its answer.
 
         Raises :class:`gentianspoke.errors.BusyError` if too many requests
@@ -59,7 +59,7 @@
         self.request_queued.set()
         return pending.future
 
-    def get_next_batch(self) -> tuple[catalogue.Request, ...]:
+    def get_next_batch(self) -> tuple[catalogue_records.Request, ...]:
         """Return the requests to propose next, which stay in the queue.
 
         If there are none, ``request_queued`` is cleared, so that a task that
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -13,7 +13,7 @@
 import typing
 
 from gentianspoke import clock
-from gentianspoke.decisions.control import catalogue as catalogues
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import messages
@@ -149,7 +149,9 @@
         """Return the ms since a majority last confirmed this instance."""
         return self.replica.state.get_confirmed_age_ms(self._clock.now())
 
-    async def submit(self, request: catalogues.Request) -> catalogues.Answer:
+    async def submit(
+        self, request: catalogue_records.Request
+    ) -> catalogue_records.Answer:
         """Return the answer to a request once it is durable on a majority.
 
         A request whose idempotency key is known gets its first answer again.
--- a/tests/control/test_evacuations.py
+++ b/tests/control/test_evacuations.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gentianspoke.core import views
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_pb2
@@ -54,7 +54,7 @@
 
 
 def make_request(order, key):
-    return catalogue.Request(key, 'operator', (), evacuation=order)
+    return catalogue_records.Request(key, 'operator', (), evacuation=order)
 
 
 @pytest.mark.parametrize(
--- a/tests/decisions/test_catalogue.py
+++ b/tests/decisions/test_catalogue.py
@@ -5,12 +5,13 @@
 
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 
 
 def make_put_request(name, base, entry=None, key='k'):
     entry = entry or builders.service()
-    edit = catalogue.Edit(name, base, catalogue.Put(entry))
-    return catalogue.Request(key, 'operator', (edit,))
+    edit = catalogue_records.Edit(name, base, catalogue_records.Put(entry))
+    return catalogue_records.Request(key, 'operator', (edit,))
 
 
 @pytest.mark.parametrize(
--- a/tests/decisions/test_documents.py
+++ b/tests/decisions/test_documents.py
@@ -12,6 +12,7 @@
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control.replica import records
 from gentianspoke.shells.control import documents as control_documents
@@ -37,10 +38,12 @@
 
     The text of the document is its version unless ``text`` is given.
     """
-    new_document = catalogue.Document(
+    new_document = catalogue_records.Document(
         version, text or b'%d' % version, entries
     )
-    return catalogue.Request(f'document/{version}', '', (), new_document)
+    return catalogue_records.Request(
+        f'document/{version}', '', (), new_document
+    )
 
 
 def apply_requests(*requests):
@@ -63,7 +66,7 @@
 )
 def test_the_highest_version_wins_in_any_order(order):
     state = apply_requests(*order, *order)
-    assert state.document == catalogue.Document(7, b'7')
+    assert state.document == catalogue_records.Document(7, b'7')
     live_names = [
         item.name for item in state.list_entries() if not item.retired
     ]
@@ -170,7 +173,7 @@
 
 
 def apply_document(state, document):
-    return state.apply(catalogue.Request('key', '', (), document))
+    return state.apply(catalogue_records.Request('key', '', (), document))
 
 
 @pytest.mark.parametrize('seed', range(8))
@@ -216,7 +219,7 @@
         make_request(3, make_entry()), make_request(7, make_entry('b', port=8))
     )
     before = state.export()
-    document = catalogue.Document(
+    document = catalogue_records.Document(
         version, b'text', (make_entry('c', port=9),), base_version
     )
     assert apply_document(state, document).accepted is accepted
@@ -226,7 +229,9 @@
 def test_an_edit_after_documents_finds_the_owner_of_a_port():
     state = apply_requests(make_request(3, make_entry()))
     entry = dataclasses.replace(make_entry('other'), shares=())
-    edit = catalogue.Edit('other', 0, catalogue.Put(entry))
-    answer = state.apply(catalogue.Request('edit', 'operator', (edit,)))
+    edit = catalogue_records.Edit('other', 0, catalogue_records.Put(entry))
+    answer = state.apply(
+        catalogue_records.Request('edit', 'operator', (edit,))
+    )
     assert not answer.accepted
     assert 'belongs to a' in answer.conflicts[0].reason
--- a/tests/decisions/test_endpoints.py
+++ b/tests/decisions/test_endpoints.py
@@ -6,14 +6,15 @@
 import pytest
 
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 
-RETIRE = catalogue.Retire()
+RETIRE = catalogue_records.Retire()
 
 
 def make_put(port, **changes):
     """Return a change to an entry with one port."""
     entry = dataclasses.replace(builders.service(), ports=(port,), **changes)
-    return catalogue.Put(entry)
+    return catalogue_records.Put(entry)
 
 
 def apply_changes(state, key, *changes):
@@ -22,12 +23,12 @@
     ``changes`` holds pairs of an entry's name and the change to the entry.
     """
     edits = tuple(
-        catalogue.Edit(
+        catalogue_records.Edit(
             name, getattr(state.entries.get(name), 'version', 0), change
         )
         for name, change in changes
     )
-    return state.apply(catalogue.Request(key, 'operator', edits))
+    return state.apply(catalogue_records.Request(key, 'operator', edits))
 
 
 @pytest.mark.parametrize('is_restored', [False, True])
--- a/tests/decisions/test_zone_orders.py
+++ b/tests/decisions/test_zone_orders.py
@@ -4,6 +4,7 @@
 
 from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_pb2
@@ -13,7 +14,7 @@
 
 
 def make_request(order, key):
-    return catalogue.Request(key, 'operator', (), evacuation=order)
+    return catalogue_records.Request(key, 'operator', (), evacuation=order)
 
 
 def apply_orders(*orders):
--- a/tests/feed/test_feed_copies.py
+++ b/tests/feed/test_feed_copies.py
@@ -15,7 +15,7 @@
 from gentianspoke.codec import feed as feed_codec
 from gentianspoke.codec import packing
 from gentianspoke.core import views
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import membership
 from gentianspoke.decisions.control import scopes
 from gentianspoke.decisions import feed_copy
@@ -100,10 +100,10 @@
         ports=(number,),
         handshake=handshake,
     )
-    edit = catalogue.Edit(name, base, catalogue.Put(entry))
+    edit = catalogue_records.Edit(name, base, catalogue_records.Put(entry))
     key = f'{name}/{log.catalogue.version}'
     assert log.catalogue.apply(
-        catalogue.Request(key, 'operator', (edit,))
+        catalogue_records.Request(key, 'operator', (edit,))
     ).accepted
 
 
--- a/tests/local_log.py
+++ b/tests/local_log.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 
 
 class LocalLog:
@@ -18,7 +19,9 @@
         self.leader = ''
         self._applied = asyncio.Condition()
 
-    async def submit(self, request: catalogue.Request) -> catalogue.Answer:
+    async def submit(
+        self, request: catalogue_records.Request
+    ) -> catalogue_records.Answer:
         """Apply a request and return its answer."""
         answer = self.catalogue.apply(request)
         async with self._applied:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,7 +8,7 @@
 
 from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.core import services
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_pb2
 
@@ -131,7 +131,7 @@
     key, value
 ):
     document = configuration.decode(make_body(**{key: value}))
-    request = catalogue.Request('key', '', (), document)
+    request = catalogue_records.Request('key', '', (), document)
     encoded = catalogue_codec.encode_request(request).SerializeToString()
     message = catalogue_pb2.ApplyRequest.FromString(encoded)
     assert catalogue_codec.decode_request(message) == request
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -5,7 +5,7 @@
 from gentianspoke_platform import control
 import pytest
 
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.net import http
 from gentianspoke.shells.control import documents
 
@@ -17,7 +17,7 @@
         'limits': {'idle_timeout_ms': 1},
     }
 ).encode()
-DOCUMENT = catalogue.Document(3, BODY)
+DOCUMENT = catalogue_records.Document(3, BODY)
 
 
 class FakeDocuments:
--- a/tests/replica/test_stored_state.py
+++ b/tests/replica/test_stored_state.py
@@ -6,6 +6,7 @@
 
 from gentianspoke.codec import replica as codec
 from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import records
 from gentianspoke.decisions.control.replica import state as states
@@ -17,15 +18,17 @@
 
 GROUP = states.groups.Group((replica_network.member(1),))
 PUT_REQUEST = replica_network.request('key')
-RETIRE_REQUEST = catalogue.Request(
-    'other', 'operator', (catalogue.Edit('x', 1, catalogue.Retire()),)
+RETIRE_REQUEST = catalogue_records.Request(
+    'other',
+    'operator',
+    (catalogue_records.Edit('x', 1, catalogue_records.Retire()),),
 )
 
 START, END = zone_orders.Start('a'), zone_orders.End('a')
 
 
 def evacuate(order):
-    return catalogue.Request('zone', 'operator', (), evacuation=order)
+    return catalogue_records.Request('zone', 'operator', (), evacuation=order)
 
 
 def make_state():
--- a/tests/replica_network.py
+++ b/tests/replica_network.py
@@ -12,7 +12,7 @@
 
 from gentianspoke import clock
 from gentianspoke.codec import replica as codec
-from gentianspoke.decisions.control import catalogue
+from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
 from gentianspoke.decisions.control.replica import messages
@@ -40,8 +40,10 @@
     # endpoint.
     address = zlib.crc32(name.encode()).to_bytes(4, 'big')
     entry = dataclasses.replace(entry, name=name, address=address)
-    edit = catalogue.Edit(name, base_version, catalogue.Put(entry))
-    return catalogue.Request(key, 'operator', (edit,))
+    edit = catalogue_records.Edit(
+        name, base_version, catalogue_records.Put(entry)
+    )
+    return catalogue_records.Request(key, 'operator', (edit,))
 
 
 def member(number, voter=True):
