Keep the names of catalogue requests for programs that embed them

Cause: the split of the catalogue's records broke the example of docs/embedding.md.

Change: the four classes that embedding programs use keep their names in decisions/control/catalogue.

Result: tests/decisions pass.

--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -20,6 +20,11 @@
 
 MAX_STORED_ANSWERS = 10_000
 MAX_HISTORY_ITEMS = 50_000
+# The names under which programs that embed this package know these classes.
+Put = catalogue_records.Put
+Retire = catalogue_records.Retire
+Edit = catalogue_records.Edit
+Request = catalogue_records.Request
 
 
 class Catalogue:
