Test that an agent resets no flow that its own upstream may have

Cause: the case of a recovering agent that asks sent one packet only, for which no inquiry begins, so it passed without the check of the own record.

Change: cases of their own send the packet again, beside an upstream that is silent, one that returns the packet, and one whose start was not seen.

--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -89,6 +89,10 @@
     network.states[inquiry_pool.HOME].recovering = True
 
 
+def learn_late_of_own_upstream(network):
+    network.states[inquiry_pool.HOME].inquiries.complete_from_ms = 10**9
+
+
 def learn_late_of_new_upstream(network):
     network.states[3].inquiries.complete_from_ms = 10**9
 
@@ -234,7 +238,6 @@
         pytest.param(lose_all_replies, False, id='all-replies-lost'),
         pytest.param(cut_off_member, False, id='member-cut-off'),
         pytest.param(restart_agent, False, id='member-recovers'),
-        pytest.param(restart_own_agent, False, id='home-recovers'),
         pytest.param(
             learn_late_of_new_upstream, False, id='record-not-complete'
         ),
@@ -287,6 +290,32 @@
     assert network.resets == [5_000] * is_reset
 
 
+@pytest.mark.parametrize(
+    ('prepare', 'is_returned', 'is_reset'),
+    [
+        pytest.param(restart_own_agent, False, False, id='upstream-silent'),
+        pytest.param(restart_own_agent, True, True, id='upstream-returns'),
+        pytest.param(
+            learn_late_of_own_upstream, False, False, id='not-complete'
+        ),
+    ],
+)
+def test_an_agent_resets_no_flow_that_its_own_upstream_may_have(
+    prepare, is_returned, is_reset
+):
+    network = make_network()
+    home = network.states[inquiry_pool.HOME]
+    prepare(network)
+    network.send(DATA)
+    if is_returned:
+        returned_segment = dataclasses.replace(DATA, is_returned=True)
+        core.on_returned(home, returned_segment, network.now)
+    network.run(400)
+    network.send(DATA)
+    network.run(RESULT_MS)
+    assert bool(network.resets) == is_reset
+
+
 @pytest.mark.parametrize(
     'members', [MEMBERS, LARGE_POOL], ids=['small-pool', 'large-pool']
 )
