--- a/tests/agent/test_inquiry_shell.py
+++ b/tests/agent/test_inquiry_shell.py
@@ -12,69 +12,32 @@
 import builders
 import inquiry_pool
 import pytest
+import test_shell
 
-from gentianspoke import clock
 from gentianspoke.codec import frame
 from gentianspoke.codec import ip
-from gentianspoke.codec import keys
-from gentianspoke.config import settings
 from gentianspoke.core import frames
 from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import inquiry_records
-from gentianspoke.decisions import lifecycle
 from gentianspoke.net import datagrams
 from gentianspoke.shells.agent import agent as agent_shell
 from gentianspoke.shells.agent import status
 from gentianspoke.shells import feed_client
 from gentianspoke.shells import process
-from gentianspoke.telemetry import logs
-from gentianspoke.telemetry import metrics
 
-HOST = '127.0.0.1'
 TIMEOUT_S = 5.0
-RING = keys.KeyRing(1, {1: bytes(32)})
 ASKER = 77
 DATA = inquiry_pool.make_segment()
-ROLE = settings.AgentSettings(
-    listen=(HOST, 1),
-    upstream_side=(HOST, 1),
-    upstream=(HOST, 9),
-    status=None,
-    fabric=(HOST, 9),
-    services=('service-1',),
-    slots=4,
-    connections=10,
-    weight=100,
-    ramp_ms=0,
-    pool='pool',
-    recovery_ms=60_000,
-    inquire_flows=True,
-)
-CFG = settings.Settings(
-    instance='agent-1',
-    zone='zone-1',
-    key_file='',
-    log_file=None,
-    log_level='INFO',
-    metrics=None,
-    grace_ms=400,
-    feeds=(),
-    role=ROLE,
+HOST = test_shell.HOST
+RING = test_shell.KEY_RING
+ROLE = dataclasses.replace(
+    test_shell.ROLE, pool='pool', recovery_ms=60_000, inquire_flows=True
 )
 
 
 @contextlib.contextmanager
 def running_agent(incarnation='first'):
-    agent_clock = clock.Clock()
-    proc = process.Process(
-        cfg=CFG,
-        clock=agent_clock,
-        ring=RING,
-        events=logs.EventLog('agent-1', 'agent', agent_clock),
-        metrics=metrics.Metrics('agent-1', 'agent'),
-        life=lifecycle.Lifecycle(lambda state: None),
-        stop=asyncio.Event(),
-    )
+    proc = test_shell.make_process()
     with (
         datagrams.open_datagrams((HOST, 0)) as peers,
         datagrams.open_datagrams((HOST, 0)) as upstream,
