Deny no flow before a view shows whether the agent has run before

Cause: an agent that was killed and came back before its upstream's third heartbeat took the upstream for new, and would have denied flows that its earlier run had placed.

Change: an agent denies nothing while it is joining. If its first listing shows that the member was live before, the agent recovers as after any restart.

Result: the cases was-live-before and joining fail without the change; tests/agent and tests/platform pass; make check is clean.

--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -110,10 +110,14 @@
 
 
 def on_view(state: State, view: views.View, now: int) -> None:
-    """Store a view unless it is older, and note which members have left."""
+    """Store a view unless it is older, and note what follows from it.
+
+    This is which members have left, and whether this agent has run before.
+    """
     previous = state.rankings.get(view.service)
     if state.set_view(view):
         known_instances.note_view(state, previous, view, now)
+        flow_knowledge.note_own_listing(state, view.service, now)
 
 
 def on_tick(state: State, now: int) -> Actions:
--- a/src/gentianspoke/decisions/agent/flow_knowledge.py
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -3,8 +3,9 @@
 An agent knows all flows of its upstream if it has passed on every packet since
 the upstream's start. After a restart of the agent alone this is not so, and
 the agent does not say that a flow is absent unless its upstream has returned a
-packet of the flow. An agent may also lose single records, for example that of
-a flow that was idle for too long. Such a flow is doubtful.
+packet of the flow. Nor does it while it is joining, since only a view shows
+whether it has run before. An agent may also lose single records, for example
+that of a flow that was idle for too long. Such a flow is doubtful.
 """
 
 import enum
@@ -50,7 +51,7 @@
         if flow.phase is records.Phase.OPEN and evidence.is_established(flow):
             return Knowledge.OWNED
         return Knowledge.UNSURE
-    if key in state.inquiries.doubtful:
+    if key in state.inquiries.doubtful or state.joining:
         return Knowledge.UNSURE
     if state.recovering:
         has_settled = now - state.started_ms >= MIN_RECOVERING_AGE_MS
@@ -60,6 +61,22 @@
     return Knowledge.ABSENT if is_absent else Knowledge.UNSURE
 
 
+def note_own_listing(state: State, pool: int, now: int) -> None:
+    """Note that an earlier run of this agent was live with this upstream.
+
+    An agent announces itself as live only when it has joined. If a view shows
+    that the member was live before, an earlier run has placed flows of which
+    this one knows nothing, even if the upstream has just started. The agent
+    then recovers.
+    """
+    member = state.find_member(pool, state.number)
+    if not state.joining or member is None or not member.joined_view:
+        return
+    if state.inquiries.enabled and state.inquiries.complete_from_ms <= now:
+        state.inquiries.complete_from_ms = now + state.recovery_ms
+        state.recovering = True
+
+
 def note_doubtful(state: State, key: packets.FlowKey, now: int) -> None:
     """Note that the upstream may have a flow that has no record."""
     inquiries = state.inquiries
--- a/tests/agent/test_complete_record.py
+++ b/tests/agent/test_complete_record.py
@@ -12,6 +12,7 @@
 
 from gentianspoke.core import frames
 from gentianspoke.core import packets
+from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions import hashing
@@ -80,17 +81,41 @@
     # The new incarnation may have received the opening.
     open_half(state)
     core.on_incarnation(state, 99, NOW + 100)
+    state.joining = False
 
 
 def open_while_upstream_restarts(state):
     open_flow(state)
     core.on_incarnation(state, 99, NOW + 100)
+    state.joining = False
 
 
 def restart_agent(state):
     state.recovering = True
 
 
+def restart_agent_soon_after_upstream(state):
+    # The upstream counts as new, but an earlier run of the agent was live.
+    state.joining = True
+    member = builders.member(MEMBER, views.State.DRAINING, joined_view=1)
+    core.on_view(state, inquiry_pool.make_view(member, number=2), NOW)
+    state.joining = False
+
+
+def join(state):
+    state.joining = True
+    member = builders.member(MEMBER, views.State.DRAINING, joined_view=0)
+    core.on_view(state, inquiry_pool.make_view(member, number=2), NOW)
+
+
+def join_and_become_live(state):
+    join(state)
+    state.joining = False
+    core.on_view(
+        state, inquiry_pool.make_view(builders.member(MEMBER), number=3), NOW
+    )
+
+
 def restart_agent_and_return_packet(state):
     restart_agent(state)
     send(state, DATA, NOW)
@@ -139,6 +164,11 @@
             open_while_upstream_restarts, ABSENT, id='lost-by-upstream'
         ),
         pytest.param(restart_agent, UNSURE, id='recovering'),
+        pytest.param(
+            restart_agent_soon_after_upstream, UNSURE, id='was-live-before'
+        ),
+        pytest.param(join, UNSURE, id='joining'),
+        pytest.param(join_and_become_live, ABSENT, id='joined'),
         pytest.param(restart_agent_and_return_packet, ABSENT, id='returned'),
         pytest.param(
             restart_agent_beside_silent_upstream, UNSURE, id='silent-upstream'
--- a/tests/agent/test_inquiry_shell.py
+++ b/tests/agent/test_inquiry_shell.py
@@ -93,6 +93,7 @@
     with running_agent(incarnation='') as (agent, _, _):
         for upstream_status in statuses:
             agent.apply_status(upstream_status)
+        agent.state.joining = False
         assert assess(agent) is knowledge
 
 
