Test that a record is not complete where the upstream's start is unknown

Cause: no case failed without the initial limit on complete records.

Change: a case of an agent whose upstream has no status page.

--- a/tests/agent/test_inquiry_shell.py
+++ b/tests/agent/test_inquiry_shell.py
@@ -36,14 +36,14 @@
 
 
 @contextlib.contextmanager
-def running_agent(incarnation='first'):
+def running_agent(incarnation='first', recovering=True):
     proc = test_shell.make_process()
     with (
         datagrams.open_datagrams((HOST, 0)) as peers,
         datagrams.open_datagrams((HOST, 0)) as upstream,
     ):
         agent = agent_shell.Agent(
-            proc, ROLE, ip, peers, upstream, incarnation, True
+            proc, ROLE, ip, peers, upstream, incarnation, recovering
         )
         update = feed_client.CatalogueUpdate(True, 1, [inquiry_pool.ENTRY])
         agent.apply_update(update)
@@ -97,6 +97,13 @@
         assert assess(agent) is knowledge
 
 
+def test_without_a_status_page_the_record_is_not_complete():
+    # The agent assumes a new upstream, which may nevertheless have run before.
+    with running_agent(recovering=False) as (agent, _, _):
+        agent.state.joining = False
+        assert assess(agent) is flow_knowledge.Knowledge.UNSURE
+
+
 async def test_a_reply_is_sent_to_the_member_that_asked():
     with (
         running_agent() as (agent, proc, peers),
