Move the replay of requests to the benchmarks

Cause: the table of the design note could not be made again, and the replay was counted among the tests.

--- a/tests/agent/request_replay.py
+++ b/benchmarks/policy/request_replay.py
@@ -5,14 +5,13 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
+import functools
 import heapq
 import random
-import statistics
-
-import builders
-import fakes
 
+from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
@@ -20,6 +19,7 @@
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import request_queue
+from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
 
 POOL = 7
@@ -28,6 +28,13 @@
 UPSTREAM_QUEUE = 4
 TICK_MS = 50
 CALLER_ISN, UPSTREAM_ISN = 100, 500
+FIRST_CALLER_PORT = 1_024
+SERVICE_PORT = 443
+SERVICE_ADDRESS = bytes((10, 1, 0, 1))
+# The platform's adapter limits the wait to this part of the objective.
+WAIT_DIVISOR = 4
+
+Event = collections.abc.Callable[[int], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,57 +69,82 @@
         return duration_ms <= self.request_class.objective_ms
 
 
-def make_entry(number, request_class):
-    return dataclasses.replace(
-        builders.service(
-            request_class.traffic,
-            number,
-            wait_ms=request_class.objective_ms // 4,
-            timeout_ms=request_class.timeout_ms,
+def make_entry(number: int, item: RequestClass) -> services.Service:
+    """Return the catalogue entry of a class."""
+    return services.Service(
+        number=number,
+        name=item.name,
+        owner='owner',
+        address=SERVICE_ADDRESS,
+        ports=(SERVICE_PORT + number,),
+        protocol=packets.TCP,
+        traffic=item.traffic,
+        limits=services.Limits(
             connections=100_000,
+            wait_ms=item.objective_ms // WAIT_DIVISOR,
+            timeout_ms=item.timeout_ms,
         ),
-        ports=(builders.SERVICE_PORT + number,),
+        version=1,
         handshake=True,
-        priority=request_class.priority,
+        priority=item.priority,
         shares=(services.Share(POOL, 1, 'pool'),),
     )
 
 
+def make_state(
+    entries: list[services.Service], slots: int, is_enabled: bool
+) -> agent_state.AgentState:
+    """Return the state of the only agent of the pool."""
+    member = views.Member(
+        number=OWN,
+        instance='agent',
+        host='127.0.0.1',
+        port=9_000,
+        zone='zone',
+        weight=100,
+        state=views.State.LIVE,
+        joined_view=1,
+    )
+    state = agent_state.AgentState(
+        number=OWN,
+        zone='zone',
+        capacity=agent_state.Capacity(slots, 100_000, 0),
+        started_ms=0,
+        own_pool=POOL,
+        requests=request_queue.RequestQueue(is_enabled),
+    )
+    state.set_catalogue(entries)
+    state.set_view(views.View(POOL, 1, (member,)))
+    return state
+
+
 class Replay:
     """One upstream with its agent, and the requests of all callers."""
 
-    def __init__(self, classes, slots, is_enabled):
+    def __init__(
+        self, classes: list[RequestClass], slots: int, is_enabled: bool
+    ) -> None:
         """Start without requests."""
-        view = views.View(POOL, 1, (builders.member(OWN),))
         entries = [make_entry(n + 1, item) for n, item in enumerate(classes)]
-        self.state = fakes.agent(
-            OWN,
-            entries[0],
-            view,
-            slots=slots,
-            own_pool=POOL,
-            requests=request_queue.RequestQueue(is_enabled),
-        )
-        self.state.set_catalogue(entries)
+        self.state = make_state(entries, slots, is_enabled)
         self.numbers = {item.name: n + 1 for n, item in enumerate(classes)}
         self.slots = slots
+        self.now = 0
         self.running = 0
-        self.waiting = collections.deque()
-        self.requests = {}
-        self.events = []
+        self.waiting: collections.deque[Request] = collections.deque()
+        self.requests: dict[bytes, Request] = {}
+        self.events: list[tuple[int, int, Event]] = []
         self.event_count = 0
-        self.max_at_upstream = 0
 
-    def add(self, at_ms, event):
+    def add(self, at_ms: int, event: Event) -> None:
+        """Call ``event`` with the time ``at_ms`` when it has come."""
         self.event_count += 1
         heapq.heappush(self.events, (at_ms, self.event_count, event))
 
-    def run(self, arrivals, until_ms):
+    def run(self, arrivals: list[Request], until_ms: int) -> list[Request]:
         """Play the arrivals and return the requests."""
         for arrival in arrivals:
-            self.add(
-                arrival.begin_ms, lambda now, a=arrival: self.open(a, now)
-            )
+            self.add(arrival.begin_ms, functools.partial(self.open, arrival))
         for at_ms in range(0, until_ms, TICK_MS):
             self.add(
                 at_ms, lambda now: self.execute(core.on_tick(self.state, now))
@@ -123,10 +155,19 @@
             event(now)
         return arrivals
 
-    def segment(self, request, flags=ACK, seq=CALLER_ISN + 1, ack=501, size=0):
-        return packets.Segment(request.key, flags, seq, ack, size, b'raw')
-
-    def open(self, request, now):
+    def segment(
+        self,
+        request: Request,
+        flags: int = ACK,
+        seq: int = CALLER_ISN + 1,
+        ack: int = UPSTREAM_ISN + 1,
+        size: int = 0,
+    ) -> packets.Segment:
+        """Return a segment of the request's flow."""
+        raw = b'data' + request.key if flags & packets.PSH else b'raw'
+        return packets.Segment(request.key, flags, seq, ack, size, raw)
+
+    def open(self, request: Request, now: int) -> None:
         """Open a flow for the request and send the request on it."""
         self.requests[request.key] = request
         # The flow is opened without admission, which is no part of the replay.
@@ -140,27 +181,32 @@
         self.execute(core.on_reply(self.state, reply, now))
         self.forward(request, self.segment(request), now)
         data = self.segment(request, ACK | packets.PSH, size=900)
-        data.raw = b'data' + request.key
         self.forward(request, data, now)
 
-    def forward(self, request, segment, now):
+    def forward(
+        self, request: Request, segment: packets.Segment, now: int
+    ) -> None:
+        """Pass a caller's segment to the agent."""
         number = self.numbers[request.request_class.name]
-        forward = fakes.forward(OWN, segment)
-        forward = dataclasses.replace(
-            forward,
+        forward = frames.Forward(
             service=number,
+            view=1,
             bucket=hashing.bucket_of(segment.key, number),
+            target=OWN,
+            packet=segment.raw,
+            hops_left=1,
             pool=POOL,
         )
         self.execute(core.on_forward(self.state, forward, segment, now))
 
-    def execute(self, decided):
+    def execute(self, decided: core.Actions) -> None:
+        """Pass what the agent delivers to the upstream."""
         for action in decided:
             match action:
                 case actions.Deliver(raw=raw) if raw.startswith(b'data'):
                     self.arrive(self.requests[raw[4:]])
 
-    def arrive(self, request):
+    def arrive(self, request: Request) -> None:
         """Take a request at the upstream."""
         if self.running < self.slots:
             self.start(request)
@@ -169,38 +215,46 @@
         else:
             request.is_refused = True
             self.add(self.now, lambda now: self.answer(request, now))
-        at_upstream = self.running + len(self.waiting)
-        self.max_at_upstream = max(self.max_at_upstream, at_upstream)
 
-    def start(self, request):
+    def start(self, request: Request) -> None:
+        """Occupy a slot for a request."""
         self.running += 1
         end_ms = self.now + max(1, round(request.work_ms))
         self.add(end_ms, lambda now: self.finish(request, now))
 
-    def finish(self, request, now):
+    def finish(self, request: Request, now: int) -> None:
+        """Free the slot of a request and answer it."""
         self.running -= 1
         if self.waiting:
             self.start(self.waiting.popleft())
         self.answer(request, now)
 
-    def answer(self, request, now):
+    def answer(self, request: Request, now: int) -> None:
+        """Begin the answer of a request."""
         request.answered_ms = now
         reply = self.segment(request, seq=501, ack=1_001, size=600)
         self.execute(core.on_reply(self.state, reply, now))
 
 
-def make_arrivals(classes, rate, seconds, seed, callers=20, aggressive=0.0):
-    """Return arrivals with exponential pauses and work.
+def make_arrivals(
+    rates: dict[RequestClass, float],
+    seconds: int,
+    seed: int,
+    callers: int,
+    aggressive: float,
+) -> list[Request]:
+    """Return arrivals with exponential pauses.
 
-    ``rate`` is the number of requests a second by class. ``aggressive`` is the
-    share of all requests that come from caller 0.
+    ``rates`` is the number of requests a second by class, and ``aggressive``
+    the share of all requests that come from caller 0.
     """
     generator = random.Random(seed)
-    arrivals = []
-    for request_class in classes:
+    arrivals: list[tuple[float, RequestClass, int, float]] = []
+    classes = list(rates)
+    for request_class, rate in rates.items():
         at_s = 0.0
         while True:
-            at_s += generator.expovariate(rate[request_class.name])
+            at_s += generator.expovariate(rate)
             if at_s >= seconds:
                 break
             caller = generator.randrange(callers)
@@ -213,43 +267,19 @@
             request_class,
             caller,
             int(at_s * 1_000),
-            make_key(index, request_class, caller, classes),
+            make_key(index, classes.index(request_class) + 1, caller),
             request_class.work_ms * (0.5 + spread),
         )
         for index, (at_s, request_class, caller, spread) in enumerate(arrivals)
     ]
 
 
-def make_key(index, request_class, caller, classes):
-    number = classes.index(request_class) + 1
+def make_key(index: int, number: int, caller: int) -> packets.FlowKey:
+    """Return the key of the flow with a request."""
     return packets.make_key(
         packets.TCP,
         bytes((10, 9, 0, caller)),
-        builders.SERVICE_ADDRESS,
-        1_024 + index,
-        builders.SERVICE_PORT + number,
+        SERVICE_ADDRESS,
+        FIRST_CALLER_PORT + index,
+        SERVICE_PORT + number,
     )
-
-
-def share_in_time(requests):
-    """Return the share of requests that were answered in time."""
-    if not requests:
-        return 1.0
-    return sum(item.is_in_time() for item in requests) / len(requests)
-
-
-def share_by_class(requests):
-    """Return the share in time of each class, by its name."""
-    by_class = collections.defaultdict(list)
-    for request in requests:
-        by_class[request.request_class.name].append(request)
-    return {name: share_in_time(items) for name, items in by_class.items()}
-
-
-def compare_callers(requests):
-    """Return the share in time of the worst caller and of the median one."""
-    by_caller = collections.defaultdict(list)
-    for request in requests:
-        by_caller[request.caller].append(request)
-    shares = sorted(share_in_time(items) for items in by_caller.values())
-    return shares[0], statistics.median(shares)
