--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -12,6 +12,7 @@
 
 from gentianspoke.core import frames
 from gentianspoke.core import packets
+from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_knowledge
@@ -101,7 +102,12 @@
 
 
 def stop_confirming_feed(network):
-    network.is_feed_confirmed = False
+    network.members_without_feed.add(inquiry_pool.HOME)
+
+
+def cut_member_off_from_control(network):
+    # The member may not have seen another one come and go.
+    network.members_without_feed.add(3)
 
 
 def remove_silent_member(network):
@@ -235,6 +241,9 @@
         pytest.param(drain_own_agent, False, id='home-drains'),
         pytest.param(join_with_own_agent, False, id='home-joins'),
         pytest.param(stop_confirming_feed, False, id='feed-not-confirmed'),
+        pytest.param(
+            cut_member_off_from_control, False, id='member-without-a-feed'
+        ),
         pytest.param(remove_silent_member, False, id='member-left-the-view'),
         pytest.param(remove_member_long_ago, True, id='member-left-long-ago'),
         pytest.param(replace_member, True, id='upstream-of-member-ended'),
@@ -375,7 +384,7 @@
 def test_a_result_waits_for_a_confirmation_after_the_packet():
     # A view that the home has not received may list the flow's owner.
     network = make_network()
-    network.is_feed_confirmed = False
+    network.members_without_feed.add(inquiry_pool.HOME)
     home = network.states[inquiry_pool.HOME]
     network.send(DATA)
     network.run(400)
@@ -387,6 +396,21 @@
     assert network.resets
 
 
+def test_a_pool_that_joins_the_service_meanwhile_may_have_the_flow():
+    network = make_network()
+    network.lost_replies[3] = 1
+    network.send(DATA)
+    network.run(150)
+    home = network.states[inquiry_pool.HOME]
+    entry = dataclasses.replace(
+        inquiry_pool.ENTRY,
+        shares=(*inquiry_pool.ENTRY.shares, services.Share(9, 1, 'new')),
+    )
+    home.set_catalogue([entry])
+    network.run(RESULT_MS)
+    assert not network.resets
+
+
 def test_a_recovering_member_gets_the_packet_that_nobody_else_can_have():
     network = make_network(LARGE_POOL)
     order = (
