Place openings by the measured capacity of upstreams, if settings ask for it

Cause: load is a count of open flows, so upstreams of speed 0.6 get as many flows as those of 1.6.

Change: AgentSettings.placement (open-flows by default, capacity). With capacity, an agent measures the work of a request at its upstream, reports it, keeps openings up to its share by capacity, and draws the targets of others by spare capacity. An opening is refused at its home if fresh reports show no room.

--- a/src/gentianspoke/codec/frame.py
+++ b/src/gentianspoke/codec/frame.py
@@ -128,6 +128,8 @@
             open_flows=frame.open_flows,
             running=frame.running,
             queued=frame.queued,
+            slots=frame.slots,
+            work_us=frame.work_us,
         ),
     )
 
@@ -140,6 +142,8 @@
         running=body.load.running,
         queued=body.load.queued,
         logical=body.logical,
+        slots=body.load.slots,
+        work_us=body.load.work_us,
     )
 
 
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -69,6 +69,7 @@
         weight=role.weight,
         ramp_ms=_parse_duration_ms(role.ramp),
         link_kbps=role.link_kbps,
+        placement=settings.Placement(str(role.placement)),
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -1,6 +1,7 @@
 """Data classes for the settings of one process."""
 
 import dataclasses
+import enum
 
 from gentianspoke.config import units
 
@@ -18,6 +19,13 @@
     link_kbps: int = 0
 
 
+class Placement(enum.Enum):
+    """The measure of the load by which openings are placed."""
+
+    OPEN_FLOWS = 'open-flows'
+    CAPACITY = 'capacity'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings of an agent, with durations in milliseconds.
@@ -37,7 +45,8 @@
     adopts flows that it does not know. An upstream that reports its status
     gets no new flow once its last report is older than ``silent_ms``; 0
     disables this limit. ``link_kbps`` is the capacity of the instance's
-    network link in kbit/s. It is 0 if the capacity is unknown.
+    network link in kbit/s. It is 0 if the capacity is unknown. ``placement``
+    is the measure of the load by which openings are placed.
     """
 
     listen: units.Address
@@ -55,6 +64,7 @@
     recovery_ms: int = 7_200_000
     silent_ms: int = 0
     link_kbps: int = 0
+    placement: Placement = Placement.OPEN_FLOWS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -80,7 +80,9 @@
 
     ``open_flows`` counts the open flows, ``running`` the requests that hold
     a slot, and ``queued`` the openings that wait for a slot. ``logical`` is
-    the sender's Lamport clock.
+    the sender's Lamport clock. ``slots`` is the number of requests that the
+    sender's upstream works on at a time, and ``work_us`` the mean work of a
+    request in microseconds; both are 0 if unknown.
     """
 
     pool: int
@@ -89,6 +91,8 @@
     running: int
     queued: int
     logical: int = 0
+    slots: int = 0
+    work_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -72,9 +72,9 @@
     return result
 
 
-def on_load(state: State, report: frames.LoadReport) -> None:
+def on_load(state: State, report: frames.LoadReport, now: int = 0) -> None:
     """Record the newest load report of another member."""
-    diversion.record_report(state, report)
+    diversion.record_report(state, report, now)
 
 
 def on_returned(state: State, segment: packets.Segment, now: int) -> Actions:
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -28,6 +28,7 @@
 from gentianspoke.core import shares
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import capacity_shares
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import member_ranking
 
@@ -98,6 +99,7 @@
     state: State,
     ranking: member_ranking.Ranking,
     bucket: int,
+    now: int,
     tried: tuple[int, ...] = (),
 ) -> views.Member | None:
     """Return the member to which an opening of the bucket is diverted.
@@ -106,8 +108,16 @@
     of the bucket; this agent and the members in ``tried`` are left out. The
     candidate with the smallest estimated load per weight is chosen, and of
     equally loaded ones the one in this agent's zone. ``None`` is returned if
-    there is no candidate.
+    there is no candidate. With placement by capacity, any live member may be
+    drawn instead.
     """
+    if state.even_load is not None:
+        return capacity_shares.draw_target(
+            state,
+            state.even_load,
+            capacity_shares.get_shares(state, state.even_load, ranking, now),
+            tried,
+        )
     candidates: list[views.Member] = []
     for member in ranking.rank_members(bucket):
         if not member.is_live or member.number == state.number:
@@ -133,7 +143,9 @@
     )
 
 
-def record_report(state: State, report: frames.LoadReport) -> None:
+def record_report(
+    state: State, report: frames.LoadReport, now: int = 0
+) -> None:
     """Replace the last load report of a member by a newer one.
 
     A report of this agent or of a member that the pool's view does not list
@@ -142,6 +154,9 @@
     member_key = (report.pool, report.sender)
     if state.find_member(*member_key) is None or report.sender == state.number:
         return
+    if state.even_load is not None:
+        capacity_shares.record_report(state.even_load, report, now)
+        return
     state.load_reports[member_key] = report
     state.placed_since_report.pop(member_key, None)
     state.open_flows_at_report[member_key] = state.counts[
@@ -160,6 +175,8 @@
     if now - state.reports_expired_ms < REPORT_EXPIRY_INTERVAL_MS:
         return
     state.reports_expired_ms = now
+    if state.even_load is not None:
+        capacity_shares.remove_unlisted(state, state.even_load)
     for member_key in tuple(state.load_reports):
         if member_key not in state.renewed_reports:
             del state.load_reports[member_key]
--- a/src/gentianspoke/decisions/agent/flow_table.py
+++ b/src/gentianspoke/decisions/agent/flow_table.py
@@ -8,6 +8,7 @@
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import upstream_capacity
 
 # How long a slot stays reserved for the first request of an opened flow. The
 # request comes with the caller's next packet, unless the caller uses the
@@ -48,7 +49,7 @@
     """
     flow = _add_flow(state, service, key, bucket, isn, now, decided_view)
     if services.occupies_slot(service) and not flow.slot_per_request:
-        occupy_slot(state, flow, now)
+        _start_work(state, flow, now)
     return flow
 
 
@@ -99,7 +100,7 @@
     flow.phase = records.Phase.OPEN
     flow.last_up_ms = now
     flow.last_down_ms = now
-    occupy_slot(state, flow, now)
+    _start_work(state, flow, now)
 
 
 def end_flow(
@@ -228,6 +229,15 @@
     state.total_running += 1
 
 
+def _start_work(state: State, flow: records.Flow, now: int) -> None:
+    """Occupy a slot for a request or flow that was delivered completely."""
+    if state.even_load is not None and not flow.holds_slot:
+        upstream_capacity.note_request(
+            state.even_load.work, flow.key, state.capacity.slots, now
+        )
+    occupy_slot(state, flow, now)
+
+
 def reserve_slot(state: State, flow: records.Flow, now: int) -> None:
     """Occupy a slot in advance for the flow's first request.
 
@@ -261,13 +271,18 @@
     """
     if flow.slot_reserved:
         free_slot(state, flow, now)
-    occupy_slot(state, flow, now)
+    _start_work(state, flow, now)
 
 
-def free_slot(state: State, flow: records.Flow, now: int) -> None:
+def free_slot(
+    state: State, flow: records.Flow, now: int, *, has_answer: bool = False
+) -> None:
     """Free the slot of a flow, if it has one, and update ``mean_work_ms``.
 
     A reserved slot that no request has used does not change ``mean_work_ms``.
+    ``has_answer`` is true if the upstream has begun to answer the request. A
+    flow that occupies the slot itself is answered if the upstream answered it
+    before it ended.
     """
     if not flow.holds_slot:
         return
@@ -278,6 +293,16 @@
     if flow.slot_reserved:
         flow.slot_reserved = False
         return
+    if state.even_load is not None:
+        has_answer |= flow.answered and not flow.slot_per_request
+        counts.mean_work_ms = upstream_capacity.note_end(
+            state.even_load.work,
+            flow.key,
+            state.capacity.slots,
+            now,
+            has_answer=has_answer,
+        )
+        return
     # Time that the request spent in the upstream's own queue is not counted
     # as work on it.
     slots = max(1, state.capacity.slots)
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -103,7 +103,7 @@
         flow.answered_after_syn_ack = True
     segment_id = None
     if segment.payload_bytes:
-        flow_table.free_slot(state, flow, now)
+        flow_table.free_slot(state, flow, now, has_answer=True)
         if _has_bulk_answer(state, flow):
             state.answering_flows[flow.key] = flow
             segment_id = pacing.get_segment_id(segment)
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -9,6 +9,8 @@
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import capacity_records
+from gentianspoke.decisions.agent import capacity_shares
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
 from gentianspoke.decisions.agent import evidence
@@ -41,13 +43,17 @@
         if renewed_offer is not None:
             return renewed_offer
     retry_budget.deposit(state, service)
+    if state.even_load is not None:
+        return _place_by_capacity(
+            state, state.even_load, service, ranking, forward, packet, now
+        )
     pool = ranking.view.service
     own_flows = state.counts[pool].open_flows
     load_limit = diversion.compute_load_limit(state, service, ranking, now)
     decision = _decide_without_wait(state, service, now)
     if own_flows < load_limit and decision is admission.Admission.NOW:
         return _accept_opening(state, service, forward, packet, now)
-    target = diversion.choose_target(state, ranking, forward.bucket)
+    target = diversion.choose_target(state, ranking, forward.bucket, now)
     if target is not None:
         load = diversion.estimate_load(state, pool, target.number)
         if load < own_flows or decision is not admission.Admission.NOW:
@@ -58,6 +64,34 @@
     return _admit_or_refuse(state, service, forward, packet, now)
 
 
+def _place_by_capacity(
+    state: State,
+    even_load: capacity_records.EvenLoad,
+    service: services.Service,
+    ranking: member_ranking.Ranking,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    decision = _decide_without_wait(state, service, now)
+    pool_shares = capacity_shares.get_shares(state, even_load, ranking, now)
+    if decision is not admission.Admission.NOW:
+        if capacity_shares.is_pool_full(pool_shares, service):
+            even_load.refused_early += 1
+            return _admit_or_refuse(state, service, forward, packet, now)
+    elif not capacity_shares.is_over_share(
+        state, even_load, service, pool_shares, now
+    ):
+        return _accept_opening(state, service, forward, packet, now)
+    target = diversion.choose_target(state, ranking, forward.bucket, now)
+    if target is None:
+        return _admit_or_refuse(state, service, forward, packet, now)
+    offer = dataclasses.replace(
+        forward, decider=state.number, view=ranking.view.number
+    )
+    return divert_opening(state, target, offer, packet, now)
+
+
 def decide_offer(
     state: State,
     service: services.Service,
@@ -73,7 +107,7 @@
         return _accept_opening(state, service, forward, packet, now)
     if forward.offers_left > 0:
         target = diversion.choose_target(
-            state, ranking, forward.bucket, forward.tried
+            state, ranking, forward.bucket, now, forward.tried
         )
         if target is not None and retry_budget.withdraw(state, service):
             return divert_opening(state, target, forward, packet, now)
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -11,6 +11,7 @@
 from gentianspoke.decisions.agent import silence
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
+from gentianspoke.decisions.agent import upstream_capacity
 from gentianspoke.decisions import hashing
 from gentianspoke.decisions import routing
 
@@ -67,6 +68,8 @@
         flow_table.remove_flow(state, flow, now)
     state.number = number
     state.started_ms = now
+    if state.even_load is not None:
+        upstream_capacity.clear(state.even_load.work)
     # The upstream has no earlier flows that could be adopted, and the agent
     # joins again, as a new member without a lease.
     state.recovering = False
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -146,7 +146,9 @@
         return actions.Drop('no-view')
     if forward.offers_left > 0 and retry_budget.withdraw(state, service):
         tried = (*forward.tried, state.number)
-        target = diversion.choose_target(state, ranking, forward.bucket, tried)
+        target = diversion.choose_target(
+            state, ranking, forward.bucket, now, tried
+        )
         if target is not None:
             return placement.divert_opening(
                 state, target, forward, segment, now
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -8,6 +8,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import verdicts
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import timer_wheel
 from gentianspoke.decisions import member_ranking
@@ -169,6 +170,9 @@
     )
     # When load reports were last checked for renewal.
     reports_expired_ms: int = 0
+    # The state of placement by capacity, ``None`` if openings are placed by
+    # open flows.
+    even_load: capacity_records.EvenLoad | None = None
     # Cached median load of each pool, dropped when a report of the pool
     # arrives and whenever reports expire.
     median_loads: dict[int, int] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/src/gentianspoke/decisions/agent/upstream_capacity.py
@@ -0,0 +1,147 @@
+"""Estimate of the requests a second that an upstream can sustain.
+
+The load pattern: upstreams of one pool differ in speed by a factor of up to
+three, so equal numbers of flows leave the fast ones idle while the slow ones
+build queues. An agent therefore measures the work of a request at its own
+upstream, and reports the mean to the other members.
+
+The work of a request lasts from its start to the beginning of its answer. An
+upstream starts its requests in the order of their arrival, as many at a time
+as it has slots, so the agent knows when each leaves the upstream's queue, and
+that wait does not count. An answer that comes much faster than the mean is not
+work but a failure. It leaves the mean as it is and reduces the capacity
+instead, because an upstream that fails fast would otherwise look idle. An
+upstream that stops answering is assumed to need a part of the time for which
+its oldest request has run.
+"""
+
+import collections
+import dataclasses
+
+from gentianspoke.core import packets
+
+US_PER_MS = 1_000
+US_PER_S = 1_000_000
+# A new value has a weight of 1 / MEAN_DIVISOR in the moving averages.
+MEAN_DIVISOR = 16
+# Number of answers from which on the mean is used and reported.
+MIN_ANSWERS = 8
+# An answer that takes less than the mean divided by this is no work.
+FAST_ANSWER_DIVISOR = 16
+# The assumed work of a request that runs for long is the time so far divided
+# by this, because the work of a single request may be a few times the mean.
+SILENCE_DIVISOR = 4
+PERMILLE = 1_000
+# The smallest share of answers that counts as worked on, in thousandths. It
+# bounds the effect of fast answers.
+MIN_WORKED_PERMILLE = 125
+# If fewer answers than this are worked on, the upstream is failing.
+FAILING_PERMILLE = 500
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamWork:
+    """The observed work of the agent's own upstream.
+
+    ``started`` maps the running requests to their start in ms, and ``waiting``
+    holds those in the upstream's queue; both are ordered, the oldest first.
+    ``mean_us`` is the moving average of the work of a request, 0 before the
+    first one has ended. ``worked_permille`` is that of the share of answers
+    that took time, and ``answers`` counts the answers with work.
+    """
+
+    started: dict[packets.FlowKey, int] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting: collections.OrderedDict[packets.FlowKey, None] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
+    mean_us: int = 0
+    worked_permille: int = PERMILLE
+    answers: int = 0
+
+
+def note_request(
+    work: UpstreamWork, key: packets.FlowKey, slots: int, now: int
+) -> None:
+    """Record that a complete request was delivered to the upstream."""
+    if len(work.started) < slots:
+        work.started[key] = now
+    else:
+        work.waiting[key] = None
+
+
+def note_end(
+    work: UpstreamWork,
+    key: packets.FlowKey,
+    slots: int,
+    now: int,
+    *,
+    has_answer: bool,
+) -> int:
+    """Record that a request was answered or its flow ended.
+
+    Return the mean work of a request in milliseconds.
+    """
+    start_ms = work.started.pop(key, None)
+    if start_ms is None:
+        work.waiting.pop(key, None)
+        if has_answer:
+            # The upstream refuses requests while its slots are occupied.
+            _note_worked(work, 0)
+    else:
+        _start_waiting(work, slots, now)
+        if has_answer:
+            _note_work(work, (now - start_ms) * US_PER_MS)
+    return work.mean_us // US_PER_MS
+
+
+def clear(work: UpstreamWork) -> None:
+    """Forget everything, for a new incarnation of the upstream."""
+    work.started.clear()
+    work.waiting.clear()
+    work.mean_us = 0
+    work.worked_permille = PERMILLE
+    work.answers = 0
+
+
+def is_failing(work: UpstreamWork) -> bool:
+    """Return whether most of the last answers came too fast to be work."""
+    return work.worked_permille < FAILING_PERMILLE
+
+
+def estimate_work_us(work: UpstreamWork, now: int) -> int:
+    """Return the work of a request in microseconds, 0 if it is not known.
+
+    The result contains the failures: an upstream that answers every other
+    request without work counts as half as fast.
+    """
+    if work.answers < MIN_ANSWERS:
+        return 0
+    worked_permille = max(MIN_WORKED_PERMILLE, work.worked_permille)
+    work_us = work.mean_us * PERMILLE // worked_permille
+    oldest_ms = next(iter(work.started.values()), now)
+    return max(1, work_us, (now - oldest_ms) * US_PER_MS // SILENCE_DIVISOR)
+
+
+def _note_work(work: UpstreamWork, worked_us: int) -> None:
+    if worked_us * FAST_ANSWER_DIVISOR < work.mean_us:
+        _note_worked(work, 0)
+        return
+    _note_worked(work, PERMILLE)
+    work.answers += 1
+    # The first values count equally, so that the mean settles quickly.
+    divisor = min(work.answers, MEAN_DIVISOR)
+    work.mean_us += (worked_us - work.mean_us) // divisor
+
+
+def _start_waiting(work: UpstreamWork, slots: int, now: int) -> None:
+    while work.waiting and len(work.started) < slots:
+        key, _ = work.waiting.popitem(last=False)
+        work.started[key] = now
+
+
+def _note_worked(work: UpstreamWork, value_permille: int) -> None:
+    work.worked_permille += (
+        value_permille - work.worked_permille
+    ) // MEAN_DIVISOR
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -14,6 +14,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke import errors
@@ -78,6 +79,7 @@
             recovery_ms=cfg.recovery_ms,
             joining=True,
             draining=not incarnation,
+            even_load=_make_even_load(cfg.placement),
         )
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
         if incarnation:
@@ -316,7 +318,7 @@
                 self._handle_forward(forward, packet, now)
             case frames.LoadReport() as report:
                 self._proc.events.observe(report.logical)
-                core.on_load(self.state, report)
+                core.on_load(self.state, report, now)
             case frames.Owned() as owned:
                 self._proc.events.observe(owned.logical)
                 core.on_owned(self.state, owned, now)
@@ -354,6 +356,16 @@
     )
 
 
+def _make_even_load(
+    placement: settings.Placement,
+) -> capacity_records.EvenLoad | None:
+    match placement:
+        case settings.Placement.CAPACITY:
+            return capacity_records.EvenLoad()
+        case settings.Placement.OPEN_FLOWS:
+            return None
+
+
 def compute_member_number(instance: str, incarnation: str) -> int:
     """Return the 64-bit number of one incarnation of an upstream.
 
--- a/src/gentianspoke/shells/agent/loads.py
+++ b/src/gentianspoke/shells/agent/loads.py
@@ -6,6 +6,7 @@
 from gentianspoke.core import frames
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import state as agent_state
+from gentianspoke.decisions.agent import upstream_capacity
 from gentianspoke.net import datagrams
 from gentianspoke.shells import process
 
@@ -36,7 +37,9 @@
             pool, member = receivers[
                 (first_receiver_index + offset) % len(receivers)
             ]
-            report = _build_report(state, pool, proc.events.logical)
+            report = build_report(
+                state, pool, proc.events.logical, proc.clock.now()
+            )
             data = frame.encode(report, proc.ring)
             peer_socket.send(data, (member.host, member.port))
         first_receiver_index += report_count
@@ -61,10 +64,15 @@
     ]
 
 
-def _build_report(
-    state: agent_state.AgentState, pool: int, logical: int
+def build_report(
+    state: agent_state.AgentState, pool: int, logical: int, now: int
 ) -> frames.LoadReport:
+    """Return this agent's load report for one pool."""
     counts = state.counts[pool]
+    slots, work_us = 0, 0
+    if state.even_load is not None:
+        slots = state.capacity.slots
+        work_us = upstream_capacity.estimate_work_us(state.even_load.work, now)
     return frames.LoadReport(
         pool,
         state.number,
@@ -72,4 +80,6 @@
         counts.running,
         counts.queued,
         logical,
+        slots,
+        work_us,
     )
--- a/tests/codec/test_frame.py
+++ b/tests/codec/test_frame.py
@@ -14,7 +14,7 @@
 OFFER = frames.Forward(
     1, 2, 3, 4, b'p', frames.Purpose.OFFER, (5, 6), 7, 8, 9, 10, 11, 12
 )
-LOAD = frames.LoadReport(1, 2, 3, 4, 5, 6)
+LOAD = frames.LoadReport(1, 2, 3, 4, 5, 6, 7, 8)
 
 
 @pytest.mark.parametrize('content', [FORWARD, OFFER, LOAD])
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gentianspoke import __main__ as program
+from gentianspoke.config import settings
 from gentianspoke import errors
 
 FRONT = '''
@@ -65,6 +66,21 @@
     assert cfg.role.link_kbps == link_kbps
 
 
+# Failure: a deployment whose upstreams may be slow places by open flows, or one
+# without this contract places otherwise than before.
+@pytest.mark.parametrize(
+    ('line', 'placement'),
+    [
+        ('', settings.Placement.OPEN_FLOWS),
+        ('contracts = ["other"]\n', settings.Placement.OPEN_FLOWS),
+        ('contracts = ["other", "health"]\n', settings.Placement.CAPACITY),
+    ],
+)
+def test_the_health_contract_places_by_capacity(tmp_path, line, placement):
+    cfg = boot.build_agent_settings(read(tmp_path, line + SIDE))
+    assert cfg.role.placement is placement
+
+
 def test_seeds_become_the_initial_members(tmp_path):
     cfg = boot.build_control_settings(read(tmp_path, FRONT))
     # Control instances listen on the first port of the internal port range of
