--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RUN = PYTHONPATH=src:platform:. $(BIN)/python
 SOURCES = src platform tests tools benchmarks demo specs soak
 
-.PHONY: test demo soak regression bench-slots bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
+.PHONY: test demo soak regression bench-slots bench-even-load bench-memory bench-policy generate check lint format types stale layers unit binary binary-check clean proof-control bench-log bench-datapath model matrix
 
 test: check unit
 
@@ -78,6 +78,10 @@
 bench-slots: $(VENV)/.ready
 	$(RUN) -m benchmarks.policy.slots
 
+# Replays load patterns with placement by open flows and by capacity.
+bench-even-load: $(VENV)/.ready
+	$(RUN) -m benchmarks.policy.even_load
+
 proof-control: $(VENV)/.ready
 	$(RUN) -m pytest -s tests/control/proof_control_group.py tests/control/proof_membership.py
 
--- a/benchmarks/policy/patterns.py
+++ b/benchmarks/policy/patterns.py
@@ -106,4 +106,5 @@
 
 def with_report_age(pattern: Pattern, age_ms: int) -> Pattern:
     """Return the pattern with another interval of reports."""
-    return dataclasses.replace(pattern, report_age_ms=age_ms)
+    name = f'{pattern.name}, a report each {age_ms} ms'
+    return dataclasses.replace(pattern, name=name, report_age_ms=age_ms)
--- a/benchmarks/policy/replay.py
+++ b/benchmarks/policy/replay.py
@@ -5,18 +5,18 @@
 it is full if its queue is.
 """
 
-import collections
-import dataclasses
 import heapq
 import itertools
 import math
+import operator
 import random
 import typing
 
+from benchmarks.policy import demand
 from benchmarks.policy import patterns
+from benchmarks.policy import replay_model
 from gentianspoke.core import frames
 from gentianspoke.core import packets
-from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
@@ -24,18 +24,14 @@
 from gentianspoke.decisions import routing
 from gentianspoke.shells.agent import loads
 
-POOL = 7
-LONG, SHORT = 1, 2
-LONG_ADDRESS = bytes((10, 1, 0, 1))
-SHORT_ADDRESS = bytes((10, 1, 0, 2))
 TICK_MS = 50
 REPORT_INTERVAL_MS = 500
 SAMPLE_MS = 100
-# Results count from here on, when the agents know the capacities.
+SHARE_INTERVAL_MS = 1_000
+# replay_model.Results count from here on, when the agents know the capacities.
 WARM_UP_MS = 10_000
 LOCAL_HOP_MS = 0.2
 REQUEST_PAYLOAD_BYTES = 1
-WORK_SHAPE = 2.0
 # An upstream whose waiting work exceeds this is overloaded.
 OVERLOAD_MS = 250
 SYN_ACK = packets.SYN | packets.ACK
@@ -43,63 +39,6 @@
 END = packets.RST | packets.ACK
 
 
-@dataclasses.dataclass(slots=True)
-class Call:
-    """A caller's flow with the work of the requests that it still sends."""
-
-    key: packets.FlowKey
-    service: int
-    work_ms: list[float]
-    owner: int = 0
-    seq: int = 8
-    sent_ms: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Upstream:
-    """A modelled upstream; ``waiting`` holds work in ms, the oldest first."""
-
-    speed: float
-    running: int = 0
-    waiting: collections.deque[tuple[Call, float]] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    worked_ms: float = 0.0
-    overloaded_ms: int = 0
-
-    def compute_waiting_ms(self, slots: int) -> float:
-        """Return how long the waiting work keeps all slots busy."""
-        return sum(work for _, work in self.waiting) / slots / self.speed
-
-
-@dataclasses.dataclass(slots=True)
-class Results:
-    """What the callers and the upstreams saw after the warm-up."""
-
-    answers_ms: list[float] = dataclasses.field(default_factory=list)
-    waiting_ms: list[float] = dataclasses.field(default_factory=list)
-    max_over_mean: list[float] = dataclasses.field(default_factory=list)
-    flows_over_mean: list[float] = dataclasses.field(default_factory=list)
-    utilisations: list[float] = dataclasses.field(default_factory=list)
-    overloaded_ms: float = 0.0
-    late: int = 0
-    full: int = 0
-    failed: int = 0
-    refused: int = 0
-    openings: int = 0
-    diverted: int = 0
-    packets: int = 0
-    frames: int = 0
-
-
-def percentile(values: list[float], share: float) -> float:
-    """Return the value that a share (0 to 1) of the values do not exceed."""
-    ordered = sorted(values)
-    if not ordered:
-        return math.nan
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 class Replay:
     """One run of a pattern with one rule."""
 
@@ -111,24 +50,26 @@
     ) -> None:
         """Create the agents with ``make_agent`` and their upstreams."""
         self._pattern = pattern
-        # Only the arrivals draw from the first generator, so that all rules
-        # get the same ones.
-        self._rng = random.Random(seed)
+        self._demand = demand.Demand(pattern, seed)
         self._pause_rng = random.Random(seed)
         self._now = 0.0
         self._events: list[typing.Any] = []
         self._sequence = itertools.count()
         self._ports = itertools.count(1)
-        self._calls: dict[packets.FlowKey, Call] = {}
-        self._services = build_services(pattern)
+        self._calls: dict[packets.FlowKey, replay_model.Call] = {}
+        self._services = replay_model.build_services(pattern)
         self._table = routing.RouteTable()
         self._table.set_catalogue(1, self._services)
         numbers = range(1, pattern.upstreams + 1)
         view = views.View(
-            POOL, 1, tuple(_make_member(n, pattern.zones) for n in numbers)
+            replay_model.POOL,
+            1,
+            tuple(replay_model.make_member(n, pattern.zones) for n in numbers),
         )
         self._table.set_view(view)
-        self.upstreams = {n: Upstream(pattern.get_speed(n)) for n in numbers}
+        self.upstreams = {
+            n: replay_model.Upstream(pattern.get_speed(n)) for n in numbers
+        }
         self.agents: dict[int, agent_state.AgentState] = {}
         for number in numbers:
             state = make_agent(
@@ -137,20 +78,22 @@
                 capacity=agent_state.Capacity(pattern.slots, 2_000, 0),
                 started_ms=0,
             )
-            state.own_pool = POOL
+            state.own_pool = replay_model.POOL
             state.set_catalogue(self._services)
             state.set_view(view)
             self.agents[number] = state
         self._next_receivers = dict.fromkeys(numbers, 0)
-        self.results = Results()
+        self._shares: list[float] = []
+        self.results = replay_model.Results()
 
-    def run(self) -> Results:
+    def run(self) -> replay_model.Results:
         """Play the pattern and return the results."""
         pattern = self._pattern
-        self._schedule_arrival(LONG)
-        self._schedule_arrival(SHORT)
+        self._schedule_arrival(replay_model.LONG)
+        self._schedule_arrival(replay_model.SHORT)
         self._at(TICK_MS, self._tick)
         self._at(SAMPLE_MS, self._sample)
+        self._at(SHARE_INTERVAL_MS, self._sample_shares)
         for number in self.agents:
             offset = self._pause_rng.random() * REPORT_INTERVAL_MS
             self._at(offset, self._report, number)
@@ -176,54 +119,24 @@
         return self._now >= WARM_UP_MS
 
     def _schedule_arrival(self, service: int) -> None:
-        peak = compute_opening_rate(self._pattern, service) * (
-            1 + self._pattern.wave
-        )
-        peak *= max(1.0, self._pattern.burst_factor)
-        self._at(self._rng.expovariate(peak), self._arrive, service)
+        interval_ms = self._demand.draw_interval_ms(service)
+        self._at(interval_ms, self._arrive, service)
 
     def _arrive(self, service: int) -> None:
-        """Open a flow, thinned to the demand of a random zone."""
         self._schedule_arrival(service)
-        pattern = self._pattern
-        zone = self._rng.randrange(pattern.zones)
-        shift = pattern.wave_shift * zone / pattern.zones
-        phase = self._now / pattern.wave_ms - shift
-        demand = 1 + pattern.wave * math.sin(2 * math.pi * phase)
-        burst = self._now - pattern.burst_at_ms
-        if 0 <= burst < pattern.burst_ms:
-            demand *= pattern.burst_factor
-        peak = (1 + pattern.wave) * max(1.0, pattern.burst_factor)
-        if self._rng.random() * peak < demand:
+        if self._demand.is_drawn(self._now):
             self._open(service)
 
     def _open(self, service: int) -> None:
-        number = next(self._ports)
-        caller = bytes((10, 9)) + (number >> 14).to_bytes(2, 'big')
-        address = LONG_ADDRESS if service == LONG else SHORT_ADDRESS
-        key = packets.make_key(
-            packets.TCP, caller, address, 1_024 + number % (1 << 14), 443
+        key = replay_model.make_key(next(self._ports), service)
+        call = replay_model.Call(
+            key, service, self._demand.draw_work_ms(service), sent_ms=self._now
         )
-        call = Call(key, service, self._draw_work(service), sent_ms=self._now)
         self._calls[key] = call
         self.results.openings += self._is_counted()
         self._send(call, packets.Segment(key, packets.SYN, 7, 0, 0, b'p'))
 
-    def _draw_work(self, service: int) -> list[float]:
-        """Return the work of a new flow's requests, at the speed of 1."""
-        pattern = self._pattern
-        requests = 1
-        mean_ms = pattern.short_work_ms
-        if service == LONG:
-            mean_ms = pattern.long_work_ms
-            while self._rng.random() * pattern.requests_per_flow > 1:
-                requests += 1
-        return [
-            self._rng.gammavariate(WORK_SHAPE, mean_ms / WORK_SHAPE)
-            for _ in range(requests)
-        ]
-
-    def _send(self, call: Call, packet: packets.Segment) -> None:
+    def _send(self, call: replay_model.Call, packet: packets.Segment) -> None:
         self.results.packets += self._is_counted()
         action = routing.route(self._table, packet)
         self._execute(0, [action], packet, call)
@@ -233,7 +146,7 @@
         sender: int,
         results: list[actions.Action],
         packet: packets.Segment,
-        call: Call,
+        call: replay_model.Call,
     ) -> None:
         for action in results:
             match action:
@@ -256,14 +169,17 @@
         return LOCAL_HOP_MS + self._pattern.zone_hop_ms
 
     def _receive(
-        self, forward: frames.Forward, packet: packets.Segment, call: Call
+        self,
+        forward: frames.Forward,
+        packet: packets.Segment,
+        call: replay_model.Call,
     ) -> None:
         state = self.agents[forward.target]
         results = core.on_forward(state, forward, packet, int(self._now))
         self._execute(state.number, results, packet, call)
 
     def _deliver(
-        self, number: int, packet: packets.Segment, call: Call
+        self, number: int, packet: packets.Segment, call: replay_model.Call
     ) -> None:
         if packet.flags & packets.SYN:
             call.owner = number
@@ -272,15 +188,17 @@
         elif packet.flags == DATA:
             self._request(number, call)
 
-    def _reply(self, call: Call, flags: int, payload: int) -> None:
+    def _reply(
+        self, call: replay_model.Call, flags: int, payload: int
+    ) -> None:
         state = self.agents[call.owner]
         segment = packets.Segment(
             call.key, flags, call.seq, call.seq, payload, b'a'
         )
         core.on_reply(state, segment, int(self._now))
 
-    def _send_request(self, call: Call) -> None:
-        if call.seq > 8:
+    def _send_request(self, call: replay_model.Call) -> None:
+        if call.seq > replay_model.FIRST_SEQ:
             call.sent_ms = self._now
         packet = packets.Segment(
             call.key, DATA, call.seq, 1, REQUEST_PAYLOAD_BYTES, b'p'
@@ -288,7 +206,7 @@
         call.seq += REQUEST_PAYLOAD_BYTES
         self._send(call, packet)
 
-    def _request(self, number: int, call: Call) -> None:
+    def _request(self, number: int, call: replay_model.Call) -> None:
         pattern = self._pattern
         upstream = self.upstreams[number]
         work_ms = call.work_ms.pop()
@@ -304,7 +222,9 @@
             self.results.full += self._is_counted()
             self._answer(call)
 
-    def _start(self, number: int, call: Call, work_ms: float) -> None:
+    def _start(
+        self, number: int, call: replay_model.Call, work_ms: float
+    ) -> None:
         upstream = self.upstreams[number]
         upstream.running += 1
         duration_ms = work_ms / upstream.speed
@@ -314,7 +234,7 @@
             upstream.worked_ms += duration_ms
         self._at(duration_ms, self._finish, number, call)
 
-    def _finish(self, number: int, call: Call) -> None:
+    def _finish(self, number: int, call: replay_model.Call) -> None:
         upstream = self.upstreams[number]
         upstream.running -= 1
         if upstream.waiting:
@@ -326,7 +246,7 @@
             self.results.late += answer_ms > self._pattern.objective_ms
         self._answer(call)
 
-    def _answer(self, call: Call) -> None:
+    def _answer(self, call: replay_model.Call) -> None:
         self._reply(call, DATA, 1)
         if call.work_ms:
             pause_ms = self._pause_rng.expovariate(1 / self._pattern.pause_ms)
@@ -342,17 +262,20 @@
 
     def _report(self, number: int) -> None:
         """Send the reports of one interval as the agent's shell does."""
-        self._at(REPORT_INTERVAL_MS, self._report, number)
         state = self.agents[number]
         others = [other for other in self.agents if other != number]
+        interval_ms = REPORT_INTERVAL_MS
         count = loads.compute_report_count(len(others))
-        if self._pattern.report_age_ms:
-            count = math.ceil(
-                len(others) * REPORT_INTERVAL_MS / self._pattern.report_age_ms
-            )
-        report = loads.build_report(state, POOL, 0, int(self._now))
+        age_ms = self._pattern.report_age_ms
+        if age_ms:
+            interval_ms = min(REPORT_INTERVAL_MS, age_ms)
+            count = math.ceil(len(others) * interval_ms / age_ms)
+        self._at(interval_ms, self._report, number)
+        report = loads.build_report(
+            state, replay_model.POOL, 0, int(self._now)
+        )
         first = self._next_receivers[number]
-        for offset in range(min(count, len(others))):
+        for offset in range(count):
             receiver = others[(first + offset) % len(others)]
             core.on_load(self.agents[receiver], report, int(self._now))
         self._next_receivers[number] = first + count
@@ -371,11 +294,31 @@
             load = upstream.running + len(upstream.waiting)
             per_capacity.append(load / upstream.speed)
         flows = [
-            state.counts[POOL].open_flows / self.upstreams[number].speed
+            state.counts[replay_model.POOL].open_flows
+            / self.upstreams[number].speed
             for number, state in self.agents.items()
         ]
-        self.results.max_over_mean.append(_compute_max_over_mean(per_capacity))
-        self.results.flows_over_mean.append(_compute_max_over_mean(flows))
+        self.results.max_over_mean.append(
+            replay_model.compute_max_over_mean(per_capacity)
+        )
+        self.results.flows_over_mean.append(
+            replay_model.compute_max_over_mean(flows)
+        )
+
+    def _sample_shares(self) -> None:
+        """Add up how much the shares of the open flows have changed."""
+        self._at(SHARE_INTERVAL_MS, self._sample_shares)
+        flows = [
+            state.counts[replay_model.POOL].open_flows
+            for state in self.agents.values()
+        ]
+        shares = [len(flows) * count / (sum(flows) or 1) for count in flows]
+        if self._is_counted() and self._shares:
+            changes = map(operator.sub, shares, self._shares)
+            self.results.share_changes.append(
+                sum(map(abs, changes)) / len(shares)
+            )
+        self._shares = shares
 
     def _summarise(self) -> None:
         counted_ms = self._pattern.duration_ms - WARM_UP_MS
@@ -387,61 +330,3 @@
         self.results.overloaded_ms = sum(
             upstream.overloaded_ms for upstream in upstreams
         ) / len(self.upstreams)
-
-
-def compute_opening_rate(pattern: patterns.Pattern, service: int) -> float:
-    """Return the openings of a service in one millisecond."""
-    share = pattern.long_share
-    work_ms = (
-        share * pattern.long_work_ms + (1 - share) * pattern.short_work_ms
-    )
-    requests = pattern.utilisation * pattern.compute_capacity() / work_ms
-    if service == LONG:
-        return requests * share / pattern.requests_per_flow
-    return requests * (1 - share)
-
-
-def build_services(pattern: patterns.Pattern) -> list[services.Service]:
-    """Return the service of the long flows and that of the short ones."""
-    wait_ms = pattern.objective_ms // 4
-    return [
-        services.Service(
-            number=number,
-            name=f'service-{number}',
-            owner='',
-            address=address,
-            ports=(443,),
-            protocol=packets.TCP,
-            traffic=traffic,
-            limits=services.Limits(wait_ms=wait_ms, bound_permille=bound),
-            version=1,
-            shares=(services.Share(POOL, 1, 'pool'),),
-            handshake=True,
-            priority=priority,
-        )
-        for number, address, traffic, bound, priority in (
-            (LONG, LONG_ADDRESS, services.Board(), 1_100, 0),
-            (SHORT, SHORT_ADDRESS, services.Booking(False), 100_000, 1),
-        )
-    ]
-
-
-def _compute_max_over_mean(values: list[float]) -> float:
-    return max(values) * len(values) / (sum(values) or 1.0)
-
-
-def _make_member(number: int, zones: int) -> views.Member:
-    return views.Member(
-        number=number,
-        instance=f'agent-{number}',
-        host='127.0.0.1',
-        port=9_000 + number,
-        zone=f'zone-{number % zones}',
-        weight=100,
-        state=views.State.LIVE,
-        joined_view=1,
-        closed_view=0,
-        acked_view=1,
-        oldest_flow_view=0,
-        recovering=False,
-    )
