Measure capacity beside requests that the upstream dropped

Cause: a request without an answer held its place in the record until its flow's idle timeout. With as many of them as slots, all other answers counted as failures, and the agent diverted its openings.

Change: such a request leaves the record after 5 s; an answer to a request that had not started counts as a failure only if it came fast after its arrival; and an upstream is silent only since its last answer.

--- a/src/gentianspoke/decisions/agent/upstream_capacity.py
+++ b/src/gentianspoke/decisions/agent/upstream_capacity.py
@@ -11,11 +11,9 @@
 that wait does not count. An answer that comes much faster than the mean is not
 work but a failure. It leaves the mean as it is and reduces the capacity
 instead, because an upstream that fails fast would otherwise look idle. An
-upstream that stops answering is assumed to need a part of the time for which
-its oldest request has run.
+upstream that stops answering is assumed to need a part of the time since then.
 """
 
-import collections
 import dataclasses
 
 from gentianspoke.core import packets
@@ -31,9 +29,12 @@
 FAST_MEAN_DIVISOR = 1_024
 # An answer that takes less than the mean divided by this is no work.
 FAST_ANSWER_DIVISOR = 16
-# The assumed work of a request that runs for long is the time so far divided
-# by this, because the work of a single request may be a few times the mean.
+# The assumed work at a silent upstream is the time since its last answer,
+# divided by this, because the work of one request may be a few times the mean.
 SILENCE_DIVISOR = 4
+# A request without an answer for this time no longer occupies a slot in the
+# record, which its flow could otherwise hold until its idle timeout.
+STUCK_MS = 5_000
 PERMILLE = 1_000
 # The smallest share of answers that counts as worked on, in thousandths. It
 # bounds the effect of fast answers.
@@ -47,31 +48,34 @@
     """The observed work of the agent's own upstream.
 
     ``started`` maps the running requests to their start in ms, and ``waiting``
-    holds those in the upstream's queue; both are ordered, the oldest first.
+    those in the upstream's queue to their arrival; both have the oldest first.
     ``mean_us`` is the moving average of the work of a request, 0 before the
     first one has ended. ``worked_permille`` is that of the share of answers
     that took time, and ``answers`` counts the answers with work.
+    ``answered_ms`` is the time of the last answer of any kind.
     """
 
     started: dict[packets.FlowKey, int] = dataclasses.field(
         default_factory=dict
     )
-    waiting: collections.OrderedDict[packets.FlowKey, None] = (
-        dataclasses.field(default_factory=collections.OrderedDict)
+    waiting: dict[packets.FlowKey, int] = dataclasses.field(
+        default_factory=dict
     )
     mean_us: int = 0
     worked_permille: int = PERMILLE
     answers: int = 0
+    answered_ms: int = 0
 
 
 def note_request(
     work: UpstreamWork, key: packets.FlowKey, slots: int, now: int
 ) -> None:
     """Record that a complete request was delivered to the upstream."""
+    _remove_stuck(work, slots, now)
     if len(work.started) < slots:
         work.started[key] = now
     else:
-        work.waiting[key] = None
+        work.waiting[key] = now
 
 
 def note_end(
@@ -86,10 +90,12 @@
 
     Return the mean work of a request in milliseconds.
     """
+    if has_answer:
+        work.answered_ms = now
     start_ms = work.started.pop(key, None)
     if start_ms is None:
-        work.waiting.pop(key, None)
-        if has_answer:
+        arrived_ms = work.waiting.pop(key, now)
+        if has_answer and _is_fast(work, (now - arrived_ms) * US_PER_MS):
             # The upstream refuses requests while its slots are occupied.
             _note_worked(work, 0)
     else:
@@ -124,11 +130,12 @@
     worked_permille = max(MIN_WORKED_PERMILLE, work.worked_permille)
     work_us = work.mean_us * PERMILLE // worked_permille
     oldest_ms = next(iter(work.started.values()), now)
-    return max(1, work_us, (now - oldest_ms) * US_PER_MS // SILENCE_DIVISOR)
+    silent_ms = now - max(oldest_ms, work.answered_ms)
+    return max(1, work_us, silent_ms * US_PER_MS // SILENCE_DIVISOR)
 
 
 def _note_work(work: UpstreamWork, worked_us: int) -> None:
-    if worked_us * FAST_ANSWER_DIVISOR < work.mean_us:
+    if _is_fast(work, worked_us):
         _note_worked(work, 0)
         work.mean_us += (worked_us - work.mean_us) // FAST_MEAN_DIVISOR
         return
@@ -139,9 +146,24 @@
     work.mean_us += (worked_us - work.mean_us) // divisor
 
 
+def _is_fast(work: UpstreamWork, worked_us: int) -> bool:
+    return worked_us * FAST_ANSWER_DIVISOR < work.mean_us
+
+
+def _remove_stuck(work: UpstreamWork, slots: int, now: int) -> None:
+    """Remove requests that the upstream seems to have dropped."""
+    while work.started:
+        key, start_ms = next(iter(work.started.items()))
+        if now - start_ms < STUCK_MS:
+            return
+        del work.started[key]
+        _start_waiting(work, slots, now)
+
+
 def _start_waiting(work: UpstreamWork, slots: int, now: int) -> None:
     while work.waiting and len(work.started) < slots:
-        key, _ = work.waiting.popitem(last=False)
+        key = next(iter(work.waiting))
+        del work.waiting[key]
         work.started[key] = now
 
 
--- a/tests/agent/test_capacity_shares.py
+++ b/tests/agent/test_capacity_shares.py
@@ -181,3 +181,32 @@
     state.counts[1].running = own_running
     state.counts[1].mean_work_ms = 60
     assert open_at_home(state) is expected
+
+
+# Failures: an upstream that fails fast has free slots and keeps its openings,
+# or all upstreams divert theirs because requests have become short.
+@pytest.mark.parametrize(
+    ('worked_permille', 'reported_work_us', 'expected'),
+    [
+        pytest.param(100, MEAN_WORK_US, actions.SendFrame, id='fails'),
+        pytest.param(100, 8 * MEAN_WORK_US, actions.Deliver, id='all-alike'),
+        pytest.param(900, MEAN_WORK_US, actions.Deliver, id='works'),
+    ],
+)
+def test_an_upstream_that_fails_fast_keeps_no_opening(
+    worked_permille, reported_work_us, expected
+):
+    reports = [report(number, 10, reported_work_us) for number in OTHERS]
+    state = agent(SHORT, MEAN_WORK_US, reports)
+    state.even_load.work.worked_permille = worked_permille
+    assert open_at_home(state) is expected
+    has_notice = bool(state.even_load.failure_notices)
+    assert has_notice is (expected is actions.SendFrame)
+
+
+# Failure: the reports of members that have left are kept for ever.
+def test_reports_of_members_that_left_are_removed():
+    state = agent(LONG, MEAN_WORK_US, [report(OTHERS[0], 10)])
+    state.set_view(builders.view(builders.member(HOME), number=2))
+    core.on_tick(state, 3_000)
+    assert state.even_load.members == {}
