--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -74,6 +74,7 @@
         cold_openings_per_s=role.cold_openings_per_s,
         schedule_requests=role.schedule_requests,
         inquire_flows=bool(role.inquire_flows),
+        placement=settings.Placement(str(role.placement)),
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -1,6 +1,7 @@
 """Data classes for the settings of one process."""
 
 import dataclasses
+import enum
 
 from gentianspoke.config import units
 
@@ -20,6 +21,13 @@
     hold_ms: int = 0
 
 
+class Placement(enum.Enum):
+    """The measure of the load by which openings are placed."""
+
+    OPEN_FLOWS = 'open-flows'
+    CAPACITY = 'capacity'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings of an agent, with durations in milliseconds.
@@ -45,6 +53,7 @@
     true, complete requests wait beside the upstream while its slots are
     occupied. With ``inquire_flows``, agents ask each other about flows that
     none of them finds, and end those that no upstream has any more.
+    ``placement`` is the measure of the load by which openings are placed.
     """
 
     listen: units.Address
@@ -65,6 +74,7 @@
     cold_openings_per_s: int = 0
     schedule_requests: bool = False
     inquire_flows: bool = False
+    placement: Placement = Placement.OPEN_FLOWS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/core/frames.py
+++ b/src/gentianspoke/core/frames.py
@@ -84,7 +84,10 @@
     ``open_flows`` counts the open flows, ``running`` the requests that hold
     a slot, and ``queued`` the openings that wait for a slot. ``logical`` is
     the sender's Lamport clock. ``cold_remaining_ms`` is the time for which the
-    sender's upstream stays cold after its start, in milliseconds.
+    sender's upstream stays cold after its start, in milliseconds. ``slots`` is
+    the number of requests that the sender's upstream works on at a time, and
+    ``work_us`` the mean work of a request in microseconds; both are 0 if
+    unknown.
     """
 
     pool: int
@@ -93,6 +96,8 @@
     running: int
     queued: int
     logical: int = 0
+    slots: int = 0
+    work_us: int = 0
     cold_remaining_ms: int = 0
 
 
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -5,10 +5,11 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
-from gentianspoke.core import verdicts
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import admission
+from gentianspoke.decisions.agent import capacity_records
+from gentianspoke.decisions.agent import capacity_shares
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import diversion
 from gentianspoke.decisions.agent import diversion_table
@@ -18,6 +19,7 @@
 from gentianspoke.decisions.agent import known_flows
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import refusal
 from gentianspoke.decisions.agent import retry_budget
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import member_ranking
@@ -42,13 +44,17 @@
         if renewed_offer is not None:
             return renewed_offer
     retry_budget.deposit(state, service)
+    if state.even_load is not None:
+        return _place_by_capacity(
+            state, state.even_load, service, ranking, forward, packet, now
+        )
     pool = ranking.view.service
     own_flows = state.counts[pool].open_flows
     load_limit = diversion.compute_load_limit(state, service, ranking, now)
     decision = _decide_without_wait(state, service, now)
     if own_flows < load_limit and decision is admission.Admission.NOW:
         return _accept_opening(state, service, forward, packet, now)
-    target = diversion.choose_target(state, ranking, forward.bucket)
+    target = diversion.choose_target(state, ranking, forward.bucket, now)
     if target is not None:
         load = diversion.estimate_load(state, pool, target.number)
         if load < own_flows or decision is not admission.Admission.NOW:
@@ -59,6 +65,35 @@
     return _admit_or_refuse(state, service, forward, packet, now)
 
 
+def _place_by_capacity(
+    state: State,
+    even_load: capacity_records.EvenLoad,
+    service: services.Service,
+    ranking: member_ranking.Ranking,
+    forward: frames.Forward,
+    packet: packets.Packet,
+    now: int,
+) -> actions.Action:
+    decision = _decide_without_wait(state, service, now)
+    pool_shares = capacity_shares.get_shares(state, even_load, ranking, now)
+    if decision is not admission.Admission.NOW:
+        if capacity_shares.is_pool_full(pool_shares, service):
+            return _admit_or_refuse(
+                state, service, forward, packet, now, 'pool-full'
+            )
+    elif not capacity_shares.is_over_share(
+        state, even_load, service, pool_shares, now
+    ):
+        return _accept_opening(state, service, forward, packet, now)
+    target = diversion.choose_target(state, ranking, forward.bucket, now)
+    if target is None:
+        return _admit_or_refuse(state, service, forward, packet, now)
+    offer = dataclasses.replace(
+        forward, decider=state.number, view=ranking.view.number
+    )
+    return divert_opening(state, target, offer, packet, now)
+
+
 def decide_offer(
     state: State,
     service: services.Service,
@@ -72,9 +107,13 @@
     decision = _decide_without_wait(state, service, now)
     if decision is admission.Admission.NOW:
         return _accept_opening(state, service, forward, packet, now)
+    if _is_pool_full(state, service, ranking, now):
+        return _admit_or_refuse(
+            state, service, forward, packet, now, 'pool-full'
+        )
     if forward.offers_left > 0:
         target = diversion.choose_target(
-            state, ranking, forward.bucket, forward.tried
+            state, ranking, forward.bucket, now, forward.tried
         )
         if target is not None and _may_offer_further(state, service):
             return divert_opening(state, target, forward, packet, now)
@@ -89,6 +128,22 @@
     return retry_budget.withdraw(state, service)
 
 
+def _is_pool_full(
+    state: State,
+    service: services.Service,
+    ranking: member_ranking.Ranking,
+    now: int,
+) -> bool:
+    match state.even_load:
+        case None:
+            return False
+        case even_load:
+            pool_shares = capacity_shares.get_shares(
+                state, even_load, ranking, now
+            )
+            return capacity_shares.is_pool_full(pool_shares, service)
+
+
 def _decide_without_wait(
     state: State, service: services.Service, now: int
 ) -> admission.Admission:
@@ -167,6 +222,7 @@
     forward: frames.Forward,
     packet: packets.Packet,
     now: int,
+    reason: str = 'no-capacity',
 ) -> actions.Action:
     bucket = forward.bucket
     decision = admission.decide_admission(
@@ -177,7 +233,7 @@
             return _accept_opening(state, service, forward, packet, now)
         case admission.Admission.WAIT, packets.Segment():
             wait_ms = forward.wait_left_ms
-            decided_view = _get_decided_view(forward)
+            decided_view = refusal.get_decided_view(forward)
             flow_table.queue_flow(
                 state, service, packet, bucket, wait_ms, now, decided_view
             )
@@ -186,7 +242,9 @@
             # The caller's retransmission comes when there may be room again.
             return actions.Drop('cold-start')
         case _:
-            return refuse_opening(state, service, forward, packet, now)
+            return refusal.refuse_opening(
+                state, service, forward, packet, now, reason
+            )
 
 
 def _accept_opening(
@@ -197,7 +255,7 @@
     now: int,
 ) -> actions.Action:
     isn = known_flows.get_opening_isn(packet)
-    bucket, decided_view = forward.bucket, _get_decided_view(forward)
+    bucket, decided_view = forward.bucket, refusal.get_decided_view(forward)
     flow = flow_table.open_flow(
         state, service, packet.key, bucket, isn, now, decided_view
     )
@@ -213,56 +271,3 @@
         case packets.Segment():
             evidence.note_caller_segment(flow, packet, now)
     return actions.Deliver(packet.raw)
-
-
-def _get_decided_view(forward: frames.Forward) -> int | None:
-    """Return the view in which a decider offered the opening to this agent.
-
-    Return ``None`` if the frame is no offer, because this agent then decides
-    itself.
-    """
-    match forward.purpose:
-        case frames.Purpose.OFFER:
-            return forward.view
-        case _:
-            return None
-
-
-def refuse_opening(
-    state: State,
-    service: services.Service,
-    forward: frames.Forward,
-    packet: packets.Packet,
-    now: int,
-) -> actions.Action:
-    """Return the refusal of an opening; a retransmitted one is dropped."""
-    if packets.is_retransmission(packet):
-        # Another member may have accepted an earlier copy of the opening.
-        return actions.Drop('repeated-opening')
-    reason, fault = _get_refusal_cause(state, service)
-    isn = known_flows.get_opening_isn(packet)
-    if services.needs_single_decider(service):
-        bucket, decided_view = forward.bucket, _get_decided_view(forward)
-        flow_table.record_refused_opening(
-            state, service, packet.key, bucket, isn, now, decided_view
-        )
-    evidence.report_refusal(
-        state,
-        packet.key,
-        service.number,
-        fault,
-        reason,
-    )
-    return actions.Refuse(packet, reason)
-
-
-def _get_refusal_cause(
-    state: State, service: services.Service
-) -> tuple[str, verdicts.Fault]:
-    if service.retired:
-        return 'service-retired', verdicts.Fault.NONE
-    if state.is_evacuated(state.get_pool(service)):
-        return member_ranking.EVACUATED_REASON, verdicts.Fault.NONE
-    if state.draining:
-        return 'draining', verdicts.Fault.UPSTREAM
-    return 'no-capacity', verdicts.Fault.UPSTREAM
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -12,6 +12,7 @@
 from gentianspoke.decisions.agent import silence
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
+from gentianspoke.decisions.agent import upstream_capacity
 from gentianspoke.decisions import hashing
 from gentianspoke.decisions import routing
 
@@ -75,6 +76,8 @@
     state.inquiries.unknown.clear()
     state.inquiries.outstanding.clear()
     state.started_ms = now
+    if state.even_load is not None:
+        upstream_capacity.clear(state.even_load.work)
     # The upstream has no earlier flows that could be adopted, and the agent
     # joins again, as a new member without a lease.
     state.recovering = False
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -20,6 +20,7 @@
 from gentianspoke.decisions.agent import placement
 from gentianspoke.decisions.agent import record_counts
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import refusal
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import retry_budget
 from gentianspoke.decisions.agent import state as agent_state
@@ -152,9 +153,11 @@
         return actions.Drop('no-view')
     if forward.offers_left > 0 and retry_budget.withdraw(state, service):
         tried = (*forward.tried, state.number)
-        target = diversion.choose_target(state, ranking, forward.bucket, tried)
+        target = diversion.choose_target(
+            state, ranking, forward.bucket, now, tried
+        )
         if target is not None:
             return placement.divert_opening(
                 state, target, forward, segment, now
             )
-    return placement.refuse_opening(state, service, forward, segment, now)
+    return refusal.refuse_opening(state, service, forward, segment, now)
--- a/src/gentianspoke/decisions/agent/scheduling.py
+++ b/src/gentianspoke/decisions/agent/scheduling.py
@@ -49,12 +49,14 @@
 def note_answer(state: State, flow: records.Flow, now: int) -> None:
     """Free the slot of a flow whose answer has begun."""
     queue = state.requests
-    if queue.is_enabled and request_queue.note_answer(
+    is_refusal = queue.is_enabled and request_queue.note_answer(
         queue, flow.key, state.capacity.slots, now
-    ):
-        # A refusal is not counted in the mean work of a request.
+    )
+    if is_refusal and state.even_load is None:
+        # A refusal is not counted in the mean work of a request. With
+        # placement by capacity, ``upstream_capacity`` recognises it itself.
         flow.slot_reserved = flow.holds_slot
-    flow_table.free_slot(state, flow, now)
+    flow_table.free_slot(state, flow, now, has_answer=True)
 
 
 def start_requests(state: State, now: int) -> Actions:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -15,6 +15,7 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import request_queue
@@ -86,6 +87,7 @@
             draining=not incarnation,
             requests=request_queue.RequestQueue(cfg.schedule_requests),
             cold=cold_start.begin(cfg.cold_openings_per_s, proc.clock.now()),
+            even_load=_make_even_load(cfg.placement),
         )
         # Until the upstream turns out to be new, it may have flows that this
         # agent does not know.
@@ -180,6 +182,7 @@
             self._executor.write_flow_reports(self.state)
             self._executor.write_inquiry_reports(self.state)
             self._check_upstream_silence(now)
+            self._write_failure_notices()
 
     async def poll_status(self) -> None:
         """Poll the upstream's status page for draining and restarts.
@@ -249,6 +252,16 @@
         self._proc.events.write('upstream-silent', silent_ms=silent_ms)
         self.drain()
 
+    def _write_failure_notices(self) -> None:
+        even_load = self.state.even_load
+        if even_load is None or not even_load.failure_notices:
+            return
+        for notice in even_load.failure_notices:
+            self._proc.events.write(
+                'upstream-failing', **dataclasses.asdict(notice)
+            )
+        even_load.failure_notices.clear()
+
     def leave(self) -> None:
         """Drain, and announce that this incarnation has left."""
         self.heartbeat.upstream_has_left = True
@@ -406,6 +419,16 @@
     )
 
 
+def _make_even_load(
+    placement: settings.Placement,
+) -> capacity_records.EvenLoad | None:
+    match placement:
+        case settings.Placement.CAPACITY:
+            return capacity_records.EvenLoad()
+        case settings.Placement.OPEN_FLOWS:
+            return None
+
+
 def compute_member_number(instance: str, incarnation: str) -> int:
     """Return the 64-bit number of one incarnation of an upstream.
 
