--- a/src/gentianspoke/decisions/agent/capacity_shares.py
+++ b/src/gentianspoke/decisions/agent/capacity_shares.py
@@ -135,7 +135,11 @@
     service tolerates. Further offers would then mostly be declined, too.
     """
     wait_ms = pool_shares.pool_wait_ms
-    return wait_ms is not None and wait_ms > service.limits.wait_ms
+    if wait_ms is None or not service.handshake:
+        # Without ``handshake``, openings wait at the agents, and the running
+        # requests of a report do not contain them.
+        return False
+    return wait_ms > service.limits.wait_ms
 
 
 def draw_target(
