Measure an entry that forwards in the data path benchmark

The entry of the benchmark was never confirmed by a feed, so it dropped all packets. It gets a confirmation now, and the benchmark fails unless it has forwarded each packet.

--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -168,17 +168,22 @@
 
 def make_entry_case(
     sock: datagrams.DatagramSocket, sink_address: tuple[str, int]
-) -> Case:
-    """Return the case of an entry that forwards segments of open flows."""
+) -> tuple[Case, process.Process]:
+    """Return the case of an entry that forwards segments of open flows.
+
+    The entry's process is returned too, because it counts the packets.
+    """
     proc = make_process(settings.EntrySettings(sock.address))
     link = paced_link.Link(sock, proc.clock, 0)
     entry = entry_shell.Entry(proc, sock, ip, link)
     entry.apply_update(feed_client.CatalogueUpdate(True, 1, [make_service()]))
     entry.apply_update(make_view(MEMBER_COUNT, sink_address))
+    # An entry forwards nothing until a majority has confirmed its feed.
+    entry.apply_update(feed_client.SourceConfirmation(0, 1))
     raw_packets = [
         make_segment(number, packets.ACK) for number in range(FLOW_COUNT)
     ]
-    return Case('entry', sock, raw_packets, entry.handle_packet)
+    return Case('entry', sock, raw_packets, entry.handle_packet), proc
 
 
 def make_agent(
@@ -271,6 +276,9 @@
         ]
         agent_sock, upstream_sock = open_socket(), open_socket()
         agent = make_agent(agent_sock, upstream_sock, sink.address)
+        entry_case, entry_process = make_entry_case(
+            open_socket(), sink.address
+        )
         replies = [
             make_segment(number, packets.ACK, is_reply=True)
             for number in range(FLOW_COUNT)
@@ -282,7 +290,7 @@
                 requests,
                 lambda data, _: bare.send(data, sink.address),
             ),
-            make_entry_case(open_socket(), sink.address),
+            entry_case,
             Case(
                 'agent, openings',
                 agent_sock,
@@ -306,10 +314,25 @@
             for case in cases:
                 await measure_burst(case, sender)
                 await discard_received(sink)
+        check_forwarded_packets(entry_process)
         check_opened_flows(agent)
         return cases
 
 
+def check_forwarded_packets(entry_process: process.Process) -> None:
+    """Raise ``SystemExit`` if the entry did not forward all its packets.
+
+    The time of a packet that is dropped is not that of the case.
+    """
+    counts = entry_process.metrics.counts
+    if counts.packets['forwarded'] != FLOW_COUNT:
+        raise SystemExit(
+            f'the entry forwarded {counts.packets["forwarded"]} of'
+            f' {FLOW_COUNT} packets and dropped {dict(counts.dropped)}, so the'
+            ' times do not cover the measured work'
+        )
+
+
 def check_opened_flows(agent: agent_shell.Agent) -> None:
     """Raise ``SystemExit`` if the agent did not do all the measured work.
 
