--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -15,7 +15,6 @@
 import sys
 import typing
 
-import grpclib.protocol
 import loguru
 import yaml
 
@@ -25,6 +24,7 @@
 from gentianspoke.config import settings
 from gentianspoke.config import units
 from gentianspoke.decisions import lifecycle
+from gentianspoke.net import batched_writes
 from gentianspoke.shells.agent import agent as agent_shell
 from gentianspoke.shells import entry as entry_shell
 from gentianspoke.shells import feed_client
@@ -80,7 +80,7 @@
 def count_traffic() -> collections.abc.Iterator[Traffic]:
     """Count the traffic of all gRPC channels opened within the context."""
     traffic = Traffic()
-    protocol = grpclib.protocol.H2Protocol
+    protocol = batched_writes.BatchingProtocol
     original_receive, original_connect = (
         protocol.data_received,
         protocol.connection_made,
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -88,6 +88,8 @@
 def start_queued_openings(state: State, now: int) -> list[actions.Action]:
     """Start queued flows on free slots; return the deliveries of openings."""
     result: list[actions.Action] = []
+    if not any(state.queues.values()):
+        return result
     for flow in admission.start_queued_flows(state, now):
         state.queue_waits.append(now - flow.opened_ms)
         if flow.queued_opening is not None:
--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -36,6 +36,11 @@
     rankings: dict[int, member_ranking.Ranking] = dataclasses.field(
         default_factory=dict
     )
+    # The shares that new flows of a service may get, by the number of the
+    # service; emptied by each change of the catalogue or of a view.
+    _routable_shares: dict[int, tuple[services.Share, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def set_catalogue(
         self, version: int, entries: list[services.Service]
@@ -48,6 +53,7 @@
             return False
         self.catalogue_version = version
         self.services_by_endpoint = index_services(entries)
+        self._routable_shares.clear()
         return True
 
     def set_view(self, view: views.View) -> bool:
@@ -59,8 +65,38 @@
         if current is not None and current.view.order > view.order:
             return False
         self.rankings[view.service] = member_ranking.Ranking(view)
+        self._routable_shares.clear()
         return True
 
+    def get_routable_shares(
+        self, service: services.Service
+    ) -> tuple[services.Share, ...]:
+        """Return the shares of a service to choose from for a flow.
+
+        These are the shares with a weight whose pool has a live member, or
+        all with a weight and a view if no such pool has one.
+        """
+        shares = self._routable_shares.get(service.number)
+        if shares is None:
+            shares = self._select_routable_shares(service)
+            self._routable_shares[service.number] = shares
+        return shares
+
+    def _select_routable_shares(
+        self, service: services.Service
+    ) -> tuple[services.Share, ...]:
+        known_shares = [
+            share
+            for share in service.shares
+            if share.weight and share.pool in self.rankings
+        ]
+        live_shares = [
+            share
+            for share in known_shares
+            if self.rankings[share.pool].live_count
+        ]
+        return tuple(live_shares or known_shares)
+
 
 def index_services(
     entries: list[services.Service],
@@ -132,17 +168,7 @@
 ) -> member_ranking.Ranking | None:
     if not service.shares:
         return table.rankings.get(service.number)
-    routable_shares = [
-        share
-        for share in service.shares
-        if share.weight and share.pool in table.rankings
-    ]
-    live_shares = [
-        share
-        for share in routable_shares
-        if table.rankings[share.pool].live_count
-    ]
-    share = hashing.choose_share(key, tuple(live_shares or routable_shares))
+    share = hashing.choose_share(key, table.get_routable_shares(service))
     return table.rankings[share.pool] if share else None
 
 
--- a/src/gentianspoke/net/http.py
+++ b/src/gentianspoke/net/http.py
@@ -179,7 +179,8 @@
         )
 
     async def _write(self, *events: h11.Event) -> None:
-        for event in events:
-            self._writer.write(self._http.send(event) or b'')
+        # One write is one system call and one segment.
+        parts = [self._http.send(event) or b'' for event in events]
+        self._writer.write(b''.join(parts))
         async with asyncio.timeout(WRITE_TIMEOUT_S):
             await self._writer.drain()
--- a/src/gentianspoke/shells/agent/action_executor.py
+++ b/src/gentianspoke/shells/agent/action_executor.py
@@ -86,8 +86,9 @@
             wait_s = state.queue_waits.popleft() / clock.MS_PER_S
             self._proc.metrics.observe_queue_wait(wait_s)
         self._write_request_counts(state)
-        counts.dropped['report-overflow'] += state.dropped_flow_reports
-        state.dropped_flow_reports = 0
+        if state.dropped_flow_reports:
+            counts.dropped['report-overflow'] += state.dropped_flow_reports
+            state.dropped_flow_reports = 0
 
     def _write_request_counts(self, state: agent_state.AgentState) -> None:
         queue = state.requests
--- a/src/gentianspoke/shells/channel_auth.py
+++ b/src/gentianspoke/shells/channel_auth.py
@@ -23,6 +23,7 @@
 from gentianspoke.codec import tokens
 from gentianspoke.config import units
 from gentianspoke import errors
+from gentianspoke.net import batched_writes
 
 # Names of the gRPC metadata that carry the authentication.
 TOKEN_METADATA = 'gentianspoke-token'
@@ -66,7 +67,7 @@
     finish reading one answer before it starts the next call, because the
     state of the answer is kept per task.
     """
-    channel = grpclib.client.Channel(*address)
+    channel = batched_writes.Channel(*address)
     if get_ring().keys:
         _authenticate_calls(
             channel,
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -2,10 +2,10 @@
 
 import typing
 
-import grpclib.server
 
 from gentianspoke.config import settings
 from gentianspoke import errors
+from gentianspoke.net import batched_writes
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
@@ -102,7 +102,7 @@
         replica_service.ReplicaService(proc, log),
         members_service.MembersService(proc, log),
     ]
-    server = grpclib.server.Server(services)
+    server = batched_writes.Server(services)
     channel_auth.protect_server(
         server, proc.get_current_ring, on_refused=proc.log_refused_call
     )
