--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 
 # Needs the packages that deploy/build.sh puts into target/.
 bench-roles: $(VENV)/.ready
-	$(RUN) -m benchmarks.role_costs
+	$(RUN) -m gentianspoke_bench.role_costs
 
 bench-memory: $(VENV)/.ready
 	$(RUN) -m benchmarks.state_memory
