Mend what the reviews of the new parts found

Causes, shown by the reviewers with small scripts against the merged code: - Requests that the queue forwards to be refused counted as failures of the upstream, and held requests counted neither in placement nor in the wait of the pool; cold and silent members were drawn although others were left. - A FIN behind a held request let it run uncounted; held uploads kept urgent openings out; a repeated answer ended the next request's slot. - An agent that had taken the number of an older incarnation from a frame, or whose upstream was back before its first heartbeat, reset flows of the new incarnation. A young upstream that an earlier run had served counted as new if a view came before its heartbeat. - Undecided flows waited for the caller's next packet, up to 3 s. - Openings that had expired filled an entry's bound; an opening on the ports of an open flow reached an evacuated upstream; an agent whose listing did not change stayed joining.

Change: each is mended where it arose.

--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -12,6 +12,7 @@
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import ownership
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 
 # Factor by which the wait limit grows for an opening of the pool's most urgent
@@ -145,7 +146,9 @@
     pool = state.get_pool(service)
     counts = state.counts[pool]
     slots = max(1, state.capacity.slots)
-    running = counts.running + len(state.requests.held)
+    running = counts.running + request_queue.count_ahead(
+        state.requests, service
+    )
     requests_ahead = max(0, running - slots + 1)
     wait_ms = counts.mean_work_ms * requests_ahead // slots
     limit_ms = service.limits.wait_ms
--- a/src/gentianspoke/decisions/agent/capacity_records.py
+++ b/src/gentianspoke/decisions/agent/capacity_records.py
@@ -11,9 +11,10 @@
 class MemberLoad:
     """The last report of another member.
 
-    ``work_us`` and ``slots`` are of the last report that knew the work, which
-    came at ``capacity_ms``; they are 0 if there was none. ``reported_ms`` is
-    the time of the last report.
+    ``running`` counts the requests at the upstream and those that wait beside
+    it. ``work_us`` and ``slots`` are of the last report that knew the work,
+    which came at ``capacity_ms``; they are 0 if there was none.
+    ``reported_ms`` is the time of the last report.
     """
 
     reported_ms: int
@@ -32,7 +33,8 @@
     ``mean_capacity`` that of the pool's upstreams, and ``flow_share`` the
     number of open flows that the own upstream should have. ``targets`` are the
     other live members, and ``weight_sums`` the running sums of the weights by
-    which they are drawn. ``pool_wait_ms`` is the median wait for a
+    which they are drawn; ``spare_sums`` are those for the case that no member
+    with such a weight is left. ``pool_wait_ms`` is the median wait for a
     slot at the members with a fresh report, ``None`` if there are too few.
     ``spread_permille`` is the largest number of open flows relative to the
     capacity, in thousandths of the mean, and ``report_age_ms`` the mean age of
@@ -46,6 +48,7 @@
     flow_share: float
     targets: tuple[views.Member, ...]
     weight_sums: tuple[float, ...]
+    spare_sums: tuple[float, ...]
     pool_wait_ms: float | None
     spread_permille: int
     report_age_ms: int
--- a/src/gentianspoke/decisions/agent/capacity_shares.py
+++ b/src/gentianspoke/decisions/agent/capacity_shares.py
@@ -66,7 +66,7 @@
         even_load.members[member_key] = load
     load.reported_ms = now
     load.open_flows = report.open_flows
-    load.running = report.running
+    load.running = report.running + report.queued
     if report.work_us and report.slots:
         load.slots = report.slots
         load.work_us = report.work_us
@@ -114,8 +114,9 @@
     if even_load.is_failing:
         return True
     if services.occupies_slot(service):
+        waiting = counts.queued + len(state.requests.held)
         wait_ms = member_loads.estimate_wait_ms(
-            counts.running,
+            counts.running + waiting,
             state.capacity.slots,
             even_load.work.mean_us,
         )
@@ -148,17 +149,32 @@
     pool_shares: PoolShares,
     tried: tuple[int, ...],
 ) -> views.Member | None:
-    """Return a member that is drawn by weight, ``None`` if there is none."""
-    targets = pool_shares.targets
-    for _ in range(MAX_DRAWS if targets else 0):
-        even_load.draws += 1
-        draw = (even_load.draws + state.number % 1_000) * GOLDEN_RATIO % 1
-        point = draw * pool_shares.weight_sums[-1]
-        index = bisect.bisect_right(pool_shares.weight_sums, point)
-        target = targets[min(index, len(targets) - 1)]
-        if target.number not in tried:
-            return target
-    return next((item for item in targets if item.number not in tried), None)
+    """Return a member that is drawn by weight, ``None`` if there is none.
+
+    If all members with a weight have been tried, the others are drawn by their
+    capacity, so that not all deciders choose the same one.
+    """
+    for sums in (pool_shares.weight_sums, pool_shares.spare_sums):
+        for _ in range(MAX_DRAWS if sums else 0):
+            target = _draw(state, even_load, pool_shares.targets, sums)
+            if target.number not in tried:
+                return target
+    return next(
+        (item for item in pool_shares.targets if item.number not in tried),
+        None,
+    )
+
+
+def _draw(
+    state: State,
+    even_load: EvenLoad,
+    targets: tuple[views.Member, ...],
+    sums: tuple[float, ...],
+) -> views.Member:
+    even_load.draws += 1
+    draw = (even_load.draws + state.number % 1_000) * GOLDEN_RATIO % 1
+    index = bisect.bisect_right(sums, draw * sums[-1])
+    return targets[min(index, len(targets) - 1)]
 
 
 def _note_failure(even_load: EvenLoad, pool_shares: PoolShares) -> None:
@@ -213,8 +229,16 @@
             targets, loads, capacities, ratios, strict=True
         )
     ]
+    spare_weights = [
+        capacity * _compute_factor(state, pool, member, load, now)
+        for member, load, capacity in zip(
+            targets, loads, capacities, strict=True
+        )
+    ]
+    if not any(spare_weights):
+        spare_weights = capacities
     if not any(weights):
-        weights = capacities
+        weights = spare_weights
     return PoolShares(
         computed_ms=now,
         ranking=ranking,
@@ -223,6 +247,7 @@
         flow_share=mean_ratio * own_capacity,
         targets=targets,
         weight_sums=tuple(itertools.accumulate(weights)),
+        spare_sums=tuple(itertools.accumulate(spare_weights)),
         pool_wait_ms=member_loads.find_pool_wait_ms(loads, now),
         spread_permille=member_loads.compute_spread([own_ratio, *ratios]),
         report_age_ms=member_loads.compute_mean_age_ms(loads, now),
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -133,14 +133,32 @@
     return timeouts.run_due_checks(state, now)
 
 
-def on_incarnation(state: State, number: int, now: int) -> Actions:
+def on_first_incarnation(
+    state: State, number: int, is_young: bool, now: int
+) -> None:
+    """Record the incarnation of the upstream that the agent learns first.
+
+    ``number`` is its member number. If ``is_young`` is false, the upstream may
+    have flows from before the agent's start.
+    """
+    state.number = number
+    state.recovering = not is_young
+    if is_young:
+        state.inquiries.complete_from_ms = 0
+        for pool in state.get_own_pools():
+            flow_knowledge.note_own_listing(state, pool, now)
+
+
+def on_incarnation(
+    state: State, number: int, now: int, upstream_age_ms: int = 0
+) -> Actions:
     """Return the actions that follow a restart of the upstream.
 
-    ``number`` is the member number of the new incarnation. The flows of the
-    old incarnation are lost, and the callers of the open TCP flows get a
-    reset.
+    ``number`` is the member number of the new incarnation, and
+    ``upstream_age_ms`` the time since its start. The flows of the old
+    incarnation are lost, and the callers of the open TCP flows get a reset.
     """
-    return replies.end_incarnation(state, number, now)
+    return replies.end_incarnation(state, number, now, upstream_age_ms)
 
 
 def is_for_service(service: services.Service, key: packets.FlowKey) -> bool:
--- a/src/gentianspoke/decisions/agent/diversion.py
+++ b/src/gentianspoke/decisions/agent/diversion.py
@@ -178,7 +178,11 @@
     member_key = (report.pool, report.sender)
     if report.cold_remaining_ms:
         cold_ms = min(report.cold_remaining_ms, MAX_COLD_MS)
+        is_news = member_key not in state.cold_members
         state.cold_members[member_key] = now + cold_ms
+        if is_news and state.even_load is not None:
+            # The shares that were computed before do not know of it.
+            state.even_load.shares.pop(report.pool, None)
     else:
         state.cold_members.pop(member_key, None)
 
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -62,6 +62,17 @@
     return 0 < ahead < SEQ_MODULUS // 2
 
 
+def has_new_answer(flow: records.Flow, segment: packets.Segment) -> bool:
+    """Return whether an upstream's segment has data that it sends first now.
+
+    Call this before :func:`note_upstream_segment`.
+    """
+    if not segment.payload_bytes or flow.down.end == records.NO_SEQ:
+        return bool(segment.payload_bytes)
+    ahead = (compute_segment_end(segment) - flow.down.end) % SEQ_MODULUS
+    return 0 < ahead < SEQ_MODULUS // 2
+
+
 def is_near(first: int, second: int) -> bool:
     """Return whether two sequence numbers can be of the same flow.
 
--- a/src/gentianspoke/decisions/agent/flow_inquiry.py
+++ b/src/gentianspoke/decisions/agent/flow_inquiry.py
@@ -33,8 +33,14 @@
 # Hops of such a packet. A candidate may pass it on to the flow's target.
 CANDIDATE_HOPS = 2
 # A flow for which an inquiry had no result is inquired about again after this
-# time, if the caller still sends.
-REPEAT_AFTER_MS = 1_000
+# time, which doubles with each further one up to the maximum. The first
+# repetitions come soon, because members that have just started answer within a
+# second.
+MIN_REPEAT_INTERVAL_MS = 250
+MAX_REPEAT_INTERVAL_MS = 4_000
+# The caller's retransmissions are at most this far apart. A flow whose caller
+# has sent nothing for longer is not inquired about again.
+MAX_RETRANSMISSION_INTERVAL_MS = 1_700
 
 State = agent_state.AgentState
 Actions = list[actions.Action]
@@ -69,9 +75,6 @@
         case Phase.ENDED:
             return [make_reset(flow)]
         case Phase.UNDECIDED:
-            if now - flow.phase_since_ms >= REPEAT_AFTER_MS:
-                flow.since_ms = now
-                set_phase(flow, Phase.COLLECTED, now)
             return try_candidates(state, flow)
 
 
@@ -80,6 +83,20 @@
     state.inquiries.unknown.pop(key, None)
 
 
+def repeat_undecided(state: State, now: int) -> None:
+    """Collect the undecided flows again whose callers still send."""
+    for flow in state.inquiries.unknown.values():
+        if flow.phase is not Phase.UNDECIDED:
+            continue
+        interval_ms = min(
+            MAX_REPEAT_INTERVAL_MS,
+            MIN_REPEAT_INTERVAL_MS << flow.undecided_count,
+        )
+        is_due = now - flow.phase_since_ms >= interval_ms
+        if is_due and now - flow.last_ms <= MAX_RETRANSMISSION_INTERVAL_MS:
+            set_phase(flow, Phase.COLLECTED, now)
+
+
 def has_listed_target(state: State, key: packets.FlowKey) -> bool:
     """Return whether packets of the flow go to a member that is listed."""
     diversion = state.diversions.get(key)
--- a/src/gentianspoke/decisions/agent/flow_knowledge.py
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -53,11 +53,10 @@
         return Knowledge.UNSURE
     if key in state.inquiries.doubtful or state.joining:
         return Knowledge.UNSURE
-    if state.recovering:
-        has_settled = now - state.started_ms >= MIN_RECOVERING_AGE_MS
-        is_absent = has_settled and key in state.returned_flows
-    else:
-        is_absent = now >= state.inquiries.complete_from_ms
+    is_complete = now >= state.inquiries.complete_from_ms
+    is_absent = is_complete and not state.recovering
+    if not is_absent and now - state.started_ms >= MIN_RECOVERING_AGE_MS:
+        is_absent = key in state.returned_flows
     return Knowledge.ABSENT if is_absent else Knowledge.UNSURE
 
 
--- a/src/gentianspoke/decisions/agent/flow_table.py
+++ b/src/gentianspoke/decisions/agent/flow_table.py
@@ -302,13 +302,16 @@
         return
     if state.even_load is not None:
         has_answer |= flow.answered and not flow.slot_per_request
-        counts.mean_work_ms = upstream_capacity.note_end(
+        mean_work_ms = upstream_capacity.note_end(
             state.even_load.work,
             flow.key,
             state.capacity.slots,
             now,
             has_answer=has_answer,
         )
+        # A new incarnation works like the last one until its first answer.
+        if state.even_load.work.answers:
+            counts.mean_work_ms = mean_work_ms
         return
     # Time that the request spent in the upstream's own queue is not counted
     # as work on it.
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -100,13 +100,16 @@
     if evidence.is_of_earlier_flow(flow, segment):
         return [actions.Drop('late-answer')]
     result = confirm_flow(state, flow, now)
+    has_new_answer = evidence.has_new_answer(flow, segment)
     evidence.note_upstream_segment(flow, segment, now)
     flow.opening_forward = None
     if not segment.flags & packets.SYN:
         flow.answered_after_syn_ack = True
     segment_id = None
-    if segment.payload_bytes:
+    if has_new_answer:
+        # A repeated segment belongs to the answer to an earlier request.
         scheduling.note_answer(state, flow, now)
+    if segment.payload_bytes:
         if _has_bulk_answer(state, flow):
             state.answering_flows[flow.key] = flow
             segment_id = pacing.get_segment_id(segment)
--- a/src/gentianspoke/decisions/agent/inquiry_records.py
+++ b/src/gentianspoke/decisions/agent/inquiry_records.py
@@ -35,7 +35,8 @@
     ``forward`` is the frame that carried ``segment``. ``since_ms`` is when the
     flow's first segment came after which the flow's members are asked, and
     ``last_ms`` when the last one came. ``candidates`` lists the members that
-    may have the flow after an inquiry, and ``candidates_tried`` counts those
+    may have the flow after an inquiry, ``undecided_count`` the inquiries that
+    ended without a result, and ``candidates_tried`` counts those
     that have got a segment, over all rounds.
     """
 
@@ -47,6 +48,7 @@
     last_ms: int
     phase: FlowPhase = FlowPhase.COLLECTED
     phase_since_ms: int = 0
+    undecided_count: int = 0
     candidates: tuple[int, ...] = ()
     candidates_tried: int = 0
 
--- a/src/gentianspoke/decisions/agent/inquiry_results.py
+++ b/src/gentianspoke/decisions/agent/inquiry_results.py
@@ -57,6 +57,7 @@
     for inquiry in tuple(inquiries.outstanding.values()):
         result.extend(_continue_inquiry(state, inquiry, now))
     if inquiries.unknown:
+        flow_inquiry.repeat_undecided(state, now)
         result.extend(inquiry_rounds.send_due(state, now))
         _expire_flows(state, now)
     return result
@@ -115,6 +116,7 @@
             continue
         inquiry.obstacle = obstacle
         inquiry.undecided_count += 1
+        flow.undecided_count += 1
         flow_inquiry.set_phase(flow, Phase.UNDECIDED, now)
         _set_candidates(inquiry, flow, position, instances, missing)
         result.extend(flow_inquiry.try_candidates(state, flow))
--- a/src/gentianspoke/decisions/agent/known_flows.py
+++ b/src/gentianspoke/decisions/agent/known_flows.py
@@ -79,6 +79,10 @@
 def _deliver_repeated_opening(
     state: State, flow: records.Flow, packet: packets.Packet, now: int
 ) -> actions.Action:
+    isn = get_opening_isn(packet)
+    if isn != flow.isn and state.is_evacuated(flow.pool):
+        # It may be a new connection of the caller on the same five-tuple.
+        return actions.Drop('evacuated')
     match packet:
         case packets.Segment():
             # An upstream that is cold counts retransmissions too.
@@ -89,7 +93,6 @@
     # upstream's TCP can tell whether it is a late copy or a new connection of
     # the caller.
     flow.last_up_ms = now
-    isn = get_opening_isn(packet)
     if isn != flow.isn:
         flow.newer_isn = isn
     return actions.Deliver(packet.raw)
--- a/src/gentianspoke/decisions/agent/opening.py
+++ b/src/gentianspoke/decisions/agent/opening.py
@@ -108,6 +108,10 @@
     now: int,
 ) -> actions.Action:
     home = ranking.home(forward.bucket)
+    if home is None and state.joining and state.inquiries.enabled:
+        # A view does not list this agent as a member yet. Another run of it
+        # could later deny a flow that nobody knows that it has taken.
+        return actions.Drop('joining')
     if home is None and service.handshake:
         # No member of the view is live, but this agent's own upstream may
         # still accept the opening. The opening is decided like one that
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -77,7 +77,7 @@
     decision = _decide_without_wait(state, service, now)
     pool_shares = capacity_shares.get_shares(state, even_load, ranking, now)
     if decision is not admission.Admission.NOW:
-        if capacity_shares.is_pool_full(pool_shares, service):
+        if _is_pool_full(state, service, ranking, decision, now):
             return _admit_or_refuse(
                 state, service, forward, packet, now, 'pool-full'
             )
@@ -107,7 +107,7 @@
     decision = _decide_without_wait(state, service, now)
     if decision is admission.Admission.NOW:
         return _accept_opening(state, service, forward, packet, now)
-    if _is_pool_full(state, service, ranking, now):
+    if _is_pool_full(state, service, ranking, decision, now):
         return _admit_or_refuse(
             state, service, forward, packet, now, 'pool-full'
         )
@@ -132,8 +132,18 @@
     state: State,
     service: services.Service,
     ranking: member_ranking.Ranking,
+    decision: admission.Admission,
     now: int,
 ) -> bool:
+    """Return whether further offers of a declined opening are of no use.
+
+    They are of use if this upstream declined because it is silent or cold, as
+    it would not take the opening in the end either.
+    """
+    if decision is not admission.Admission.NO:
+        return False
+    if admission.is_upstream_silent(state, now):
+        return False
     match state.even_load:
         case None:
             return False
--- a/src/gentianspoke/decisions/agent/replies.py
+++ b/src/gentianspoke/decisions/agent/replies.py
@@ -52,7 +52,7 @@
 
 
 def end_incarnation(
-    state: State, number: int, now: int
+    state: State, number: int, now: int, upstream_age_ms: int = 0
 ) -> list[actions.Action]:
     """End the upstream's incarnation and begin the next one.
 
@@ -60,17 +60,21 @@
     ``number`` is the member number of the new incarnation. All flow records
     are removed, because the restarted upstream knows none of the flows. The
     result holds the resets for the callers of the flows that the ended
-    incarnation had open. Other flows may be open at another upstream.
+    incarnation had open. Other flows may be open at another upstream, or at
+    the new incarnation if they are younger than it (``upstream_age_ms``).
     """
+    started_ms = now - upstream_age_ms
     result: list[actions.Action] = []
     for flow in tuple(state.flows.values()):
-        if flow.phase is records.Phase.OPEN and evidence.is_established(flow):
+        is_lost = flow.opened_ms < started_ms and evidence.is_established(flow)
+        if flow.phase is records.Phase.OPEN and is_lost:
             result.extend(_reset_caller(state, flow, now))
         elif flow.phase is records.Phase.OPEN:
             # The new incarnation may have received the opening before this
             # agent learned of it.
             flow_knowledge.note_doubtful(state, flow.key, now)
         flow_table.remove_flow(state, flow, now)
+    state.unanswered_since_ms = None
     state.number = number
     state.inquiries.complete_from_ms = now
     state.inquiries.unknown.clear()
--- a/src/gentianspoke/decisions/agent/request_queue.py
+++ b/src/gentianspoke/decisions/agent/request_queue.py
@@ -201,6 +201,16 @@
     return len(queue.held) > max(MIN_HELD_REQUESTS, startable)
 
 
+def count_ahead(queue: RequestQueue, service: services.Service) -> int:
+    """Return how many held requests start before a new one of a service."""
+    if _is_bulk(service):
+        return len(queue.held)
+    return sum(
+        not request.is_bulk and request.priority <= service.priority
+        for request in queue.held.values()
+    )
+
+
 def take_surplus(queue: RequestQueue) -> HeldRequest:
     """Remove the least urgent held request, and return it.
 
--- a/src/gentianspoke/decisions/agent/returned_packets.py
+++ b/src/gentianspoke/decisions/agent/returned_packets.py
@@ -100,7 +100,8 @@
     now: int,
 ) -> actions.Action:
     # The upstream has already sent segments of this flow, so it owned the flow
-    # and has lost its state.
+    # and has lost its state. It may have been started again.
+    state.cold.was_silent = True
     if flow.phase is records.Phase.OPEN:
         evidence.report_flow(
             state,
--- a/src/gentianspoke/decisions/agent/scheduling.py
+++ b/src/gentianspoke/decisions/agent/scheduling.py
@@ -15,6 +15,8 @@
 from gentianspoke.decisions.agent import state as agent_state
 
 ENDING_FLAGS = packets.FIN | packets.RST
+# A caller gives an opening up after this time.
+MAX_OPENING_MS = 1_400
 
 State = agent_state.AgentState
 Actions = list[actions.Action]
@@ -52,11 +54,11 @@
     is_refusal = queue.is_enabled and request_queue.note_answer(
         queue, flow.key, state.capacity.slots, now
     )
+    # A refusal is not counted in the mean work of a request, and it shows no
+    # failure of the upstream: the queue forwards more than there is room for.
     if is_refusal and state.even_load is None:
-        # A refusal is not counted in the mean work of a request. With
-        # placement by capacity, ``upstream_capacity`` recognises it itself.
         flow.slot_reserved = flow.holds_slot
-    flow_table.free_slot(state, flow, now, has_answer=True)
+    flow_table.free_slot(state, flow, now, has_answer=not is_refusal)
 
 
 def start_requests(state: State, now: int) -> Actions:
@@ -164,15 +166,12 @@
     """Return when the caller began its request, as far as is known.
 
     The first request of a flow began with the opening, unless the flow was
-    idle for so long that the request would have timed out by now.
+    idle for longer than an opening takes.
     """
-    service = state.services_by_number.get(flow.service)
     is_first = (
         flow.isn != records.NO_OPENING and not flow.answered_after_syn_ack
     )
-    if service is None or not is_first:
-        return now
-    if now - flow.opened_ms >= service.limits.timeout_ms:
+    if not is_first or now - flow.opened_ms >= MAX_OPENING_MS:
         return now
     return flow.opened_ms
 
@@ -188,9 +187,14 @@
     behind the request, so that it stays in order.
     """
     segment = held_packet.packet
-    if segment.flags & ENDING_FLAGS:
-        request_queue.discard(queue, request.key, 'caller-closed')
+    if segment.flags & packets.RST:
+        # If the reset is current, the flow ends and its request is discarded.
         return None
+    if segment.flags & packets.FIN:
+        request_queue.discard(queue, request.key, 'caller-closed')
+        # The upstream would get the FIN before the data. If the caller still
+        # sends, its retransmissions come in order.
+        return actions.Drop('caller-closed')
     if not segment.payload_bytes:
         return None
     first_seq = request.packets[0].packet.seq
--- a/src/gentianspoke/decisions/entry_hold.py
+++ b/src/gentianspoke/decisions/entry_hold.py
@@ -109,12 +109,22 @@
     """Hold an opening in place of an older copy, unless too many are held."""
     key = opening.packet.key
     if state.openings.pop(key, None) is None:
+        _remove_expired(state, opening.since_ms)
         if len(state.openings) >= MAX_HELD_OPENINGS:
             return Result.OVERFLOW
     state.openings[key] = opening
     return Result.HELD
 
 
+def _remove_expired(state: HoldState, now: int) -> None:
+    """Remove the oldest openings if they can no longer be decided again."""
+    while len(state.openings) >= MAX_HELD_OPENINGS:
+        key, oldest = next(iter(state.openings.items()))
+        if now - oldest.since_ms < _get_limit_ms(state, oldest):
+            return
+        del state.openings[key]
+
+
 def pop_openings(
     state: HoldState, table: routing.RouteTable, now: int
 ) -> DueOpenings:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -281,22 +281,25 @@
             incarnation=f'{number:016x}',
             is_young=upstream_status.is_young,
         )
-        if not was_known and self.state.number in (UNKNOWN_NUMBER, number):
+        now = self._proc.clock.now()
+        if not was_known:
             # This agent has known no other incarnation of the upstream, so
-            # its state stays as it is. It may already have taken the number
-            # from a frame that was addressed to it; see _handle_forward.
-            self.state.number = number
-            self.state.recovering = not upstream_status.is_young
-            if upstream_status.is_young:
-                self.state.inquiries.complete_from_ms = 0
+            # its records stay. It may have taken another number from a frame
+            # that was addressed to an earlier incarnation; see
+            # _handle_forward.
+            core.on_first_incarnation(
+                self.state, number, upstream_status.is_young, now
+            )
             self.heartbeat.announce_now()
             return
-        now = self._proc.clock.now()
-        decided_actions = core.on_incarnation(self.state, number, now)
+        decided_actions = core.on_incarnation(
+            self.state, number, now, upstream_status.age_ms
+        )
         if not upstream_status.is_young and self._cfg.status is None:
             # The first heartbeats were lost, or a late one of the earlier
             # incarnation came after the start of this agent.
             self.state.inquiries.complete_from_ms = now + self._cfg.recovery_ms
+            self.state.recovering = True
         self._executor.execute_all(decided_actions)
         self.heartbeat.announce_now()
 
@@ -318,8 +321,13 @@
             self.heartbeat.announce_now()
         # A joining agent announces itself as draining. A view that lists it as
         # not live is therefore newer than the agent's start, and the agent may
-        # act on views from then on.
-        if self.state.joining and self.state.is_listed_as_not_live():
+        # act on views from then on. Before the upstream has reported its
+        # incarnation, the agent has announced nothing.
+        if (
+            self.state.joining
+            and self._incarnation
+            and self.state.is_listed_as_not_live()
+        ):
             self.state.joining = False
             self.heartbeat.announce_now()
 
--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -136,9 +136,25 @@
         # first know the view that lists it.
         if holds_lease or not reply.renewal_only:
             state.lease_until_ms = max(state.lease_until_ms, until_ms)
+        self._end_joining(announcement)
         if announcement.state is views.State.DRAINING and state.draining:
             self.drain_accepted.set()
 
+    def _end_joining(self, announcement: membership.Announcement) -> None:
+        """End the joining of an agent whose listing does not change.
+
+        The leader issues no view if it lists an earlier run of the agent as
+        not live already. Where leases matter, the agent waits for a view that
+        is newer than its start.
+        """
+        state = self._state
+        if not state.joining or not state.all_handshake:
+            return
+        is_accepted = announcement.state is views.State.DRAINING
+        if is_accepted and state.is_listed_as_not_live():
+            state.joining = False
+            self.announce_now()
+
     async def _wait_for_change(self) -> None:
         await asyncio.sleep(MIN_HEARTBEAT_INTERVAL_S)
         with contextlib.suppress(TimeoutError):
--- a/src/gentianspoke/shells/agent/status.py
+++ b/src/gentianspoke/shells/agent/status.py
@@ -19,7 +19,8 @@
 
     ``incarnation`` is empty and ``slots`` is 0 if the upstream does not report
     them. ``is_young`` is true if the upstream cannot have flows from before
-    this agent started. ``cold_remaining_ms`` is the time for which the
+    this agent started. ``age_ms`` is the time since the upstream's start, 0 if
+    it does not report it. ``cold_remaining_ms`` is the time for which the
     upstream stays slow after its start, in milliseconds, 0 if it does not
     report it.
     """
@@ -28,6 +29,7 @@
     draining: bool = False
     slots: int = 0
     is_young: bool = False
+    age_ms: int = 0
     cold_remaining_ms: int = 0
 
 
--- a/tests/agent/test_capacity_shares.py
+++ b/tests/agent/test_capacity_shares.py
@@ -210,3 +210,32 @@
     state.set_view(builders.view(builders.member(HOME), number=2))
     core.on_tick(state, 3_000)
     assert state.even_load.members == {}
+
+
+# Failure: many homes draw cold members although others are left, or all of
+# them the first of the list.
+def test_a_cold_member_is_drawn_only_if_no_other_is_left():
+    cold, *warm = OTHERS
+    state = agent(LONG, MEAN_WORK_US, [report(n, 10) for n in warm])
+    item = dataclasses.replace(report(cold, 0), cold_remaining_ms=1_000)
+    core.on_load(state, item, 0)
+    shares = get_shares(state)
+    drawn = collections.Counter(
+        capacity_shares.draw_target(state, state.even_load, shares, ()).number
+        for _ in range(200)
+    )
+    assert cold not in drawn
+    assert len(drawn) == len(warm)
+    last = capacity_shares.draw_target(
+        state, state.even_load, shares, tuple(warm)
+    )
+    assert last.number == cold
+
+
+def test_waiting_requests_count_in_the_wait_of_the_pool():
+    reports = [
+        dataclasses.replace(report(number, 10, running=3), queued=8)
+        for number in OTHERS
+    ]
+    shares = get_shares(agent(SHORT, MEAN_WORK_US, reports))
+    assert capacity_shares.is_pool_full(shares, SHORT)
--- a/tests/agent/test_evacuated_agents.py
+++ b/tests/agent/test_evacuated_agents.py
@@ -119,3 +119,24 @@
     network.carry_out(1, core.on_tick(state, TICK_MS))
     assert network.delivering_agents == [1, 1]
     assert network.resets == []
+
+
+@pytest.mark.parametrize(
+    ('listed_state', 'isn', 'delivered'),
+    [
+        pytest.param(LIVE, 900, 1, id='not-evacuated'),
+        pytest.param(EVACUATED, 900, 0, id='new-connection'),
+        pytest.param(EVACUATED, 100, 1, id='late-copy'),
+    ],
+)
+def test_a_new_opening_on_the_ports_of_an_open_flow_is_not_delivered(
+    listed_state, isn, delivered
+):
+    # Guards against a delivery that reuses the record of an open flow.
+    state = fakes.agent(1, HANDSHAKE, builders.view(member(1)))
+    network = fakes.AgentNetwork(state)
+    network.send(1, SYN)
+    state.set_view(builders.view(member(1, listed_state), number=2))
+    network.delivering_agents.clear()
+    network.send(1, builders.segment(seq=isn))
+    assert len(network.delivering_agents) == delivered
--- a/tests/agent/test_unconfirmed_flows.py
+++ b/tests/agent/test_unconfirmed_flows.py
@@ -189,3 +189,62 @@
         sent.extend(core.on_tick(state, now))
     assert DATA.key not in state.flows
     assert actions.ResetCaller not in kinds(sent)
+
+
+@pytest.mark.parametrize(
+    ('upstream_age_ms', 'is_reset'),
+    [
+        pytest.param(0, True, id='new-upstream-after-the-opening'),
+        pytest.param(998, True, id='started-after-the-opening'),
+        pytest.param(1_000, False, id='opened-at-the-new-incarnation'),
+    ],
+)
+def test_a_flow_of_the_new_incarnation_is_not_reset(upstream_age_ms, is_reset):
+    # An upstream that is back soon takes openings before its first heartbeat.
+    state = make_agent(recovering=False)
+    open_with_handshake(state)
+    resets = core.on_incarnation(
+        state, NEXT_INCARNATION, 1_000, upstream_age_ms
+    )
+    assert kinds(resets) == [actions.ResetCaller] * is_reset
+
+
+def test_the_first_incarnation_that_is_learned_resets_no_flow():
+    # A restarted agent may have taken the number of an older incarnation from
+    # a frame, and its upstream has flows from before.
+    state = make_agent()
+    adopt_with_answer(state)
+    core.on_first_incarnation(state, NEXT_INCARNATION, False, 1_000)
+    assert DATA.key in state.flows
+    assert (state.number, state.recovering) == (NEXT_INCARNATION, True)
+
+
+@pytest.mark.parametrize(
+    ('joined_view', 'is_recovering'),
+    [
+        pytest.param(1, True, id='an-earlier-run-was-live'),
+        pytest.param(0, False, id='never-live'),
+    ],
+)
+def test_a_young_upstream_that_an_earlier_run_served_is_not_new(
+    joined_view, is_recovering
+):
+    state = make_agent(recovering=False)
+    member = builders.member(
+        OWN, views.State.DRAINING, joined_view=joined_view
+    )
+    state.set_view(views.View(POOL, 2, (member, builders.member(OTHER))))
+    state.joining, state.inquiries.enabled = True, True
+    state.inquiries.complete_from_ms = 60_000
+    core.on_first_incarnation(state, OWN, True, 1_000)
+    assert state.recovering is is_recovering
+
+
+@pytest.mark.parametrize('joining', [True, False])
+def test_a_joining_agent_takes_no_opening_that_nobody_could_know_of(joining):
+    state = make_agent(recovering=False)
+    member = builders.member(OWN, views.State.DRAINING)
+    state.set_view(views.View(POOL, 2, (member,)))
+    state.joining, state.inquiries.enabled = joining, True
+    expected = actions.Drop if joining else actions.Deliver
+    assert kinds(send(state, SYN, 0)) == [expected]
--- a/tests/routing/test_entry_hold.py
+++ b/tests/routing/test_entry_hold.py
@@ -233,3 +233,20 @@
     for sport in range(entry_hold.MAX_HELD_OPENINGS + 5):
         entry.receive(builders.segment(sport=sport), str(sport).encode())
     assert entry.proc.metrics.counts.holds['overflow'] == 5
+
+
+def test_openings_that_have_expired_make_room_for_newer_ones():
+    state = entry_hold.HoldState(HOLD_MS, 0)
+    for number in range(entry_hold.MAX_HELD_OPENINGS):
+        segment = builders.segment(sport=6_000 + number)
+        opening = entry_hold.HeldOpening(segment, *SENDER, 0)
+        assert entry_hold.hold(state, opening) is entry_hold.Result.HELD
+    newer = [
+        entry_hold.HeldOpening(SYN, *SENDER, since_ms)
+        for since_ms in (
+            entry_hold.MAX_FIRST_HOLD_MS - 1,
+            entry_hold.MAX_FIRST_HOLD_MS,
+        )
+    ]
+    results = [entry_hold.hold(state, opening) for opening in newer]
+    assert results == [entry_hold.Result.OVERFLOW, entry_hold.Result.HELD]
