Admit what can still be answered in time where requests are scheduled

Change: with schedule_requests, the last candidate admits an opening that waits for up to three quarters of the objective, the most urgent class up to one and a half of it. Other deployments keep their limits.

--- a/src/gentianspoke/decisions/agent/admission.py
+++ b/src/gentianspoke/decisions/agent/admission.py
@@ -18,6 +18,15 @@
 # Factor by which the wait limit grows for an opening of the pool's most urgent
 # service if no other upstream will be tried.
 LAST_CANDIDATE_WAIT_FACTOR = 2
+# The same where requests wait beside the upstream in their order
+# (``request_queue``). Load pattern: all callers return at once, for example
+# after a loss of power, and each upstream gets many openings within a moment.
+# After this many times the wait limit, which is a quarter of the time in which
+# callers expect the answer, there is still time to answer. A refusal would
+# only make the callers try again at the same moment.
+SCHEDULED_WAIT_FACTOR = 3
+# The same for the pool's most urgent service, which is refused last.
+URGENT_SCHEDULED_WAIT_FACTOR = 6
 # How long an upstream may leave openings unanswered before its agent tries
 # other members first.
 UPSTREAM_TIMEOUT_MS = 150
@@ -152,16 +161,24 @@
     requests_ahead = max(0, running - slots + 1)
     wait_ms = counts.mean_work_ms * requests_ahead // slots
     limit_ms = service.limits.wait_ms
-    if (
-        is_last_candidate
-        and service.priority == state.highest_priorities[pool]
-    ):
-        limit_ms *= LAST_CANDIDATE_WAIT_FACTOR
+    if is_last_candidate:
+        is_urgent = service.priority == state.highest_priorities[pool]
+        limit_ms *= _get_last_candidate_factor(state, is_urgent)
     if wait_ms > limit_ms:
         return Admission.NO
     return Admission.NOW
 
 
+def _get_last_candidate_factor(
+    state: agent_state.AgentState, is_urgent: bool
+) -> int:
+    if state.requests.is_enabled:
+        if is_urgent:
+            return URGENT_SCHEDULED_WAIT_FACTOR
+        return SCHEDULED_WAIT_FACTOR
+    return LAST_CANDIDATE_WAIT_FACTOR if is_urgent else 1
+
+
 def compute_ramp_permille(state: agent_state.AgentState, now: int) -> int:
     """Return the share of its full load that the upstream may take now.
 
--- a/tests/agent/test_scheduling.py
+++ b/tests/agent/test_scheduling.py
@@ -14,6 +14,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
+from gentianspoke.decisions.agent import admission
 from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_table
@@ -439,3 +440,31 @@
     flow_table.begin_request(state, flow, 1)
     answer(state, THIRD, 2)
     assert state.even_load.work.worked_permille == 1_000
+
+
+@pytest.mark.parametrize(
+    ('is_enabled', 'priority', 'expected'),
+    [
+        pytest.param(False, 1, 1, id='without-a-queue'),
+        pytest.param(False, 0, 2, id='urgent-without-a-queue'),
+        pytest.param(True, 1, 3, id='in-time-with-a-queue'),
+        pytest.param(True, 0, 6, id='urgent-with-a-queue'),
+    ],
+)
+def test_all_callers_that_return_at_once_are_admitted_while_there_is_time(
+    is_enabled, priority, expected
+):
+    # Guards against refusals of openings that could still be answered in time
+    # after a loss of power, when each upstream gets many at once.
+    state = make_agent(is_enabled=is_enabled)
+    state.counts[POOL].mean_work_ms = WAIT_MS
+    entry = dataclasses.replace(ENTRIES[0], priority=priority)
+    admitted = 0
+    while (
+        admission.decide_admission(state, entry, 0, 0, is_last_candidate=True)
+        is admission.Admission.NOW
+    ):
+        state.counts[POOL].running += 1
+        admitted += 1
+    # One runs at once, and each further one waits for the work of one more.
+    assert admitted == 1 + expected
