Split slots and feed updates from the flow table and the agent

Change: slot_usage counts the slots, and FeedUpdates applies the catalogue and the views; no behaviour changes.

Result: tests of agents, matrix, platform, fuzz and telemetry pass.

--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -31,6 +31,7 @@
 from gentianspoke.decisions.agent import owner_search
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import scheduling
+from gentianspoke.decisions.agent import slot_usage
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 from gentianspoke.decisions import hashing
@@ -221,7 +222,7 @@
     if waiting is not None:
         return [*result, waiting]
     if packets.ends_message(segment) and evidence.is_new_data(flow, segment):
-        flow_table.begin_request(state, flow, now)
+        slot_usage.begin_request(state, flow, now)
     evidence.note_caller_segment(flow, segment, now)
     result.append(actions.Deliver(segment.raw))
     if segment.flags & (packets.FIN | packets.RST):
--- a/src/gentianspoke/decisions/agent/placement.py
+++ b/src/gentianspoke/decisions/agent/placement.py
@@ -21,6 +21,7 @@
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import refusal
 from gentianspoke.decisions.agent import retry_budget
+from gentianspoke.decisions.agent import slot_usage
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import member_ranking
 
@@ -274,7 +275,7 @@
         # A bulk request is complete only long after a reservation would have
         # expired, so no slot is reserved for it.
         if not services.is_bulk(service):
-            flow_table.reserve_slot(state, flow, now)
+            slot_usage.reserve_slot(state, flow, now)
         admission.note_opening(state, now)
     cold_start.note_delivery(state.cold, now)
     match packet:
--- a/src/gentianspoke/decisions/agent/scheduling.py
+++ b/src/gentianspoke/decisions/agent/scheduling.py
@@ -9,9 +9,9 @@
 from gentianspoke.core import packets
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
-from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import request_queue
+from gentianspoke.decisions.agent import slot_usage
 from gentianspoke.decisions.agent import state as agent_state
 
 ENDING_FLAGS = packets.FIN | packets.RST
@@ -58,7 +58,7 @@
     # failure of the upstream: the queue forwards more than there is room for.
     if is_refusal and state.even_load is None:
         flow.slot_reserved = flow.holds_slot
-    flow_table.free_slot(state, flow, now, has_answer=not is_refusal)
+    slot_usage.free_slot(state, flow, now, has_answer=not is_refusal)
 
 
 def start_requests(state: State, now: int) -> Actions:
@@ -154,7 +154,7 @@
         service, held_packet, _find_begin_ms(state, flow, now), now
     )
     # The request has arrived, so the slot that was reserved for it is free.
-    flow_table.free_slot(state, flow, now)
+    slot_usage.free_slot(state, flow, now)
     state.requests.held[flow.key] = request
     flow.last_up_ms = now
     # The rest is noted when the segment is delivered, so that a copy of it
@@ -225,7 +225,7 @@
         return [actions.Drop('request-expired') for _ in request.packets]
     queue.counts[reason] += 1
     queue.waits_ms.append(now - request.held_ms)
-    flow_table.begin_request(state, flow, now)
+    slot_usage.begin_request(state, flow, now)
     result: Actions = []
     for held_packet in request.packets:
         evidence.note_caller_segment(flow, held_packet.packet, now)
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -19,6 +19,7 @@
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import returned_packets
 from gentianspoke.decisions.agent import scheduling
+from gentianspoke.decisions.agent import slot_usage
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions.agent import teardown
 from gentianspoke.decisions import member_ranking
@@ -65,7 +66,7 @@
     requests, decide held openings again, confirm or disown adopted flows, and
     end the recovery of a restarted agent after ``AgentState.recovery_ms``.
     """
-    flow_table.expire_reservations(state, now)
+    slot_usage.expire_reservations(state, now)
     result = expire_queued_flows(state, now)
     result.extend(start_queued_openings(state, now))
     result.extend(held_openings.retry_openings(state, now))
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -13,8 +13,6 @@
 from gentianspoke.config import settings
 from gentianspoke.core import frames
 from gentianspoke.core import packets
-from gentianspoke.core import services
-from gentianspoke.core import views
 from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
@@ -23,6 +21,7 @@
 from gentianspoke import errors
 from gentianspoke.net import datagrams
 from gentianspoke.shells.agent import action_executor
+from gentianspoke.shells.agent import feed_updates
 from gentianspoke.shells.agent import gauges
 from gentianspoke.shells.agent import heartbeat
 from gentianspoke.shells.agent import status
@@ -70,8 +69,6 @@
         self._executor = action_executor.ActionExecutor(
             proc, cfg, codec, self.link, upstream_socket
         )
-        self._catalogue_entries: dict[str, services.Service] = {}
-        self._catalogue_version = 0
         self._incarnation = incarnation
         self._last_status_ms = proc.clock.now()
         self.state = agent_state.AgentState(
@@ -98,6 +95,9 @@
         # Late replies to an earlier run of the agent must match no inquiry.
         self.state.inquiries.next_number = secrets.randbits(INQUIRY_BITS)
         self.heartbeat = heartbeat.Heartbeat(proc, cfg, self.state)
+        self._feed_updates = feed_updates.FeedUpdates(
+            proc, cfg, self.state, self.heartbeat
+        )
         if incarnation:
             self.heartbeat.upstream_known.set()
         proc.metrics.on_render(
@@ -108,18 +108,7 @@
 
     def apply_update(self, update: feed_client.Update) -> int:
         """Apply a feed update; return the catalogue version in use."""
-        now = self._proc.clock.now()
-        self.state.check_feed_gap(now)
-        match update:
-            case feed_client.CatalogueUpdate():
-                self._apply_catalogue(update)
-            case views.View():
-                self._apply_view(update)
-            case feed_client.SourceConfirmation(age_ms=age_ms):
-                self.state.confirm_feed(now - age_ms)
-                if self._proc.life.state == 'syncing':
-                    self._proc.life.advance('serve')
-        return self._catalogue_version
+        return self._feed_updates.apply(update)
 
     async def read_peers(self) -> None:
         """Handle frames from entries and agents, until cancelled."""
@@ -303,73 +292,6 @@
         self._executor.execute_all(decided_actions)
         self.heartbeat.announce_now()
 
-    def _apply_view(self, view: views.View) -> None:
-        old_ranking = self.state.rankings.get(view.service)
-        was_evacuated = self.state.is_evacuated_anywhere()
-        core.on_view(self.state, view, self._proc.clock.now())
-        if self.state.is_evacuated_anywhere() != was_evacuated:
-            self._proc.events.write(
-                'upstream-restored' if was_evacuated else 'upstream-evacuated',
-                zone=self._proc.cfg.zone,
-                view=view.number,
-                open_flows=self.state.total_open,
-            )
-        if old_ranking is None or old_ranking.view.number != view.number:
-            # In a new view, other members than before decide on the openings
-            # of some buckets. They place these openings only after this agent
-            # has acknowledged the view by a heartbeat.
-            self.heartbeat.announce_now()
-        # A joining agent announces itself as draining. A view that lists it as
-        # not live is therefore newer than the agent's start, and the agent may
-        # act on views from then on. Before the upstream has reported its
-        # incarnation, the agent has announced nothing.
-        if (
-            self.state.joining
-            and self._incarnation
-            and self.state.is_listed_as_not_live()
-        ):
-            self.state.joining = False
-            self.heartbeat.announce_now()
-
-    def _apply_catalogue(self, update: feed_client.CatalogueUpdate) -> None:
-        if update.version < self._catalogue_version:
-            return
-        if update.is_snapshot:
-            self._catalogue_entries.clear()
-        self._catalogue_entries.update(
-            (entry.name, entry) for entry in update.entries
-        )
-        self._catalogue_version = update.version
-        self.state.set_catalogue(self._select_services())
-        self._proc.events.write('catalogue-in-force', version=update.version)
-
-    def _select_services(self) -> list[services.Service]:
-        """Return those services of the settings that the catalogue has.
-
-        If the settings name a pool instead, return all services and update
-        the number of that pool.
-        """
-        if not self._cfg.pool:
-            return [
-                self._catalogue_entries[name]
-                for name in self._cfg.services
-                if name in self._catalogue_entries
-            ]
-        entries = list(self._catalogue_entries.values())
-        self.state.own_pool = self._find_own_pool(entries)
-        return entries
-
-    def _find_own_pool(self, entries: list[services.Service]) -> int:
-        """Return the number of the upstream's pool.
-
-        If no entry has the pool any more, its last known number is returned.
-        """
-        for entry in entries:
-            for share in entry.shares:
-                if share.name == self._cfg.pool:
-                    return share.pool
-        return self.state.own_pool
-
     def _dispatch_frame(self, data: bytes) -> None:
         now = self._proc.clock.now()
         match frame.decode(data, self._proc.ring):
--- a/tests/agent/test_handshake_flows.py
+++ b/tests/agent/test_handshake_flows.py
@@ -16,6 +16,7 @@
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import handshake_flows
 from gentianspoke.decisions.agent import records
+from gentianspoke.decisions.agent import slot_usage
 
 ACK = packets.ACK
 SYN_ACK = packets.SYN | packets.ACK
@@ -118,7 +119,7 @@
     state = agent(HOME)
     send(state, SYN)
     assert state.count_occupied_slots() == 1
-    core.on_tick(state, flow_table.RESERVATION_TIMEOUT_MS)
+    core.on_tick(state, slot_usage.RESERVATION_TIMEOUT_MS)
     assert state.count_occupied_slots() == 0
     send(state, DATA, 200)
     assert state.count_occupied_slots() == 1
--- a/tests/agent/test_scheduling.py
+++ b/tests/agent/test_scheduling.py
@@ -20,6 +20,7 @@
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import scheduling
+from gentianspoke.decisions.agent import slot_usage
 from gentianspoke.decisions import hashing
 
 ACK = packets.ACK
@@ -437,7 +438,7 @@
     request_queue.note_start(state.requests, make_key(THIRD), 1, 0)
     open_flow(state, make_key(THIRD))
     flow = state.flows[make_key(THIRD)]
-    flow_table.begin_request(state, flow, 1)
+    slot_usage.begin_request(state, flow, 1)
     answer(state, THIRD, 2)
     assert state.even_load.work.worked_permille == 1_000
 
