Share what the new parts repeated

Sequence numbers were compared in three places, a pair of report functions differed in one argument, documents and evacuations submitted requests and accepted unchanged ones in their own ways, and two commands built the same request. Each is now one function: evidence.is_after, report_unknown_flow with the fault, documents.submit and accept_without_write, and catalogue_submission.submit. The weights of placement by capacity compute each member's factor once instead of twice. The limit on held packets, the thousandths and the states of a responding member have one definition each.

Behaviour is unchanged; make check and the tests of agents, control, commands, membership and platform pass without a change to a test.

--- a/src/gentianspoke/commands/catalogue_edits.py
+++ b/src/gentianspoke/commands/catalogue_edits.py
@@ -3,13 +3,13 @@
 import asyncio
 import dataclasses
 import typing
-import uuid
 
 import cappa
 
 from gentianspoke import clock
 from gentianspoke.commands import catalogue_options as options
 from gentianspoke.commands import catalogue_output
+from gentianspoke.commands import catalogue_submission
 from gentianspoke.config import catalogue_file
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
@@ -138,21 +138,15 @@
     key: str,
     output: catalogue_output.Output,
 ) -> int:
-    request = catalogue_records.Request(
-        idempotency_key=key or uuid.uuid4().hex,
-        operator=options.find_operator_name(),
-        edits=edits,
-    )
-    result = asyncio.run(client.apply(request))
-    output.print_applied(result, request.idempotency_key)
-    if not result.answer.accepted:
+    answer = catalogue_submission.submit(client, output, key, edits)
+    if not answer.accepted:
         raise errors.EditRefusedError(
             '; '.join(
                 f'{conflict.name}: {conflict.reason}'
-                for conflict in result.answer.conflicts
+                for conflict in answer.conflicts
             )
         )
-    return result.answer.version
+    return answer.version
 
 
 def _wait_until_in_force(
--- a/src/gentianspoke/commands/catalogue_evacuation.py
+++ b/src/gentianspoke/commands/catalogue_evacuation.py
@@ -1,14 +1,12 @@
 """Define the subcommands that evacuate availability zones."""
 
-import asyncio
 import dataclasses
-import uuid
 
 import cappa
 
 from gentianspoke.commands import catalogue_options as options
 from gentianspoke.commands import catalogue_output
-from gentianspoke.decisions.control import catalogue_records
+from gentianspoke.commands import catalogue_submission
 from gentianspoke.decisions.control import zone_orders
 
 
@@ -64,12 +62,5 @@
     as_json: bool,
 ) -> None:
     client = options.create_client(control, key_path)
-    request = catalogue_records.Request(
-        idempotency_key=key or uuid.uuid4().hex,
-        operator=options.find_operator_name(),
-        edits=(),
-        evacuation=order,
-    )
-    result = asyncio.run(client.apply(request))
     output = catalogue_output.Output(as_json)
-    output.print_applied(result, request.idempotency_key)
+    catalogue_submission.submit(client, output, key, evacuation=order)
--- a/src/gentianspoke/core/views.py
+++ b/src/gentianspoke/core/views.py
@@ -69,6 +69,11 @@
         """Whether the member is live and thus gets new flows."""
         return self.state is State.LIVE
 
+    @property
+    def is_live_or_evacuated(self) -> bool:
+        """Whether only an evacuation may keep the member from being live."""
+        return self.state in (State.LIVE, State.EVACUATED)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
--- a/src/gentianspoke/decisions/agent/adoption.py
+++ b/src/gentianspoke/decisions/agent/adoption.py
@@ -17,6 +17,7 @@
 from gentianspoke.core import frames
 from gentianspoke.core import packets
 from gentianspoke.core import services
+from gentianspoke.core import verdicts
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
@@ -202,4 +203,7 @@
         ('disowned_by', len(forward.tried)),
     )
     reason = 'no agent knows the flow'
-    evidence.report_unknown_flow(state, key, service.number, reason, details)
+    fault = verdicts.Fault.BALANCER
+    evidence.report_unknown_flow(
+        state, key, service.number, fault, reason, details
+    )
--- a/src/gentianspoke/decisions/agent/capacity_shares.py
+++ b/src/gentianspoke/decisions/agent/capacity_shares.py
@@ -222,18 +222,19 @@
         [own_ratio, *ratios], [own_capacity, *capacities]
     )
     mean_capacity = (own_capacity + sum(capacities)) / (len(targets) + 1)
+    factors = [
+        _compute_factor(state, pool, member, load, now)
+        for member, load in zip(targets, loads, strict=True)
+    ]
     weights = [
-        _compute_weight(capacity / mean_capacity, ratio, mean_ratio)
-        * _compute_factor(state, pool, member, load, now)
-        for member, load, capacity, ratio in zip(
-            targets, loads, capacities, ratios, strict=True
+        _compute_weight(capacity / mean_capacity, ratio, mean_ratio) * factor
+        for capacity, ratio, factor in zip(
+            capacities, ratios, factors, strict=True
         )
     ]
     spare_weights = [
-        capacity * _compute_factor(state, pool, member, load, now)
-        for member, load, capacity in zip(
-            targets, loads, capacities, strict=True
-        )
+        capacity * factor
+        for capacity, factor in zip(capacities, factors, strict=True)
     ]
     if not any(spare_weights):
         spare_weights = capacities
--- a/src/gentianspoke/decisions/agent/cold_start.py
+++ b/src/gentianspoke/decisions/agent/cold_start.py
@@ -64,18 +64,15 @@
 
 def is_reported_cold(cold_start: ColdStart, now: int) -> bool:
     """Return whether there is a limit and the upstream reported to be cold."""
-    until_ms = cold_start.cold_until_ms
-    if not cold_start.openings_per_s or until_ms is None:
-        return False
-    return now < until_ms
+    return get_cold_remaining_ms(cold_start, now) > 0
 
 
 def get_cold_remaining_ms(cold_start: ColdStart, now: int) -> int:
     """Return how long the upstream stays cold, 0 if it is not known to be."""
     until_ms = cold_start.cold_until_ms
-    if not is_reported_cold(cold_start, now) or until_ms is None:
+    if not cold_start.openings_per_s or until_ms is None:
         return 0
-    return until_ms - now
+    return max(0, until_ms - now)
 
 
 def has_room(cold_start: ColdStart, now: int, is_silent: bool) -> bool:
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -58,8 +58,7 @@
     """Return whether a caller's segment has data that was not seen before."""
     if flow.up.end == records.NO_SEQ:
         return True
-    ahead = (compute_segment_end(segment) - flow.up.end) % SEQ_MODULUS
-    return 0 < ahead < SEQ_MODULUS // 2
+    return is_after(compute_segment_end(segment), flow.up.end)
 
 
 def has_new_answer(flow: records.Flow, segment: packets.Segment) -> bool:
@@ -69,7 +68,12 @@
     """
     if not segment.payload_bytes or flow.down.end == records.NO_SEQ:
         return bool(segment.payload_bytes)
-    ahead = (compute_segment_end(segment) - flow.down.end) % SEQ_MODULUS
+    return is_after(compute_segment_end(segment), flow.down.end)
+
+
+def is_after(first: int, second: int) -> bool:
+    """Return whether the first of two sequence numbers is the later one."""
+    ahead = (first - second) % SEQ_MODULUS
     return 0 < ahead < SEQ_MODULUS // 2
 
 
@@ -139,32 +143,17 @@
     state: State,
     key: packets.FlowKey,
     service_number: int,
+    fault: verdicts.Fault,
     reason: str,
     evidence: tuple[tuple[str, str | int], ...],
 ) -> None:
     """Report a flow that no agent knows, with the outcome ``UNKNOWN``.
 
-    The outcome is unknown because no record shows which requests were run.
-    """
-    outcome = verdicts.Outcome.UNKNOWN
-    fault = verdicts.Fault.BALANCER
-    _add_report(state, key, service_number, outcome, fault, reason, evidence)
-
-
-def report_lost_flow(
-    state: State,
-    key: packets.FlowKey,
-    service_number: int,
-    reason: str,
-    evidence: tuple[tuple[str, str | int], ...],
-) -> None:
-    """Report a flow that no upstream has any more, as ``UNKNOWN``.
-
-    Its upstream has restarted or has lost power, and no record shows which
-    requests were run.
+    The outcome is unknown because no record shows which requests were run. If
+    no upstream has the flow any more, its upstream has restarted or has lost
+    power.
     """
     outcome = verdicts.Outcome.UNKNOWN
-    fault = verdicts.Fault.UPSTREAM
     _add_report(state, key, service_number, outcome, fault, reason, evidence)
 
 
--- a/src/gentianspoke/decisions/agent/flow_knowledge.py
+++ b/src/gentianspoke/decisions/agent/flow_knowledge.py
@@ -72,8 +72,13 @@
     if not state.joining or member is None or not member.joined_view:
         return
     if state.inquiries.enabled and state.inquiries.complete_from_ms <= now:
-        state.inquiries.complete_from_ms = now + state.recovery_ms
-        state.recovering = True
+        begin_recovery(state, now)
+
+
+def begin_recovery(state: State, now: int) -> None:
+    """Note that the upstream may have flows from before the agent's start."""
+    state.inquiries.complete_from_ms = now + state.recovery_ms
+    state.recovering = True
 
 
 def note_doubtful(state: State, key: packets.FlowKey, now: int) -> None:
--- a/src/gentianspoke/decisions/agent/handshake_flows.py
+++ b/src/gentianspoke/decisions/agent/handshake_flows.py
@@ -41,9 +41,7 @@
 # time is short because the upstream returns the packet over the instance's
 # loopback interface.
 CONFIRM_TIMEOUT_MS = 50
-# Largest number of packets held for one unconfirmed flow. A caller has at
-# most this many packets in flight.
-MAX_HELD_PACKETS = 16
+
 State = agent_state.AgentState
 Actions = list[actions.Action]
 
@@ -261,7 +259,7 @@
 def _hold_packet(
     flow: records.Flow, forward: frames.Forward, segment: packets.Segment
 ) -> actions.Action:
-    if len(flow.held_packets) >= MAX_HELD_PACKETS:
+    if len(flow.held_packets) >= records.MAX_HELD_PACKETS:
         return actions.Drop('unconfirmed-overflow')
     flow.held_packets.append(records.HeldPacket(forward, segment))
     return actions.Hold('unconfirmed')
--- a/src/gentianspoke/decisions/agent/inquiry_results.py
+++ b/src/gentianspoke/decisions/agent/inquiry_results.py
@@ -22,6 +22,7 @@
 """
 
 from gentianspoke.core import services
+from gentianspoke.core import verdicts
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import evidence
 from gentianspoke.decisions.agent import flow_inquiry
@@ -189,10 +190,11 @@
 ) -> actions.Action:
     inquiry.ended_count += 1
     flow_inquiry.set_phase(flow, Phase.ENDED, now)
-    evidence.report_lost_flow(
+    evidence.report_unknown_flow(
         state,
         flow.segment.key,
         flow.service,
+        verdicts.Fault.UPSTREAM,
         'no upstream has the flow any more',
         (
             ('instances', instance_count),
--- a/src/gentianspoke/decisions/agent/records.py
+++ b/src/gentianspoke/decisions/agent/records.py
@@ -12,6 +12,9 @@
 NO_SEQ = -1
 # A time that is earlier than every reading of the clock.
 NEVER_MS = -(10**12)
+# Largest number of packets held for one flow. A caller has at most this many
+# packets in flight.
+MAX_HELD_PACKETS = 16
 
 
 class Phase(enum.Enum):
@@ -51,7 +54,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldPacket:
-    """A packet that is held until the upstream has confirmed its flow."""
+    """A packet that is held beside the upstream.
+
+    It waits until the upstream has confirmed its flow, or may start the
+    request that it belongs to.
+    """
 
     forward: frames.Forward
     packet: packets.Segment
--- a/src/gentianspoke/decisions/agent/request_queue.py
+++ b/src/gentianspoke/decisions/agent/request_queue.py
@@ -28,8 +28,6 @@
 # between the end of a request and the arrival of the next one.
 EXTRA_REQUESTS = 1
 MAX_HELD_REQUESTS = 64
-# Largest number of packets held for one flow.
-MAX_HELD_PACKETS = 16
 # A request is held for at most its timeout divided by this, so that its caller
 # can still use the answer.
 TIMEOUT_DIVISOR = 2
--- a/src/gentianspoke/decisions/agent/scheduling.py
+++ b/src/gentianspoke/decisions/agent/scheduling.py
@@ -199,22 +199,17 @@
         return None
     first_seq = request.packets[0].packet.seq
     end = evidence.compute_segment_end(segment)
-    if not _is_after(end, first_seq):
+    if not evidence.is_after(end, first_seq):
         return None
     last_end = evidence.compute_segment_end(request.packets[-1].packet)
-    if _is_after(last_end, segment.seq):
+    if evidence.is_after(last_end, segment.seq):
         return actions.Drop('request-held')
-    if len(request.packets) >= request_queue.MAX_HELD_PACKETS:
+    if len(request.packets) >= records.MAX_HELD_PACKETS:
         return actions.Drop('request-overflow')
     request.packets.append(held_packet)
     return actions.Hold('request-held')
 
 
-def _is_after(first: int, second: int) -> bool:
-    ahead = (first - second) % evidence.SEQ_MODULUS
-    return 0 < ahead < evidence.SEQ_MODULUS // 2
-
-
 def _start(
     state: State, request: request_queue.HeldRequest, reason: str, now: int
 ) -> Actions:
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -302,9 +302,7 @@
             for pool in self.get_own_pools()
         ]
         return bool(own_members) and not any(
-            member is None
-            or member.is_live
-            or member.state is views.State.EVACUATED
+            member is None or member.is_live_or_evacuated
             for member in own_members
         )
 
--- a/src/gentianspoke/decisions/agent/upstream_capacity.py
+++ b/src/gentianspoke/decisions/agent/upstream_capacity.py
@@ -17,6 +17,7 @@
 import dataclasses
 
 from gentianspoke.core import packets
+from gentianspoke.core import shares
 
 US_PER_MS = 1_000
 US_PER_S = 1_000_000
@@ -35,7 +36,6 @@
 # A request without an answer for this time no longer occupies a slot in the
 # record, which its flow could otherwise hold until its idle timeout.
 STUCK_MS = 5_000
-PERMILLE = 1_000
 # The smallest share of answers that counts as worked on, in thousandths. It
 # bounds the effect of fast answers.
 MIN_WORKED_PERMILLE = 125
@@ -62,7 +62,7 @@
         default_factory=dict
     )
     mean_us: int = 0
-    worked_permille: int = PERMILLE
+    worked_permille: int = shares.PERMILLE
     answers: int = 0
     answered_ms: int = 0
 
@@ -110,7 +110,7 @@
     work.started.clear()
     work.waiting.clear()
     work.mean_us = 0
-    work.worked_permille = PERMILLE
+    work.worked_permille = shares.PERMILLE
     work.answers = 0
 
 
@@ -128,7 +128,7 @@
     if work.answers < MIN_ANSWERS:
         return 0
     worked_permille = max(MIN_WORKED_PERMILLE, work.worked_permille)
-    work_us = work.mean_us * PERMILLE // worked_permille
+    work_us = work.mean_us * shares.PERMILLE // worked_permille
     oldest_ms = next(iter(work.started.values()), now)
     silent_ms = now - max(oldest_ms, work.answered_ms)
     return max(1, work_us, silent_ms * US_PER_MS // SILENCE_DIVISOR)
@@ -139,7 +139,7 @@
         _note_worked(work, 0)
         work.mean_us += (worked_us - work.mean_us) // FAST_MEAN_DIVISOR
         return
-    _note_worked(work, PERMILLE)
+    _note_worked(work, shares.PERMILLE)
     work.answers += 1
     # The first values count equally, so that the mean settles quickly.
     divisor = min(work.answers, MEAN_DIVISOR)
--- a/src/gentianspoke/decisions/control/service_members.py
+++ b/src/gentianspoke/decisions/control/service_members.py
@@ -160,8 +160,7 @@
         The heartbeats of such a member are not overdue.
         """
         return any(
-            item.member.is_live or item.member.state is views.State.EVACUATED
-            for item in self.listings.values()
+            item.member.is_live_or_evacuated for item in self.listings.values()
         )
 
     def has_newer_incarnation(self, listing: Listing) -> bool:
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -16,6 +16,7 @@
 from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import flow_knowledge
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke import errors
@@ -287,8 +288,7 @@
         if not upstream_status.is_young and self._cfg.status is None:
             # The first heartbeats were lost, or a late one of the earlier
             # incarnation came after the start of this agent.
-            self.state.inquiries.complete_from_ms = now + self._cfg.recovery_ms
-            self.state.recovering = True
+            flow_knowledge.begin_recovery(self.state, now)
         self._executor.execute_all(decided_actions)
         self.heartbeat.announce_now()
 
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -99,31 +99,46 @@
             return redirect_to_leader(self._proc, self._log)
         current = self._log.catalogue.document
         if current is not None and document.version <= current.version:
-            return await self._accept_without_write(self._log, document)
+            return await accept_without_write(self._log, document.version)
         key = f'document/{document.version}'
         change = build_change(document, self._log.catalogue)
-        try:
-            answer = await self._log.submit(
-                catalogue_records.Request(key, '', (), change)
-            )
-        except errors.NotLeaderError:
-            return redirect_to_leader(self._proc, self._log)
-        except errors.ControlError as exc:
-            return Unavailable(str(exc))
-        if answer.accepted:
-            return Accepted(document.version)
-        return Unavailable(
-            'another change was accepted meanwhile; send the request again'
-        )
-
-    async def _accept_without_write(
-        self,
-        log: replicated_log.ReplicatedLog,
-        document: catalogue_records.Document,
-    ) -> Outcome:
-        if await log.confirm_leadership():
-            return Accepted(document.version)
-        return Unavailable(NOT_CONFIRMED)
+        request = catalogue_records.Request(key, '', (), change)
+        match await submit(self._proc, self._log, request):
+            case catalogue_records.Answer(accepted=True):
+                return Accepted(document.version)
+            case catalogue_records.Answer():
+                return Unavailable(
+                    'another change was accepted meanwhile; send the request'
+                    ' again'
+                )
+            case outcome:
+                return outcome
+
+
+async def submit(
+    proc: process.Process,
+    log: replicated_log.ReplicatedLog,
+    request: catalogue_records.Request,
+) -> catalogue_records.Answer | AskLeader | Unavailable:
+    """Return the answer to a request, or the outcome if there is none."""
+    try:
+        return await log.submit(request)
+    except errors.NotLeaderError:
+        return redirect_to_leader(proc, log)
+    except errors.ControlError as exc:
+        return Unavailable(str(exc))
+
+
+async def accept_without_write(
+    log: replicated_log.ReplicatedLog, version: int
+) -> Accepted | Unavailable:
+    """Return the outcome of a request that changes nothing.
+
+    It is accepted at ``version`` once a majority has confirmed this leader.
+    """
+    if await log.confirm_leadership():
+        return Accepted(version)
+    return Unavailable(NOT_CONFIRMED)
 
 
 def find_redirect(
--- a/src/gentianspoke/shells/control/evacuations.py
+++ b/src/gentianspoke/shells/control/evacuations.py
@@ -4,7 +4,6 @@
 
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import zone_orders
-from gentianspoke import errors
 from gentianspoke.shells.control import documents
 from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
@@ -48,30 +47,22 @@
         if self._log is None or not self._log.is_leader:
             return documents.redirect_to_leader(self._proc, self._log)
         if _changes_nothing(self._log, order):
-            return await self._accept_without_write(self._log)
+            return await documents.accept_without_write(
+                self._log, self._log.catalogue.version
+            )
         request = catalogue_records.Request(
             f'evacuation/{uuid.uuid4().hex}', '', (), evacuation=order
         )
-        try:
-            answer = await self._log.submit(request)
-        except errors.NotLeaderError:
-            return documents.redirect_to_leader(self._proc, self._log)
-        except errors.ControlError as exc:
-            return documents.Unavailable(str(exc))
-        self._proc.events.write(
-            'catalogue-answered',
-            accepted=answer.accepted,
-            version=answer.version,
-        )
-        return documents.Accepted(answer.version)
-
-    async def _accept_without_write(
-        self, log: replicated_log.ReplicatedLog
-    ) -> documents.Outcome:
-        version = log.catalogue.version
-        if await log.confirm_leadership():
-            return documents.Accepted(version)
-        return documents.Unavailable(documents.NOT_CONFIRMED)
+        match await documents.submit(self._proc, self._log, request):
+            case catalogue_records.Answer() as answer:
+                self._proc.events.write(
+                    'catalogue-answered',
+                    accepted=answer.accepted,
+                    version=answer.version,
+                )
+                return documents.Accepted(answer.version)
+            case outcome:
+                return outcome
 
 
 def _changes_nothing(
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -2,7 +2,6 @@
 
 import typing
 
-
 from gentianspoke.config import settings
 from gentianspoke import errors
 from gentianspoke.net import batched_writes
