Use incomplete answers to find the owner of an unknown flow

Cause: an answer counted only if its sender knew no other instance than the asker. Change: what a member says about its own upstream counts for the search. For ending a flow, a complete answer of each instance is still required.

--- a/src/gentianspoke/decisions/agent/flow_inquiry.py
+++ b/src/gentianspoke/decisions/agent/flow_inquiry.py
@@ -156,10 +156,10 @@
 ) -> Actions:
     """Record a member's reply; return the packets for the owners it names.
 
-    A reply counts only if this agent knows all instances that the member
-    knows.
-    If a member answers differently to repeated inquiries, a flow is absent
-    only if it is so in all answers.
+    A reply is complete if this agent knows all instances that the member
+    knows. Any reply tells whether the member itself may have the flow. If a
+    member answers differently to repeated inquiries, a flow is absent only if
+    it is so in all answers.
     """
     inquiry = state.inquiries.outstanding.get(reply.number)
     if inquiry is None:
@@ -168,9 +168,10 @@
     instance = known_instances.find_instance(instances, reply.sender)
     if instance is None:
         return [actions.Drop('unknown-sender')]
+    earlier_absent = inquiry.absent.get(instance, reply.absent)
+    inquiry.absent[instance] = earlier_absent & reply.absent
     if reply.lists_all:
-        earlier_absent = inquiry.absent.get(instance, reply.absent)
-        inquiry.absent[instance] = earlier_absent & reply.absent
+        inquiry.complete.add(instance)
     result: Actions = []
     for position, flow in enumerate(inquiry.flows):
         if reply.owned >> position & 1 and is_asked(state, flow):
--- a/src/gentianspoke/decisions/agent/inquiry_records.py
+++ b/src/gentianspoke/decisions/agent/inquiry_records.py
@@ -59,7 +59,8 @@
 
     ``absent`` holds the flows that an instance's upstream does not have, as in
     ``frames.FlowInquiryReply``, by the name of the instance. Instances that
-    have not answered are not in it.
+    have not answered are not in it. ``complete`` names those whose answer
+    knew no instance that this agent does not know.
     """
 
     frame: frames.FlowInquiry
@@ -69,6 +70,7 @@
     last_sent_ms: int
     sent_count: int = 1
     absent: dict[str, int] = dataclasses.field(default_factory=dict)
+    complete: set[str] = dataclasses.field(default_factory=set)
     found_count: int = 0
     ended_count: int = 0
     undecided_count: int = 0
@@ -89,8 +91,8 @@
     """The result of one inquiry, for the log and the metrics.
 
     ``instances`` is the number of instances that had to answer, and
-    ``unanswered`` the number of those that did not. ``obstacle`` names the
-    reason for which the last undecided flow was not ended.
+    ``unanswered`` the number of those without a complete answer. ``obstacle``
+    names the reason for which the last undecided flow was not ended.
     """
 
     pool: int
--- a/src/gentianspoke/decisions/agent/inquiry_results.py
+++ b/src/gentianspoke/decisions/agent/inquiry_results.py
@@ -70,7 +70,7 @@
     instances = known_instances.list_instances(state, inquiry.pools, now)
     own_instance = known_instances.find_instance(instances, state.number)
     others = instances.keys() - {own_instance}
-    missing = {name for name in others if name not in inquiry.absent}
+    missing = others - inquiry.complete
     result = _decide_flows(state, inquiry, instances, missing, now)
     pending = [
         flow for flow in inquiry.flows if flow_inquiry.is_asked(state, flow)
@@ -168,7 +168,11 @@
     instances: known_instances.Instances,
     missing: set[str],
 ) -> None:
-    """Set the members that may have the flow, those that answered first."""
+    """Set the members that may have the flow, those that answered first.
+
+    A member that has denied the flow is no candidate, even if its answer is
+    not complete. After a restart of many agents, most answers to them are not.
+    """
     unsure = [
         name
         for name, absent in inquiry.absent.items()
@@ -176,7 +180,7 @@
     ]
     flow.candidates = tuple(
         known_instances.choose_member(instances[name]).number
-        for name in (*unsure, *sorted(missing))
+        for name in (*unsure, *sorted(missing - inquiry.absent.keys()))
         if name in instances
     )
 
--- a/tests/agent/test_flow_inquiry.py
+++ b/tests/agent/test_flow_inquiry.py
@@ -15,11 +15,14 @@
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_knowledge
+from gentianspoke.decisions.agent import inquiry_records
 from gentianspoke.decisions.agent import known_instances
 
 SYN_ACK = packets.SYN | packets.ACK
 OWNER = 5
 NEW_NUMBER = 50
+# A member of the large pool whose name is among the last ones.
+RESTARTED_OWNER = 40
 DATA = inquiry_pool.make_segment()
 SYN = inquiry_pool.make_segment(packets.SYN, 100, 0)
 ANSWER = inquiry_pool.make_segment(SYN_ACK, 500, 101)
@@ -269,3 +272,32 @@
     network.send(DATA)
     network.run(RESULT_MS)
     assert network.resets == [5_000] * is_reset
+
+
+# Failure: after the restart of many agents, most members know instances that
+# the home does not know. Their answers were not used, so a packet went to all
+# of them in turn, and reached the restarted owner after 2 s or more.
+@pytest.mark.parametrize(
+    'knowing_members',
+    [
+        pytest.param((), id='all-know-the-same'),
+        pytest.param((3, 4), id='two-know-more'),
+        pytest.param(tuple(range(2, 46)), id='all-others-know-more'),
+    ],
+)
+def test_a_restarted_owner_gets_the_packet_after_one_repetition(
+    knowing_members,
+):
+    network = make_network(LARGE_POOL)
+    owner = network.states[RESTARTED_OWNER]
+    owner.recovering = True
+    departure = inquiry_records.Departure(
+        builders.member(99), inquiry_pool.POOL, network.now
+    )
+    for number in knowing_members:
+        network.states[number].inquiries.departures.append(departure)
+    network.send(DATA)
+    assert owner.number not in network.delivered
+    network.run(400)
+    assert network.delivered == [owner.number]
+    assert not network.resets
