--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""All processes are killed at once, a moment after an endpoint's start."""
+"""A version gives the routes another service; then the agents are restarted."""
 
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -13,148 +14,159 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-SERVICE = 'trading-desk'
 CONTRACTS = ('base', 'drain', 'config', 'cost', 'recover', 'health', 'flows')
-IDLE_TIMEOUT_S = 15.0
-STABILITY_WINDOW_S = 6.0
+BLUE, GREEN = 'wuno96b', 'huvo11a'
 DEADLINE_S = 2.5
-# The platform starts a process again after a short delay.
-RESTART_DELAY_S = float(os.environ.get('RESTART_DELAY', '0.1'))
-# The second request on the flow comes this long after the processes are back.
-PAUSE_S = 12.8
-FIRST_SEQ = int(os.environ.get('FIRST_SEQ', '1'))
-KILL_AFTER = float(os.environ.get('KILL_AFTER', '0.3'))
+PORT = 8443
+FLOWS = 30
+GAP_S = 1.2
+RESTART_DELAY_S = 0.2
+REORDER_S = 2.0
+IDLE_S = 12.0
 
 
-async def wait_for(condition, timeout_s, what):
-    started = standins.now()
-    while not condition():
-        if standins.now() - started > timeout_s:
-            raise RuntimeError(f'{what} did not happen in {timeout_s} s')
-        await asyncio.sleep(0.02)
-
-
-async def is_served(client, entry, route, name):
-    flow = client.make_flow(entry, route)
-    return await flow.open() and bool(await flow.request(name, DEADLINE_S))
-
-
-async def play(record, deployment):
-    client = standins.Client(record, deployment.make_address(200))
-    route = (deployment.make_address(210), 8443)
-    entry = deployment.entries[0]
-    configuration = {
-        'version': 7,
+def make_configuration(version, host, service):
+    return {
+        'version': version,
         'routes': [
             {
-                'name': 'r-price-board',
-                'host': route[0],
-                'path_prefix': f'/{route[1]}/',
+                'name': 'r-live',
+                'host': host,
+                'path_prefix': f'/{PORT}/',
                 'kind': 'safe',
                 'timeout_ms': 2500,
                 'latency_target_ms': 500,
                 'priority': 2,
-                'service': SERVICE,
+                'service': service,
                 'max_attempts': 2,
             }
         ],
         'services': [
             {
-                'name': SERVICE,
+                'name': name,
                 'health_path': '/health',
                 'max_conns': 2000,
                 'protocol': 'h1',
                 'tls': False,
             }
+            for name in (BLUE, GREEN)
         ],
-        'limits': {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 262144,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': int(IDLE_TIMEOUT_S * 1000),
-        },
+        'limits': {'idle_timeout_ms': 15000},
     }
+
+
+class CountingEndpoint(standins.Endpoint):
+    """Notes the arrivals of all packets but openings, by flow."""
+
+    arrivals = {}
+
+    def _receive(self, raw):
+        packet = standins.Packet.decode(raw)
+        if not packet.flags & standins.SYN:
+            key = (packet.src, packet.sport)
+            self.arrivals.setdefault(key, []).append((standins.now(), self.id))
+        super()._receive(raw)
+
+
+async def restart(instance):
+    instance.process.send_signal(signal.SIGTERM)
+    started = standins.now()
+    while instance.process.poll() is None:
+        if standins.now() - started > 6:
+            instance.process.kill()
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(RESTART_DELAY_S)
+    instance.bootstrap = False
+    instance.start()
+
+
+async def play(record, deployment):
+    live = deployment.make_address(250)
+    route = (live, PORT)
+    client = standins.Client(record, deployment.make_address(230))
     endpoints = [
-        standins.Endpoint(record, agent, f'i-{agent.node}')
+        CountingEndpoint(lambda text: None, agent, f'i-{agent.node}')
         for agent in deployment.agents
     ]
-    old, new = endpoints[:-1], endpoints[-1]
-    new.seq = FIRST_SEQ - 1
     await client.start()
     for instance in deployment.instances:
         instance.start()
     operator = standins.Operator(record, deployment.controls)
-    if await operator.put(configuration) is None:
+    if await operator.put(make_configuration(7, live, BLUE)) is None:
         raise RuntimeError('the first configuration was not accepted')
-    await wait_for(
-        lambda: all(
-            deployment.is_ready(item)
-            for item in (*deployment.entries, *deployment.agents)
-        ),
-        20,
-        'readiness',
-    )
-    for endpoint in old:
+    for endpoint in endpoints:
         await endpoint.start()
-    for attempt in range(20):
-        if await is_served(client, entry, route, f'warm-{attempt}'):
-            break
-    else:
-        raise RuntimeError('no request was served before the disruption')
-    await asyncio.sleep(6)
-
-    # A release adds an endpoint. The clients open flows, and one gets there.
-    await new.start()
-    flow = None
-    started = standins.now()
-    while flow is None and standins.now() - started < 3:
-        candidate = client.make_flow(entry, route)
-        if await candidate.open():
-            if await candidate.request(f'first-{candidate.port}', DEADLINE_S):
-                if any(item.is_open for item in new.flows.values()):
-                    flow = candidate
-    if flow is None:
-        raise RuntimeError('the new endpoint got no flow')
-    key = (client.ip, flow.port, *route)
-    held = new.flows[key]
-    record(f'flow {client.ip}:{flow.port} is idle from now on')
-    await asyncio.sleep(max(0, new.first_ack_s + KILL_AFTER - standins.now()))
+    await asyncio.sleep(8)
+    flows = []
+    for number in range(FLOWS):
+        entry = deployment.entries[number % len(deployment.entries)]
+        flow = client.make_flow(entry, route)
+        if not await flow.open() or not await flow.request(
+            f'first-{number}', DEADLINE_S
+        ):
+            raise RuntimeError('no request was served before the change')
+        flows.append(flow)
+    idle_since = standins.now()
+    if await operator.put(make_configuration(12, live, GREEN)) is None:
+        raise RuntimeError('the second configuration was not accepted')
+    await asyncio.sleep(1)
     if TROUBLE:
-        record('all processes of the system are killed')
-        deployment.kill_all(deployment.instances)
-        await asyncio.sleep(RESTART_DELAY_S)
-        for instance in deployment.instances:
-            instance.bootstrap = False
-            instance.start()
-        record('all processes of the system are started again')
-    back_s = standins.now()
-    await asyncio.sleep(PAUSE_S)
-    ended = deployment.find_ended()
-    if ended:
-        raise RuntimeError(f'processes have ended: {ended}')
-    idle_s = standins.now() - held.opened_s
-    record(f'the flow was idle for {idle_s:.1f} s at most')
-    if idle_s >= IDLE_TIMEOUT_S:
-        raise RuntimeError('the flow was idle for too long')
-    body = await flow.request('second', DEADLINE_S)
-    await asyncio.sleep(1.5)
-    record(f'answer to the second request: {body!r}')
-    record(
-        f'the endpoint lives since {new.born}, the flow is open there:'
-        f' {held.is_open}, its packets there: {new.packets_by_flow[key]}'
+        record('all agents are stopped and started, two at a time')
+        tasks = []
+        for start in range(0, len(deployment.agents), 2):
+            for agent in deployment.agents[start : start + 2]:
+                tasks.append(asyncio.create_task(restart(agent)))
+            await asyncio.sleep(GAP_S)
+        await asyncio.gather(*tasks)
+    await asyncio.sleep(max(0, idle_since + IDLE_S - standins.now()))
+    sent = standins.now()
+    record(f'the flows were idle for {sent - idle_since:.1f} s at most')
+    if sent - idle_since > 14.5:
+        raise RuntimeError('the flows were idle for too long')
+    bodies = await asyncio.gather(
+        *(
+            flow.request(f'second-{flow.port}', DEADLINE_S)
+            for flow in flows
+        )
     )
-    resets = [
-        (at, fits) for at, genuine, fits in flow.resets if not genuine
-    ]
-    broken = False
-    for at, fits in resets:
-        calm = at - back_s
-        record(f'reset {calm:.1f} s after the processes were started again')
-        broken |= calm > 2 * STABILITY_WINDOW_S and fits
+    new = client.make_flow(deployment.entries[0], route)
+    served = await new.open() and await new.request('new', DEADLINE_S)
+    record(f'a new flow is answered: {served!r}')
+    broken = 0
+    for flow, body in zip(flows, bodies):
+        broken += judge(record, endpoints, flow, body, sent)
     for endpoint in endpoints:
         endpoint.stop()
     client.stop()
-    return broken
+    record(f'{broken} of {len(flows)} flows broken')
+    return bool(broken)
+
+
+def judge(record, endpoints, flow, body, sent):
+    """Return whether FLOW (a) or (b) was broken for a flow."""
+    key = (flow.client.ip, flow.port, *flow.route)
+    (owner,) = (
+        endpoint.id
+        for endpoint in endpoints
+        if key in endpoint.flows and endpoint.flows[key].is_open
+    )
+    arrivals = [
+        item
+        for item in CountingEndpoint.arrivals[key[:2]]
+        if item[0] >= sent
+    ]
+    others = [item for item in arrivals if item[1] != owner]
+    until = others[0][0] + REORDER_S if others else 0
+    window = [item for item in others if item[0] <= until]
+    own = [item for item in arrivals if item[1] == owner and item[0] <= until]
+    resets = [item for item in flow.resets if not item[1] and item[2]]
+    record(
+        f'flow {flow.port}, open at {owner}: answer {body!r}, resets of the'
+        f' system {len(resets)}, for {REORDER_S} s {len(window)} packets'
+        f' reached {sorted({item[1] for item in window})} and {len(own)} its'
+        ' own endpoint'
+    )
+    return bool(resets) or (len(window) >= 3 and not own)
 
 
 async def main():
@@ -162,7 +174,7 @@
     deployment = lab.Deployment(
         controls=5,
         entries=2,
-        agents=[SERVICE] * 3,
+        agents=[BLUE] * 3 + [GREEN] * 6,
         tolerate=2,
         contracts=CONTRACTS,
     )
