Log the number of the pool that an agent serves

Whether an agent knows its own pool was logged nowhere.

The event pool-known has the pool's name and number.

--- a/src/gentianspoke/shells/agent/feed_updates.py
+++ b/src/gentianspoke/shells/agent/feed_updates.py
@@ -27,6 +27,8 @@
         self._heartbeat = own_heartbeat
         self._catalogue_entries: dict[str, services.Service] = {}
         self._catalogue_version = 0
+        # The number of the pool that was logged last, ``None`` if none was.
+        self._logged_pool: int | None = None
 
     def apply(self, update: feed_client.Update) -> int:
         """Apply a feed update; return the catalogue version in use."""
@@ -82,6 +84,20 @@
         self._catalogue_version = update.version
         self._state.set_catalogue(self._select_services())
         self._proc.events.write('catalogue-in-force', version=update.version)
+        if self._cfg.pool:
+            self._log_pool()
+
+    def _log_pool(self) -> None:
+        number = self._state.own_pool
+        if number == self._logged_pool:
+            return
+        self._logged_pool = number
+        self._proc.events.write(
+            'pool-known',
+            pool=self._cfg.pool,
+            number=number,
+            version=self._catalogue_version,
+        )
 
     def _select_services(self) -> list[services.Service]:
         """Return those services of the settings that the catalogue has.
