Find an agent's own pool among former pools too

Cause: an agent looked for the number of its pool in the shares of the entries only, which say where new flows go. A restarted agent of the earlier pool found none, took the services' numbers for its pools, and delivered no packet of an unknown flow. For the same reason it stayed in the joining phase.

Entries now name their former pools, and an agent looks among all pools of all entries. An agent whose pool no entry refers to has no pool, in place of a wrong one. A view that came before the pool's number was known counts too.

--- a/benchmarks/policy/replay.py
+++ b/benchmarks/policy/replay.py
@@ -78,7 +78,7 @@
                 capacity=agent_state.Capacity(pattern.slots, 2_000, 0),
                 started_ms=0,
             )
-            state.own_pool = replay_model.POOL
+            state.own_pool = replay_model.OWN_POOL
             state.set_catalogue(self._services)
             state.set_view(view)
             self.agents[number] = state
--- a/benchmarks/policy/replay_model.py
+++ b/benchmarks/policy/replay_model.py
@@ -8,8 +8,10 @@
 from gentianspoke.core import packets
 from gentianspoke.core import services
 from gentianspoke.core import views
+from gentianspoke.decisions.agent import own_pools
 
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 LONG, SHORT = 1, 2
 ADDRESSES = {LONG: bytes((10, 1, 0, 1)), SHORT: bytes((10, 1, 0, 2))}
 PORT = 443
--- a/benchmarks/policy/request_replay.py
+++ b/benchmarks/policy/request_replay.py
@@ -18,11 +18,13 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_table
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.decisions import hashing
 
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 OWN = 1
 ACK = packets.ACK
 UPSTREAM_QUEUE = 4
@@ -110,7 +112,7 @@
         zone='zone',
         capacity=agent_state.Capacity(slots, 100_000, 0),
         started_ms=0,
-        own_pool=POOL,
+        own_pool=OWN_POOL,
         requests=request_queue.RequestQueue(is_enabled),
     )
     state.set_catalogue(entries)
--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -36,7 +36,11 @@
             )
             for share in service.shares
         ],
-        former=service.former,
+        former=[former.pool for former in service.former],
+        former_pools=[
+            catalogue_pb2.FormerPool(pool=former.pool, name=former.name)
+            for former in service.former
+        ],
         handshake=service.handshake,
         priority=service.priority,
     )
@@ -77,7 +81,7 @@
             services.Share(share.pool, share.weight, share.name)
             for share in entry.shares
         ),
-        former=tuple(entry.former),
+        former=_decode_former_pools(entry),
         handshake=entry.handshake,
         priority=entry.priority,
     )
@@ -247,6 +251,18 @@
     )
 
 
+def _decode_former_pools(
+    entry: catalogue_pb2.Entry,
+) -> tuple[services.FormerPool, ...]:
+    if entry.former_pools:
+        return tuple(
+            services.FormerPool(former.pool, former.name)
+            for former in entry.former_pools
+        )
+    # An earlier version wrote the entry.
+    return tuple(services.FormerPool(pool, '') for pool in entry.former)
+
+
 def _encode_limits(limits: services.Limits) -> catalogue_pb2.Limits:
     # ``dataclasses.asdict`` takes most of the time to encode an entry.
     return catalogue_pb2.Limits(
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -84,6 +84,19 @@
     name: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerPool:
+    """A pool that got new flows in an earlier version of an entry.
+
+    ``name`` is the name that the upstreams of the pool announce. It is empty
+    if an earlier version of this program, which kept only numbers, wrote the
+    entry.
+    """
+
+    pool: int
+    name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """One accepted catalogue entry.
@@ -95,7 +108,7 @@
     in which the entry last changed.
     ``shares`` lists the pools that get new flows. A service without shares
     has a pool of its own, whose number is the service's number. ``former``
-    lists the numbers of earlier pools that may still hold open flows.
+    lists earlier pools that may still hold open flows.
     If ``handshake`` is true, an upstream runs nothing until the caller has
     acknowledged a random number that only this upstream generated. An
     opening may then reach several upstreams, and at most one of them runs
@@ -114,7 +127,7 @@
     version: int
     retired: bool = False
     shares: tuple[Share, ...] = ()
-    former: tuple[int, ...] = ()
+    former: tuple[FormerPool, ...] = ()
     handshake: bool = False
     priority: int = 0
 
@@ -124,7 +137,7 @@
     number: int,
     version: int,
     shares: tuple[Share, ...],
-    former: tuple[int, ...] = (),
+    former: tuple[FormerPool, ...] = (),
 ) -> Service:
     """Return a copy of an entry with the fields that the catalogue assigns.
 
@@ -158,7 +171,23 @@
 
 def get_all_pools(service: Service) -> tuple[int, ...]:
     """Return the pools that may hold open flows, the current ones first."""
-    return get_current_pools(service) + service.former
+    former_pools = tuple([former.pool for former in service.former])
+    return get_current_pools(service) + former_pools
+
+
+def find_pool_number(entries: list[Service], name: str) -> int:
+    """Return the number of the pool ``name``, 0 if no entry refers to it.
+
+    Former pools count too, because their upstreams have open flows.
+    """
+    for entry in entries:
+        for share in entry.shares:
+            if share.name == name:
+                return share.pool
+        for former in entry.former:
+            if former.name == name:
+                return former.pool
+    return 0
 
 
 def needs_single_decider(service: Service) -> bool:
--- a/src/gentianspoke/decisions/agent/core.py
+++ b/src/gentianspoke/decisions/agent/core.py
@@ -145,7 +145,7 @@
     state.recovering = not is_young
     if is_young:
         state.inquiries.complete_from_ms = 0
-        for pool in state.get_own_pools():
+        for pool in state.rankings:
             flow_knowledge.note_own_listing(state, pool, now)
 
 
--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -128,7 +128,7 @@
     reason: str,
 ) -> None:
     """Report a refused opening, with the outcome ``REFUSED_NOT_RUN``."""
-    counts = state.counts[state.own_pool or service_number]
+    counts = state.counts[state.get_pool_by_number(service_number)]
     evidence: tuple[tuple[str, str | int], ...] = (
         ('open_flows', counts.open_flows),
         ('running', counts.running),
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -11,6 +11,7 @@
 from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import inquiry_records
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import timer_wheel
@@ -101,9 +102,7 @@
     recovering: bool = False
     draining: bool = False
     joining: bool = False
-    # The pool whose services this agent's upstream serves; 0 if each
-    # service has a pool of its own.
-    own_pool: int = 0
+    own_pool: own_pools.OwnPool = own_pools.PoolPerService()
     # How long after its start a recovering agent adopts unknown flows.
     recovery_ms: int = DEFAULT_RECOVERY_MS
     lease_until_ms: int = 0
@@ -248,14 +247,26 @@
 
     def set_catalogue(self, entries: list[services.Service]) -> None:
         """Replace the services by the entries of a newer catalogue."""
+        self.own_pool = own_pools.update(self.own_pool, entries)
         self.services_by_number = {entry.number: entry for entry in entries}
         self.all_handshake = all(entry.handshake for entry in entries)
         self.highest_priorities = services.find_highest_priorities(entries)
         self.endpoints = routing.index_services(entries)
 
     def get_pool(self, service: services.Service) -> int:
-        """Return the pool in which this agent serves a service."""
-        return self.own_pool or service.number
+        """Return the pool in which this agent serves a service.
+
+        It is 0, which no pool has, if the agent does not know its own pool.
+        """
+        return self.get_pool_by_number(service.number)
+
+    def get_pool_by_number(self, service_number: int) -> int:
+        """Return the same for the service with a number."""
+        match self.own_pool:
+            case own_pools.PoolPerService():
+                return service_number
+            case own_pools.NamedPool(number=number):
+                return number
 
     def set_view(self, view: views.View) -> bool:
         """Store a view unless it is older; return whether it was stored.
@@ -320,10 +331,17 @@
         return any(map(self.is_evacuated, self.get_own_pools()))
 
     def get_own_pools(self) -> list[int]:
-        """Return the numbers of the pools that the upstream belongs to."""
-        return (
-            [self.own_pool] if self.own_pool else list(self.services_by_number)
-        )
+        """Return the numbers of the pools that the upstream belongs to.
+
+        The list is empty if the agent does not know its own pool.
+        """
+        match self.own_pool:
+            case own_pools.PoolPerService():
+                return list(self.services_by_number)
+            case own_pools.NamedPool(number=0):
+                return []
+            case own_pools.NamedPool(number=number):
+                return [number]
 
     def find_member(self, pool: int, number: int) -> views.Member | None:
         """Return a member of a pool's view, ``None`` if it is not listed."""
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -68,7 +68,11 @@
     def restore(self, state: catalogue_records.CatalogueState) -> None:
         """Replace the complete state with an exported one."""
         self.version = state.version
-        self.entries = {entry.name: entry for entry in state.entries}
+        pool_names = {pool.number: pool.name for pool in state.pools}
+        self.entries = {
+            entry.name: documents.name_former_pools(entry, pool_names)
+            for entry in state.entries
+        }
         self.history = list(state.history)
         self.answers.clear()
         for kept_answer in state.answers:
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -84,6 +84,23 @@
     return entries
 
 
+def name_former_pools(
+    entry: services.Service, names: collections.abc.Mapping[int, str]
+) -> services.Service:
+    """Return an entry whose former pools have their names.
+
+    Entries that earlier versions stored lack them. ``names`` maps the numbers
+    of pools to their names.
+    """
+    if all(former.name for former in entry.former):
+        return entry
+    former = tuple(
+        services.FormerPool(former.pool, names.get(former.pool, ''))
+        for former in entry.former
+    )
+    return dataclasses.replace(entry, former=former)
+
+
 def find_removed_names(
     current_entries: EntriesByName,
     new_entries: collections.abc.Iterable[services.Service],
@@ -159,15 +176,25 @@
 ) -> services.Service:
     if previous is None:
         return entry
-    current_pools = services.get_current_pools(entry)
-    former_pools = [
-        pool
-        for pool in services.get_all_pools(previous)
-        if pool not in current_pools
-    ]
-    former = tuple(former_pools[:MAX_FORMER_POOLS])
+    former = _list_former_pools(previous, entry)
     if former == previous.former and _is_unchanged(previous, entry):
         return previous
     return services.with_catalogue_fields(
         entry, entry.number, version, entry.shares, former
     )
+
+
+def _list_former_pools(
+    previous: services.Service, entry: services.Service
+) -> tuple[services.FormerPool, ...]:
+    """Return the former pools of an entry that replaces ``previous``."""
+    earlier_pools = [
+        services.FormerPool(share.pool, share.name)
+        for share in previous.shares
+    ]
+    earlier_pools.extend(previous.former)
+    current_pools = services.get_current_pools(entry)
+    former_pools = [
+        former for former in earlier_pools if former.pool not in current_pools
+    ]
+    return tuple(former_pools[:MAX_FORMER_POOLS])
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -17,6 +17,7 @@
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_knowledge
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke import errors
@@ -82,6 +83,7 @@
             recovering=recovering,
             recovery_ms=cfg.recovery_ms,
             joining=True,
+            own_pool=_make_own_pool(cfg.pool),
             draining=not incarnation,
             requests=request_queue.RequestQueue(cfg.schedule_requests),
             cold=cold_start.begin(cfg.cold_openings_per_s, proc.clock.now()),
@@ -349,6 +351,10 @@
     )
 
 
+def _make_own_pool(name: str) -> own_pools.OwnPool:
+    return own_pools.NamedPool(name) if name else own_pools.PoolPerService()
+
+
 def _make_even_load(
     placement: settings.Placement,
 ) -> capacity_records.EvenLoad | None:
--- a/src/gentianspoke/shells/agent/feed_updates.py
+++ b/src/gentianspoke/shells/agent/feed_updates.py
@@ -4,6 +4,7 @@
 from gentianspoke.core import services
 from gentianspoke.core import views
 from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import state as agent_state
 from gentianspoke.shells.agent import heartbeat
 from gentianspoke.shells import feed_client
@@ -27,8 +28,7 @@
         self._heartbeat = own_heartbeat
         self._catalogue_entries: dict[str, services.Service] = {}
         self._catalogue_version = 0
-        # The number of the pool that was logged last, ``None`` if none was.
-        self._logged_pool: int | None = None
+        self._logged_pool: own_pools.OwnPool | None = None
 
     def apply(self, update: feed_client.Update) -> int:
         """Apply a feed update; return the catalogue version in use."""
@@ -61,6 +61,9 @@
             # of some buckets. They place these openings only after this agent
             # has acknowledged the view by a heartbeat.
             self._heartbeat.announce_now()
+        self._end_joining_if_listed()
+
+    def _end_joining_if_listed(self) -> None:
         # A joining agent announces itself as draining. A view that lists it as
         # not live is therefore newer than the agent's start, and the agent may
         # act on views from then on. Before the upstream has reported its
@@ -82,46 +85,38 @@
             (entry.name, entry) for entry in update.entries
         )
         self._catalogue_version = update.version
+        earlier_pool = self._state.own_pool
         self._state.set_catalogue(self._select_services())
         self._proc.events.write('catalogue-in-force', version=update.version)
-        if self._cfg.pool:
-            self._log_pool()
+        self._log_own_pool()
+        if self._state.own_pool != earlier_pool:
+            # The view of the pool may have come before its number was known.
+            self._heartbeat.announce_now()
+            self._end_joining_if_listed()
 
-    def _log_pool(self) -> None:
-        number = self._state.own_pool
-        if number == self._logged_pool:
-            return
-        self._logged_pool = number
-        self._proc.events.write(
-            'pool-known',
-            pool=self._cfg.pool,
-            number=number,
-            version=self._catalogue_version,
-        )
+    def _log_own_pool(self) -> None:
+        match self._state.own_pool:
+            case own_pools.NamedPool(name=name, number=number) as own_pool:
+                if own_pool != self._logged_pool:
+                    self._logged_pool = own_pool
+                    self._proc.events.write(
+                        'pool-known',
+                        pool=name,
+                        number=number,
+                        version=self._catalogue_version,
+                    )
+            case own_pools.PoolPerService():
+                pass
 
     def _select_services(self) -> list[services.Service]:
         """Return those services of the settings that the catalogue has.
 
-        If the settings name a pool instead, return all services and update
-        the number of that pool.
+        If the settings name a pool instead, return all services.
         """
-        if not self._cfg.pool:
-            return [
-                self._catalogue_entries[name]
-                for name in self._cfg.services
-                if name in self._catalogue_entries
-            ]
-        entries = list(self._catalogue_entries.values())
-        self._state.own_pool = self._find_own_pool(entries)
-        return entries
-
-    def _find_own_pool(self, entries: list[services.Service]) -> int:
-        """Return the number of the upstream's pool.
-
-        If no entry has the pool any more, its last known number is returned.
-        """
-        for entry in entries:
-            for share in entry.shares:
-                if share.name == self._cfg.pool:
-                    return share.pool
-        return self._state.own_pool
+        if self._cfg.pool:
+            return list(self._catalogue_entries.values())
+        return [
+            self._catalogue_entries[name]
+            for name in self._cfg.services
+            if name in self._catalogue_entries
+        ]
--- a/tests/agent/inquiry_pool.py
+++ b/tests/agent/inquiry_pool.py
@@ -11,6 +11,7 @@
 from gentianspoke.core import views
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions import hashing
 
 POOL = 7
@@ -19,8 +20,12 @@
     builders.service(services.Booking(False)),
     handshake=True,
     shares=(services.Share(POOL, 1, 'pool'),),
-    former=(FORMER_POOL,),
+    former=(services.FormerPool(FORMER_POOL, 'former'),),
 )
+OWN_POOLS = {
+    POOL: own_pools.NamedPool('pool', POOL),
+    FORMER_POOL: own_pools.NamedPool('former', FORMER_POOL),
+}
 HOME = 1
 TICK_MS = 50
 # Members that have run for long.
@@ -40,7 +45,7 @@
 
 def make_agent(number, view, former_view=None, pool=POOL):
     """Return an agent whose record of its upstream's flows is complete."""
-    state = fakes.agent(number, ENTRY, view, own_pool=pool)
+    state = fakes.agent(number, ENTRY, view, own_pool=OWN_POOLS[pool])
     if former_view is not None:
         state.set_view(former_view)
     state.inquiries.enabled = True
--- a/tests/agent/test_cold_start.py
+++ b/tests/agent/test_cold_start.py
@@ -19,8 +19,10 @@
 from gentianspoke.decisions.agent import cold_start
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import diversion
+from gentianspoke.decisions.agent import own_pools
 
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 LIMIT = 5
 SECOND_MS = 1_000
 WINDOW_MS = cold_start.WINDOW_MS
@@ -42,7 +44,7 @@
         ENTRY,
         views.View(POOL, 1, listed),
         slots=1_000,
-        own_pool=POOL,
+        own_pool=OWN_POOL,
         cold=cold_start.begin(limit, started_ms),
     )
     if cold_remaining_ms is not None:
--- a/tests/agent/test_handshake_flows.py
+++ b/tests/agent/test_handshake_flows.py
@@ -15,6 +15,7 @@
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_table
 from gentianspoke.decisions.agent import handshake_flows
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import slot_usage
 
@@ -22,6 +23,7 @@
 SYN_ACK = packets.SYN | packets.ACK
 FIN = packets.FIN | packets.ACK
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 ENTRY = dataclasses.replace(
     builders.service(services.Booking(False), wait_ms=50),
     handshake=True,
@@ -36,7 +38,7 @@
 
 def agent(number=1, entry=ENTRY, pool_view=None, **fields):
     state = fakes.agent(
-        number, entry, pool_view or view(), own_pool=POOL, **fields
+        number, entry, pool_view or view(), own_pool=OWN_POOL, **fields
     )
     state.lease_until_ms = 0
     return state
--- a/tests/agent/test_scheduling.py
+++ b/tests/agent/test_scheduling.py
@@ -18,6 +18,7 @@
 from gentianspoke.decisions.agent import capacity_records
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import flow_table
+from gentianspoke.decisions.agent import own_pools
 from gentianspoke.decisions.agent import request_queue
 from gentianspoke.decisions.agent import scheduling
 from gentianspoke.decisions.agent import slot_usage
@@ -27,6 +28,7 @@
 PSH = packets.PSH
 SYN_ACK = packets.SYN | packets.ACK
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 OWN, OTHER = 1, 2
 CALLER_ISN, UPSTREAM_ISN = 100, 500
 FIRST, SECOND, THIRD, FOURTH, FIFTH = range(1, 6)
@@ -64,7 +66,7 @@
         ENTRIES[0],
         views.View(POOL, 1, members),
         slots=slots,
-        own_pool=POOL,
+        own_pool=OWN_POOL,
         requests=request_queue.RequestQueue(is_enabled),
     )
     state.set_catalogue(ENTRIES)
--- a/tests/agent/test_unconfirmed_flows.py
+++ b/tests/agent/test_unconfirmed_flows.py
@@ -18,10 +18,12 @@
 from gentianspoke.decisions import actions
 from gentianspoke.decisions.agent import core
 from gentianspoke.decisions.agent import handshake_flows
+from gentianspoke.decisions.agent import own_pools
 
 ACK = packets.ACK
 SYN_ACK = packets.SYN | packets.ACK
 POOL = 7
+OWN_POOL = own_pools.NamedPool('pool', POOL)
 OWN, OTHER = 1, 2
 NEXT_INCARNATION = 99
 AFTER_WAIT = handshake_flows.CONFIRM_TIMEOUT_MS
@@ -44,7 +46,9 @@
 
 def make_agent(recovering=True):
     view = views.View(POOL, 1, (builders.member(OWN), builders.member(OTHER)))
-    return fakes.agent(OWN, ENTRY, view, own_pool=POOL, recovering=recovering)
+    return fakes.agent(
+        OWN, ENTRY, view, own_pool=OWN_POOL, recovering=recovering
+    )
 
 
 def send(state, packet, now, purpose=frames.Purpose.ROUTE, tried=()):
--- a/tests/decisions/test_documents.py
+++ b/tests/decisions/test_documents.py
@@ -115,7 +115,8 @@
         make_request(2, make_entry(pool='q')),
     )
     changed = state.entries['a']
-    assert changed.former == (state.get_pool_number('p'),)
+    number = state.get_pool_number('p')
+    assert changed.former == (services.FormerPool(number, 'p'),)
     assert services.get_all_pools(changed) == (
         state.get_pool_number('q'),
         state.get_pool_number('p'),
