Send packets of open flows to a pool whose members respond

Callers saw: while the pool that a service's new flows go to had no member, as after a version that names a pool which has not started, requests on flows that were open at the earlier pool got no answer.

Cause: an entry chose the home of each packet, also of one that opens no flow, from the shares only.

If no member of the chosen pool responds, a packet of an open flow now goes to the first current or former pool with a member that does. That member's agent searches all pools. Openings go to no former pool.

--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -134,6 +134,8 @@
     if service.handshake and service.retired and _is_opening(packet):
         return _refuse_or_drop(service, packet, 'service-retired')
     ranking = _choose_ranking(table, service, key)
+    if not _is_opening(packet) and not _has_responding_member(ranking):
+        ranking = _choose_ranking_of_open_flow(table, service) or ranking
     if ranking is None:
         return actions.Drop('no-view')
     bucket = hashing.bucket_of(key, service.number)
@@ -172,6 +174,30 @@
     return table.rankings[share.pool] if share else None
 
 
+def _choose_ranking_of_open_flow(
+    table: RouteTable, service: services.Service
+) -> member_ranking.Ranking | None:
+    """Return the ranking of a pool whose members can search for the owner.
+
+    The pools that get the new flows have no member that responds. The flow
+    may be open in another pool, and any of its members searches all pools.
+    """
+    for pool in services.get_all_pools(service):
+        ranking = table.rankings.get(pool)
+        if ranking is not None and _has_responding_member(ranking):
+            return ranking
+    return None
+
+
+def _has_responding_member(ranking: member_ranking.Ranking | None) -> bool:
+    if ranking is None:
+        return False
+    return bool(ranking.live_count) or any(
+        member.state is not views.State.SUSPECT
+        for member in ranking.view.members
+    )
+
+
 def _choose_member(
     service: services.Service,
     ranking: member_ranking.Ranking,
--- a/tests/routing/test_route.py
+++ b/tests/routing/test_route.py
@@ -189,3 +189,62 @@
             assert member.number == expected
         case action:
             assert action == expected
+
+
+FORMER = services.FormerPool(9, 'c')
+FORMER_MEMBER = builders.member(5)
+CURRENT_SUSPECT = builders.member(6, views.State.SUSPECT)
+
+
+@pytest.mark.parametrize(
+    ('pools', 'expected'),
+    [
+        pytest.param([(7, [LIVE])], 1, id='live-current-pool'),
+        pytest.param([(7, [DRAINING])], 2, id='draining-current-pool'),
+        pytest.param([(7, [])], 5, id='current-pool-without-members'),
+        pytest.param([], 5, id='current-pool-without-view'),
+        pytest.param([(7, [CURRENT_SUSPECT])], 5, id='current-pool-lost'),
+    ],
+)
+@pytest.mark.parametrize('retired', [False, True])
+def test_a_packet_of_an_open_flow_goes_to_a_former_pool_if_no_other_responds(
+    pools, expected, retired
+):
+    # Guards against an entry that drops the packets of flows that are open at
+    # a former pool, because the pool that gets the new flows has no member.
+    action = route_to_pools(
+        ACK,
+        *pools,
+        (9, [FORMER_MEMBER]),
+        shares=(services.Share(7, 1, 'a'),),
+        former=(FORMER,),
+        retired=retired,
+    )
+    assert action.member.number == expected
+
+
+def test_a_packet_of_an_open_flow_goes_to_a_pool_of_weight_0_if_it_is_alone():
+    # Guards against a drop of the open flows of a pool whose share went to 0.
+    shares = (services.Share(7, 0, 'a'), services.Share(8, 1, 'b'))
+    action = route_to_pools(ACK, (7, [LIVE]), shares=shares)
+    assert action.member.number == LIVE.number
+
+
+@pytest.mark.parametrize('retransmission', [0, 1])
+@pytest.mark.parametrize(
+    ('pools', 'reason'),
+    [
+        pytest.param([(7, [])], 'no-upstream', id='no-members'),
+        pytest.param([], 'no-view', id='no-view'),
+    ],
+)
+def test_an_opening_goes_to_no_former_pool(pools, reason, retransmission):
+    packet = dataclasses.replace(SYN, retransmission=retransmission)
+    action = route_to_pools(
+        packet,
+        *pools,
+        (9, [FORMER_MEMBER]),
+        shares=(services.Share(7, 1, 'a'),),
+        former=(FORMER,),
+    )
+    assert action.reason == reason
