Keep former pools by time, not by number

Callers saw: after a service had got another pool ten times within seconds, the next request on a flow that was open at the first pool was answered by a reset, though its upstream held the flow and nothing was restarted.

Cause: an entry kept its eight newest former pools. A flow of an older one was looked for at the listed pools only; all denied it, and the inquiry's proof that it has ended holds only if every pool is listed.

Entries keep all former pools, each with the version since which it has got no new flows. A limit on the number was ruled out: it loses young flows and keeps old pools for ever.

tests/agent/test_former_pools.py[many-pools-in-turn] failed before.

--- a/src/gentianspoke/codec/catalogue.py
+++ b/src/gentianspoke/codec/catalogue.py
@@ -38,7 +38,11 @@
         ],
         former=[former.pool for former in service.former],
         former_pools=[
-            catalogue_pb2.FormerPool(pool=former.pool, name=former.name)
+            catalogue_pb2.FormerPool(
+                pool=former.pool,
+                name=former.name,
+                since_version=former.since_version,
+            )
             for former in service.former
         ],
         handshake=service.handshake,
@@ -106,6 +110,7 @@
         edits=[_encode_edit(edit) for edit in request.edits],
         document=encode_document(document) if document else None,
         evacuation=_encode_evacuation(request.evacuation),
+        expire_former_pools=request.expire_former_pools,
     )
 
 
@@ -176,9 +181,13 @@
     """
     has_document = message.HasField('document')
     has_evacuation = message.HasField('evacuation')
-    if not message.idempotency_key or not (
-        message.edits or has_document or has_evacuation
-    ):
+    has_change = bool(
+        message.edits
+        or has_document
+        or has_evacuation
+        or message.expire_former_pools
+    )
+    if not message.idempotency_key or not has_change:
         raise errors.ControlError(
             'the request has no idempotency key, or neither an edit nor a'
             ' document nor an evacuation; send what is missing'
@@ -191,6 +200,7 @@
         evacuation=(
             _decode_evacuation(message.evacuation) if has_evacuation else None
         ),
+        expire_former_pools=message.expire_former_pools,
     )
 
 
@@ -256,7 +266,7 @@
 ) -> tuple[services.FormerPool, ...]:
     if entry.former_pools:
         return tuple(
-            services.FormerPool(former.pool, former.name)
+            services.FormerPool(former.pool, former.name, former.since_version)
             for former in entry.former_pools
         )
     # An earlier version wrote the entry.
--- a/src/gentianspoke/config/from_model.py
+++ b/src/gentianspoke/config/from_model.py
@@ -92,6 +92,7 @@
         lease_ms=_parse_duration_ms(role.lease),
         join=bool(role.join),
         retention_ms=_parse_duration_ms(role.retention),
+        flow_lifetime_ms=_parse_duration_ms(role.flow_lifetime),
     )
 
 
--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -94,7 +94,8 @@
     applied records. The newest ``kept_records`` records that the snapshot
     covers stay in the log. A silent member stays listed for ``retention_ms``,
     unless its upstream has left or restarted; with 0 it is removed once its
-    lease has expired.
+    lease has expired. ``flow_lifetime_ms`` is the greatest age of a flow, by
+    which the catalogue forgets former pools; with 0 it keeps all.
     """
 
     listen: units.Address
@@ -108,6 +109,7 @@
     compact_records: int = 1_000
     kept_records: int = 200
     retention_ms: int = 0
+    flow_lifetime_ms: int = 0
 
 
 Role = EntrySettings | AgentSettings | ControlSettings
--- a/src/gentianspoke/core/services.py
+++ b/src/gentianspoke/core/services.py
@@ -90,11 +90,13 @@
 
     ``name`` is the name that the upstreams of the pool announce. It is empty
     if an earlier version of this program, which kept only numbers, wrote the
-    entry.
+    entry. ``since_version`` is the catalogue version from which the pool has
+    got no new flows of the service.
     """
 
     pool: int
     name: str
+    since_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -3,7 +3,7 @@
 Every control instance applies the same requests in the same order, so
 all instances return the same answers. Each accepted request increments
 the catalogue version by one, except a document that is not newer than the
-current one, and an evacuation order that changes nothing. The catalogue stores
+current one, and an evacuation order or expiry that changes nothing. It stores
 the newest answers to edits and evacuation orders by idempotency key, so that a
 retried request gets its first answer again.
 """
@@ -99,10 +99,13 @@
         unless its version is higher than that of the current document; the
         idempotency key of a document is not used. A document with the changes
         to another version of the catalogue than the current one is not
-        accepted. An evacuation order is always accepted.
+        accepted. An evacuation order and the expiry of former pools are always
+        accepted.
         """
         if request.document is not None:
             return self._apply_document(request.document)
+        if request.expire_former_pools:
+            return self._apply_expiry(request.expire_former_pools)
         stored_answer = self.known_answer(request.idempotency_key)
         if stored_answer is not None:
             return stored_answer
@@ -145,6 +148,16 @@
             self.evacuated_zones = zones
         return catalogue_records.Answer(True, self.version)
 
+    def _apply_expiry(self, expired_version: int) -> catalogue_records.Answer:
+        if documents.has_expired_former_pools(
+            self.entries.values(), expired_version
+        ):
+            self.version += 1
+            self.entries = documents.expire_former_pools(
+                self.entries, expired_version, self.version
+            )
+        return catalogue_records.Answer(True, self.version)
+
     def _apply_document(
         self, document: catalogue_records.Document
     ) -> catalogue_records.Answer:
--- a/src/gentianspoke/decisions/control/catalogue_records.py
+++ b/src/gentianspoke/decisions/control/catalogue_records.py
@@ -61,9 +61,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """An atomic list of edits, a complete document, or an evacuation order.
+    """An atomic list of edits, a document, an evacuation order or an expiry.
 
-    Either all edits of a request are accepted or none is.
+    Either all edits of a request are accepted or none is. An expiry removes
+    the former pools that have got no new flows since the catalogue version
+    ``expire_former_pools`` or an earlier one; with 0 it removes none.
     """
 
     idempotency_key: str
@@ -71,6 +73,7 @@
     edits: tuple[Edit, ...]
     document: Document | None = None
     evacuation: zone_orders.Order | None = None
+    expire_former_pools: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -5,10 +5,6 @@
 
 from gentianspoke.core import services
 
-# How many pools of earlier documents an entry keeps; agents still search
-# these pools for the entry's open flows.
-MAX_FORMER_POOLS = 8
-
 EntriesByName = dict[str, services.Service]
 
 
@@ -95,12 +91,46 @@
     if all(former.name for former in entry.former):
         return entry
     former = tuple(
-        services.FormerPool(former.pool, names.get(former.pool, ''))
+        dataclasses.replace(former, name=names.get(former.pool, ''))
         for former in entry.former
     )
     return dataclasses.replace(entry, former=former)
 
 
+def has_expired_former_pools(
+    entries: collections.abc.Iterable[services.Service], expired_version: int
+) -> bool:
+    """Return whether :func:`expire_former_pools` would remove a pool."""
+    return any(
+        former.since_version <= expired_version
+        for entry in entries
+        for former in entry.former
+    )
+
+
+def expire_former_pools(
+    current_entries: EntriesByName, expired_version: int, version: int
+) -> EntriesByName:
+    """Return all entries without the former pools of an old version.
+
+    These are the pools that have got no new flows since ``expired_version`` or
+    an earlier version. An entry that changes gets ``version``.
+    """
+    entries = dict(current_entries)
+    for entry in current_entries.values():
+        if not has_expired_former_pools((entry,), expired_version):
+            continue
+        former = tuple(
+            former
+            for former in entry.former
+            if former.since_version > expired_version
+        )
+        entries[entry.name] = dataclasses.replace(
+            entry, former=former, version=version
+        )
+    return entries
+
+
 def find_removed_names(
     current_entries: EntriesByName,
     new_entries: collections.abc.Iterable[services.Service],
@@ -176,7 +206,7 @@
 ) -> services.Service:
     if previous is None:
         return entry
-    former = _list_former_pools(previous, entry)
+    former = _list_former_pools(previous, entry, version)
     if former == previous.former and _is_unchanged(previous, entry):
         return previous
     return services.with_catalogue_fields(
@@ -185,16 +215,20 @@
 
 
 def _list_former_pools(
-    previous: services.Service, entry: services.Service
+    previous: services.Service, entry: services.Service, version: int
 ) -> tuple[services.FormerPool, ...]:
-    """Return the former pools of an entry that replaces ``previous``."""
+    """Return the former pools of an entry that replaces ``previous``.
+
+    Their number has no limit, because an open flow whose pool is not listed
+    is lost, and is even reset where agents inquire about flows. They are
+    removed by time instead (:func:`expire_former_pools`).
+    """
     earlier_pools = [
-        services.FormerPool(share.pool, share.name)
+        services.FormerPool(share.pool, share.name, version)
         for share in previous.shares
     ]
     earlier_pools.extend(previous.former)
     current_pools = services.get_current_pools(entry)
-    former_pools = [
+    return tuple(
         former for former in earlier_pools if former.pool not in current_pools
-    ]
-    return tuple(former_pools[:MAX_FORMER_POOLS])
+    )
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -55,6 +55,12 @@
                 ' split the file',
             )
         request = _decode_or_refuse(catalogue_codec.decode_request, message)
+        if request.expire_former_pools:
+            # Only the leader knows how old the versions of the catalogue are.
+            raise grpclib.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT,
+                'former pools are removed by control alone; send edits',
+            )
         key = request.idempotency_key
         is_repeated = self._log.catalogue.known_answer(key) is not None
         try:
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -94,6 +94,42 @@
         text = packing.unpack(current.text)
         return Found(catalogue_records.Document(current.version, text))
 
+    async def expire_former_pools(self, expired_version: int) -> None:
+        """Remove former pools from the entries if this instance leads.
+
+        These are the pools that have got no new flows since
+        ``expired_version`` or an earlier version. If the removal fails, the
+        reason is written as an event, and the next call tries again.
+        """
+        # A document is stored as its changes to the newest catalogue, so the
+        # catalogue must not change while one is written.
+        async with self._write_lock:
+            if self._log is None or not self._log.is_leader:
+                return
+            entries = self._log.catalogue.entries.values()
+            if not documents.has_expired_former_pools(
+                entries, expired_version
+            ):
+                return
+            request = catalogue_records.Request(
+                f'expiry/{expired_version}',
+                '',
+                (),
+                expire_former_pools=expired_version,
+            )
+            outcome = await submit(self._proc, self._log, request)
+        match outcome:
+            case catalogue_records.Answer(version=version):
+                self._proc.events.write(
+                    'former-pools-expired',
+                    expired_version=expired_version,
+                    version=version,
+                )
+            case Unavailable(reason=reason):
+                self._proc.events.write('expiry-failed', reason=reason)
+            case AskLeader():
+                pass
+
     async def _put_next(self, document: catalogue_records.Document) -> Outcome:
         if self._log is None or not self._log.is_leader:
             return redirect_to_leader(self._proc, self._log)
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -8,6 +8,7 @@
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
+from gentianspoke.shells.control import former_pools
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import joining
@@ -101,6 +102,7 @@
         replica_service.ReplicaService(proc, log),
         members_service.MembersService(proc, log),
     ]
+    own_operations = operations.create_operations(proc, log)
     server = batched_writes.Server(services)
     channel_auth.protect_server(
         server, proc.get_current_ring, on_refused=proc.log_refused_call
@@ -118,9 +120,15 @@
             feed_hub.watch_catalogue(),
             monitor.report_state(proc, log),
             joining.request_membership(proc, log, control_settings),
+            former_pools.expire(
+                proc,
+                log,
+                own_operations.documents,
+                control_settings.flow_lifetime_ms,
+            ),
             _mark_serving(proc, log),
         ),
-        own_front_end.serve(proc, operations.create_operations(proc, log)),
+        own_front_end.serve(proc, own_operations),
     ):
         await proc.stop.wait()
         proc.life.advance('stop')
--- a/tests/agent/test_former_pools.py
+++ b/tests/agent/test_former_pools.py
@@ -43,6 +43,7 @@
 IS_OWN = {OWN: 1}
 IS_OTHER = {OTHER: 1}
 IS_THIRD = {'third': 1}
+MANY_IN_TURN = [{f'pool-{number}': 1} for number in range(20)]
 
 
 def make_entry(weights, name='service-1', port=builders.SERVICE_PORT):
@@ -160,6 +161,9 @@
         pytest.param(
             (IS_OWN, IS_THIRD, IS_OTHER), None, id='two-pools-in-turn'
         ),
+        pytest.param(
+            (IS_OWN, *MANY_IN_TURN, IS_OTHER), None, id='many-pools-in-turn'
+        ),
         pytest.param(
             (IS_OWN, IS_OTHER, IS_OWN, IS_OTHER), None, id='there-and-back'
         ),
--- a/tests/decisions/test_documents.py
+++ b/tests/decisions/test_documents.py
@@ -116,16 +116,82 @@
     )
     changed = state.entries['a']
     number = state.get_pool_number('p')
-    assert changed.former == (services.FormerPool(number, 'p'),)
+    assert changed.former == (services.FormerPool(number, 'p', 2),)
     assert services.get_all_pools(changed) == (
         state.get_pool_number('q'),
         state.get_pool_number('p'),
     )
 
 
+def test_an_entry_keeps_all_former_pools_until_they_expire():
+    # Guards against a limit on their number, beyond which the open flows of
+    # the oldest pool were lost.
+    names = [f'pool-{number}' for number in range(20)]
+    state = apply_requests(
+        *(
+            make_request(version, make_entry(pool=name))
+            for version, name in enumerate(names, 1)
+        )
+    )
+    former = state.entries['a'].former
+    assert [pool.name for pool in former] == names[-2::-1]
+    assert [pool.since_version for pool in former] == list(range(20, 1, -1))
+
+
+def apply_expiry(state, version):
+    return state.apply(
+        catalogue_records.Request('key', '', (), expire_former_pools=version)
+    )
+
+
+@pytest.mark.parametrize(
+    ('expired_version', 'remaining', 'catalogue_version'),
+    [
+        pytest.param(1, ['q', 'p'], 4, id='before-the-first-change'),
+        pytest.param(2, ['q'], 5, id='at-the-first-change'),
+        pytest.param(3, ['q'], 5, id='before-the-second-change'),
+        pytest.param(4, [], 5, id='at-the-second-change'),
+    ],
+)
+def test_an_expiry_removes_only_pools_without_new_flows_since_the_version(
+    expired_version, remaining, catalogue_version
+):
+    # Guards against the loss of flows that were opened after the version.
+    state = apply_requests(
+        make_request(1, make_entry(pool='p')),
+        make_request(2, make_entry(pool='q')),
+        make_request(3, make_entry(pool='q'), make_entry('b', 'p', port=8)),
+        make_request(4, make_entry(pool='r'), make_entry('b', 'p', port=8)),
+    )
+    other_entry = state.entries['b']
+    for _ in range(2):
+        assert apply_expiry(state, expired_version).accepted
+        names = [former.name for former in state.entries['a'].former]
+        assert (names, state.version) == (remaining, catalogue_version)
+    assert state.entries['b'] == other_entry
+    # Consumers get an entry only if its version has increased.
+    assert state.entries['a'].version == catalogue_version
+
+
+def test_a_pool_that_got_new_flows_again_expires_by_its_last_change():
+    state = apply_requests(
+        make_request(1, make_entry(pool='p')),
+        make_request(2, make_entry(pool='q')),
+        make_request(3, make_entry(pool='p')),
+        make_request(4, make_entry(pool='q')),
+    )
+    apply_expiry(state, 3)
+    assert [former.name for former in state.entries['a'].former] == ['p']
+
+
+def test_an_expiry_is_unchanged_by_encoding():
+    request = catalogue_records.Request('key', '', (), expire_former_pools=7)
+    assert codec.decode_request(codec.encode_request(request)) == request
+
+
 def test_a_document_is_unchanged_by_encoding_in_a_snapshot_and_a_request():
     request = make_request(1, make_entry())
-    state = apply_requests(request)
+    state = apply_requests(request, make_request(2, make_entry(pool='q')))
     copy = catalogue.Catalogue()
     snapshot = records.Snapshot(1, 1, records.Base().group, state.export())
     encoded = replica_codec.encode_snapshot(snapshot)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -137,6 +137,13 @@
     assert control.role.retention_ms == 60_000 * is_on
 
 
+def test_former_pools_are_kept_for_the_greatest_age_of_a_flow(tmp_path):
+    # Guards against former pools that control keeps for ever or forgets at
+    # once.
+    control = boot.build_control_settings(read(tmp_path, FRONT))
+    assert control.role.flow_lifetime_ms == 60_000
+
+
 def test_an_agent_serves_the_pool_of_its_upstream(tmp_path):
     cfg = boot.build_agent_settings(read(tmp_path, SIDE))
     assert (cfg.role.pool, cfg.role.services) == ('pricing', ('pricing',))
