Let entries take over the pools of their endpoints

Cause: packets are matched to an entry by address and port, but its former pools were kept by name. All members of the pools listed denied the flow, which was taken for the proof that it has ended.

An entry now lists the pools of its previous version and of the entries to which its endpoints belonged. Retired entries count with the version in which they were retired, so expired pools do not come back.

--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -16,6 +16,7 @@
 from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control import edit_conflicts
 from gentianspoke.decisions.control import endpoints
+from gentianspoke.decisions.control import former_pools
 from gentianspoke.decisions.control import zone_orders
 
 MAX_STORED_ANSWERS = 10_000
@@ -70,7 +71,7 @@
         self.version = state.version
         pool_names = {pool.number: pool.name for pool in state.pools}
         self.entries = {
-            entry.name: documents.name_former_pools(entry, pool_names)
+            entry.name: former_pools.name_former_pools(entry, pool_names)
             for entry in state.entries
         }
         self.history = list(state.history)
@@ -149,11 +150,11 @@
         return catalogue_records.Answer(True, self.version)
 
     def _apply_expiry(self, expired_version: int) -> catalogue_records.Answer:
-        if documents.has_expired_former_pools(
+        if former_pools.has_expired_former_pools(
             self.entries.values(), expired_version
         ):
             self.version += 1
-            self.entries = documents.expire_former_pools(
+            self.entries = former_pools.expire_former_pools(
                 self.entries, expired_version, self.version
             )
         return catalogue_records.Answer(True, self.version)
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -4,8 +4,9 @@
 import dataclasses
 
 from gentianspoke.core import services
+from gentianspoke.decisions.control import former_pools
 
-EntriesByName = dict[str, services.Service]
+EntriesByName = former_pools.EntriesByName
 
 
 def find_error(
@@ -73,60 +74,14 @@
             entries[name] = dataclasses.replace(
                 entries[name], retired=True, version=version
             )
+    changed_entries = tuple(changed_entries)
+    holders = former_pools.find_holders(current_entries, changed_entries)
     for entry in changed_entries:
-        entries[entry.name] = _update_entry(
-            current_entries.get(entry.name), entry, version
+        former = former_pools.list_former_pools(
+            holders[entry.name], entry, version
         )
-    return entries
-
-
-def name_former_pools(
-    entry: services.Service, names: collections.abc.Mapping[int, str]
-) -> services.Service:
-    """Return an entry whose former pools have their names.
-
-    Entries that earlier versions stored lack them. ``names`` maps the numbers
-    of pools to their names.
-    """
-    if all(former.name for former in entry.former):
-        return entry
-    former = tuple(
-        dataclasses.replace(former, name=names.get(former.pool, ''))
-        for former in entry.former
-    )
-    return dataclasses.replace(entry, former=former)
-
-
-def has_expired_former_pools(
-    entries: collections.abc.Iterable[services.Service], expired_version: int
-) -> bool:
-    """Return whether :func:`expire_former_pools` would remove a pool."""
-    return any(
-        former.since_version <= expired_version
-        for entry in entries
-        for former in entry.former
-    )
-
-
-def expire_former_pools(
-    current_entries: EntriesByName, expired_version: int, version: int
-) -> EntriesByName:
-    """Return all entries without the former pools of an old version.
-
-    These are the pools that have got no new flows since ``expired_version`` or
-    an earlier version. An entry that changes gets ``version``.
-    """
-    entries = dict(current_entries)
-    for entry in current_entries.values():
-        if not has_expired_former_pools((entry,), expired_version):
-            continue
-        former = tuple(
-            former
-            for former in entry.former
-            if former.since_version > expired_version
-        )
-        entries[entry.name] = dataclasses.replace(
-            entry, former=former, version=version
+        entries[entry.name] = _update_entry(
+            current_entries.get(entry.name), entry, former, version
         )
     return entries
 
@@ -202,33 +157,17 @@
 
 
 def _update_entry(
-    previous: services.Service | None, entry: services.Service, version: int
+    previous: services.Service | None,
+    entry: services.Service,
+    former: tuple[services.FormerPool, ...],
+    version: int,
 ) -> services.Service:
-    if previous is None:
-        return entry
-    former = _list_former_pools(previous, entry, version)
-    if former == previous.former and _is_unchanged(previous, entry):
+    if (
+        previous is not None
+        and former == previous.former
+        and _is_unchanged(previous, entry)
+    ):
         return previous
     return services.with_catalogue_fields(
         entry, entry.number, version, entry.shares, former
     )
-
-
-def _list_former_pools(
-    previous: services.Service, entry: services.Service, version: int
-) -> tuple[services.FormerPool, ...]:
-    """Return the former pools of an entry that replaces ``previous``.
-
-    Their number has no limit, because an open flow whose pool is not listed
-    is lost, and is even reset where agents inquire about flows. They are
-    removed by time instead (:func:`expire_former_pools`).
-    """
-    earlier_pools = [
-        services.FormerPool(share.pool, share.name, version)
-        for share in previous.shares
-    ]
-    earlier_pools.extend(previous.former)
-    current_pools = services.get_current_pools(entry)
-    return tuple(
-        former for former in earlier_pools if former.pool not in current_pools
-    )
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -7,6 +7,7 @@
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import documents
+from gentianspoke.decisions.control import former_pools
 from gentianspoke import errors
 from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
@@ -107,7 +108,7 @@
             if self._log is None or not self._log.is_leader:
                 return
             entries = self._log.catalogue.entries.values()
-            if not documents.has_expired_former_pools(
+            if not former_pools.has_expired_former_pools(
                 entries, expired_version
             ):
                 return
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -8,7 +8,6 @@
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
 from gentianspoke.shells.control import feed_service
-from gentianspoke.shells.control import former_pools
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import joining
@@ -18,6 +17,7 @@
 from gentianspoke.shells.control import open_log
 from gentianspoke.shells.control import operations
 from gentianspoke.shells.control import peers
+from gentianspoke.shells.control import pool_expiry
 from gentianspoke.shells.control import relay
 from gentianspoke.shells.control import replica_service
 from gentianspoke.shells.control import replicated_log
@@ -120,7 +120,7 @@
             feed_hub.watch_catalogue(),
             monitor.report_state(proc, log),
             joining.request_membership(proc, log, control_settings),
-            former_pools.expire(
+            pool_expiry.expire(
                 proc,
                 log,
                 own_operations.documents,
--- a/tests/control/test_former_pool_expiry.py
+++ b/tests/control/test_former_pool_expiry.py
@@ -14,7 +14,7 @@
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.shells.control import documents
-from gentianspoke.shells.control import former_pools
+from gentianspoke.shells.control import pool_expiry
 from gentianspoke.shells import process
 
 # The pools are kept for two lifetimes.
@@ -53,7 +53,7 @@
     log.is_leader = is_leader
     proc = control_fakes.make_process('control-1')
     store = documents.Documents(proc, log)
-    task = former_pools.expire(proc, log, store, flow_lifetime_ms)
+    task = pool_expiry.expire(proc, log, store, flow_lifetime_ms)
     async with process.run_tasks(task):
         assert list_former(log) == ['p']
         if not expected:
