--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import gc
 import tracemalloc
 
@@ -71,6 +72,11 @@
     )
 
 
+def make_former_pool(number: int) -> services.FormerPool:
+    """Return a former pool whose name contains ``number``."""
+    return services.FormerPool(number, f'pool-{number:06d}', number)
+
+
 def make_agent_state() -> agent_state.AgentState:
     """Return the state of an agent without flows."""
     return agent_state.AgentState(
@@ -118,6 +124,15 @@
     return table
 
 
+def build_former_pools(count: int) -> object:
+    """Return ``count`` former pools, as the entries of a consumer have them.
+
+    Each has a name of its own, because names are not shared when entries are
+    decoded.
+    """
+    return [make_former_pool(number) for number in range(count)]
+
+
 def build_members(count: int) -> object:
     """Return a routing table whose views have ``count`` members in all.
 
@@ -173,6 +188,7 @@
     'open flow, agent': build_flows,
     'diversion, agent': build_diversions,
     'catalogue entry, entry': build_catalogue_entries,
+    'former pool of a catalogue entry': build_former_pools,
     'member of a view': build_members,
     'order of a bucket of 7 members, agent': build_orders,
     'home of a bucket of 7 members, entry': build_homes,
@@ -196,9 +212,17 @@
     view = views.View(1, views.make_view_number(1, 5), members)
     ring = keys.KeyRing(1, {1: bytes(32)})
     report = frames.LoadReport(1_000, members[0].number, 2_000, 4, 3)
-    encoded_entry = catalogue.encode_entry(make_service(53_000))
+    service = make_service(53_000)
+    with_former_pool = dataclasses.replace(
+        service, former=(make_former_pool(53_001),)
+    )
+    entry_bytes = catalogue.encode_entry(service).ByteSize()
+    former_pool_bytes = (
+        catalogue.encode_entry(with_former_pool).ByteSize() - entry_bytes
+    )
     return {
-        'message: catalogue entry': encoded_entry.ByteSize(),
+        'message: catalogue entry': entry_bytes,
+        'message: former pool of an entry': former_pool_bytes,
         'message: view of 3 members': feed.encode_view(view).ByteSize(),
         'message: load report': len(frame.encode(report, ring)),
     }
