--- a/benchmarks/state_memory.py
+++ b/benchmarks/state_memory.py
@@ -11,7 +11,7 @@
 import tracemalloc
 
 from benchmarks import tables
-from gentianspoke.codec import catalogue
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.codec import feed
 from gentianspoke.codec import frame
 from gentianspoke.codec import keys
@@ -216,9 +216,10 @@
     with_former_pool = dataclasses.replace(
         service, former=(make_former_pool(53_001),)
     )
-    entry_bytes = catalogue.encode_entry(service).ByteSize()
+    entry_bytes = catalogue_entries.encode_entry(service).ByteSize()
     former_pool_bytes = (
-        catalogue.encode_entry(with_former_pool).ByteSize() - entry_bytes
+        catalogue_entries.encode_entry(with_former_pool).ByteSize()
+        - entry_bytes
     )
     return {
         'message: catalogue entry': entry_bytes,
--- a/src/gentianspoke/codec/feed.py
+++ b/src/gentianspoke/codec/feed.py
@@ -4,7 +4,7 @@
 the catalogue the consumers use.
 """
 
-from gentianspoke.codec import catalogue
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.config import units
 from gentianspoke.core import services
 from gentianspoke.core import views
@@ -39,9 +39,9 @@
     """Return entries of a catalogue version as a protobuf message."""
     update = feed_pb2.CatalogueUpdate(snapshot=is_snapshot, version=version)
     if len(entries) > MAX_PLAIN_ENTRIES:
-        update.packed_entries = catalogue.pack_entries(entries)
+        update.packed_entries = catalogue_entries.pack_entries(entries)
     else:
-        update.entries.extend(map(catalogue.encode_entry, entries))
+        update.entries.extend(map(catalogue_entries.encode_entry, entries))
     return update
 
 
@@ -54,8 +54,8 @@
     or one of them is invalid.
     """
     if message.packed_entries:
-        return catalogue.unpack_entries(message.packed_entries)
-    return [catalogue.decode_entry(entry) for entry in message.entries]
+        return catalogue_entries.unpack_entries(message.packed_entries)
+    return [catalogue_entries.decode_entry(entry) for entry in message.entries]
 
 
 def encode_view(view: views.View) -> feed_pb2.View:
--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
@@ -244,7 +245,7 @@
         version=state.version,
         last_number=state.last_number,
         entries=[
-            catalogue_codec.encode_entry(entry) for entry in state.entries
+            catalogue_entries.encode_entry(entry) for entry in state.entries
         ],
         history=[
             catalogue_codec.encode_history_item(item) for item in state.history
@@ -276,7 +277,7 @@
         version=message.version,
         last_number=message.last_number,
         entries=tuple(
-            catalogue_codec.decode_entry(entry) for entry in message.entries
+            catalogue_entries.decode_entry(entry) for entry in message.entries
         ),
         history=tuple(
             catalogue_codec.decode_history_item(item)
--- a/src/gentianspoke/shells/catalogue_client.py
+++ b/src/gentianspoke/shells/catalogue_client.py
@@ -9,6 +9,7 @@
 import typing
 
 from gentianspoke.codec import catalogue as codec
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.codec import keys
 from gentianspoke.config import units
 from gentianspoke.core import services
@@ -140,7 +141,7 @@
             reply = await self._call_or_none(address, _call_list)
             if reply is None:
                 continue
-            entries = map(codec.decode_entry, reply.entries)
+            entries = map(catalogue_entries.decode_entry, reply.entries)
             listing = Listing(
                 {entry.name: entry for entry in entries},
                 reply.version,
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -6,6 +6,7 @@
 import grpclib.server
 
 from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
 from gentianspoke.generated import catalogue_grpc
@@ -93,7 +94,7 @@
         """Reply with the entries, without the retired ones by default."""
         request = await calls.receive_request(stream)
         entries = [
-            catalogue_codec.encode_entry(entry)
+            catalogue_entries.encode_entry(entry)
             for entry in self._log.catalogue.list_entries()
             if request.include_retired or not entry.retired
         ]
--- a/tests/agent/test_former_pools.py
+++ b/tests/agent/test_former_pools.py
@@ -12,7 +12,7 @@
 import pytest
 import test_shell
 
-from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.codec import ip
 from gentianspoke.codec import replica as replica_codec
 from gentianspoke.core import frames
@@ -98,7 +98,7 @@
 def apply_entries(agent, state):
     """Apply all entries of a catalogue as they come from the feed."""
     entries = [
-        catalogue_codec.decode_entry(catalogue_codec.encode_entry(entry))
+        catalogue_entries.decode_entry(catalogue_entries.encode_entry(entry))
         for entry in state.list_entries()
     ]
     agent.apply_update(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gentianspoke.codec import catalogue as catalogue_codec
+from gentianspoke.codec import catalogue_entries
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke import errors
@@ -118,8 +119,8 @@
         2_000,
     )
     # The agents learn the limits from the catalogue's messages.
-    message = catalogue_codec.encode_entry(board)
-    assert catalogue_codec.decode_entry(message).limits == board.limits
+    message = catalogue_entries.encode_entry(board)
+    assert catalogue_entries.decode_entry(message).limits == board.limits
     assert (board.priority, board.limits.connections) == (2, 20)
 
 
