Search former pools once, by the endpoints that edits use

The change listed an entry's endpoints by a type and a function of its own; endpoints.list_endpoints does so already. Holders were collected by name, sorted over the whole catalogue and compared as whole entries. They are now an index by endpoint, and the order of the pools alone makes replicas agree.

One function now returns the entries that change, and the leader searches once for each version that expires.

--- a/src/gentianspoke/decisions/control/catalogue.py
+++ b/src/gentianspoke/decisions/control/catalogue.py
@@ -150,13 +150,12 @@
         return catalogue_records.Answer(True, self.version)
 
     def _apply_expiry(self, expired_version: int) -> catalogue_records.Answer:
-        if former_pools.has_expired_former_pools(
-            self.entries.values(), expired_version
-        ):
+        changed_entries = former_pools.expire_former_pools(
+            self.entries.values(), expired_version, self.version + 1
+        )
+        if changed_entries:
             self.version += 1
-            self.entries = former_pools.expire_former_pools(
-                self.entries, expired_version, self.version
-            )
+            self.entries.update((item.name, item) for item in changed_entries)
         return catalogue_records.Answer(True, self.version)
 
     def _apply_document(
--- a/src/gentianspoke/decisions/control/documents.py
+++ b/src/gentianspoke/decisions/control/documents.py
@@ -6,7 +6,7 @@
 from gentianspoke.core import services
 from gentianspoke.decisions.control import former_pools
 
-EntriesByName = former_pools.EntriesByName
+EntriesByName = dict[str, services.Service]
 
 
 def find_error(
@@ -60,7 +60,7 @@
 
 def change_entries(
     current_entries: EntriesByName,
-    changed_entries: collections.abc.Iterable[services.Service],
+    changed_entries: collections.abc.Collection[services.Service],
     removed: collections.abc.Iterable[str],
     version: int,
 ) -> EntriesByName:
@@ -74,15 +74,15 @@
             entries[name] = dataclasses.replace(
                 entries[name], retired=True, version=version
             )
-    changed_entries = tuple(changed_entries)
-    holders = former_pools.find_holders(current_entries, changed_entries)
+    holders = former_pools.index_holders(
+        current_entries.values(), changed_entries
+    )
     for entry in changed_entries:
+        previous = current_entries.get(entry.name)
         former = former_pools.list_former_pools(
-            holders[entry.name], entry, version
-        )
-        entries[entry.name] = _update_entry(
-            current_entries.get(entry.name), entry, former, version
+            previous, holders, entry, version
         )
+        entries[entry.name] = _update_entry(previous, entry, former, version)
     return entries
 
 
--- a/src/gentianspoke/decisions/control/flow_expiry.py
+++ b/src/gentianspoke/decisions/control/flow_expiry.py
@@ -25,7 +25,8 @@
 
     def note_version(self, version: int, now: int) -> None:
         """Note the version that the catalogue has now."""
-        if not self._seen or self._seen[-1][0] != version:
+        newest = self._seen[-1][0] if self._seen else self._expired_version
+        if version > newest:
             self._seen.append((version, now))
 
     def find_expired_version(self, now: int) -> int:
--- a/src/gentianspoke/decisions/control/former_pools.py
+++ b/src/gentianspoke/decisions/control/former_pools.py
@@ -11,82 +11,68 @@
 import dataclasses
 
 from gentianspoke.core import services
+from gentianspoke.decisions.control import endpoints
 
-EntriesByName = dict[str, services.Service]
-# Protocol, address and port.
-Endpoint = tuple[int, bytes, int]
+Entries = collections.abc.Iterable[services.Service]
+HoldersByEndpoint = collections.abc.Mapping[
+    endpoints.Endpoint, list[services.Service]
+]
 
 
-def find_holders(
-    current_entries: EntriesByName,
-    changed_entries: collections.abc.Collection[services.Service],
-) -> collections.abc.Mapping[str, list[services.Service]]:
-    """Return the entries whose flows changed entries take over, by name.
+def index_holders(
+    current_entries: Entries, changed_entries: Entries
+) -> HoldersByEndpoint:
+    """Return the entries that have the endpoints of changed entries now.
 
-    Each changed entry takes over the flows of its previous version, and those
-    of the entries to which its endpoints belong now. An endpoint belongs to
-    retired entries only if no other entry has it.
+    Endpoints with other addresses are left out, because indexing all entries
+    takes long. Retired entries have their endpoints still.
     """
-    names_by_endpoint = {
-        endpoint: entry.name
-        for entry in changed_entries
-        for endpoint in _list_endpoints(entry)
-    }
     addresses = {entry.address for entry in changed_entries}
-    holders: dict[Endpoint, list[services.Service]] = collections.defaultdict(
-        list
+    holders: dict[endpoints.Endpoint, list[services.Service]] = (
+        collections.defaultdict(list)
     )
-    # Replicas have the entries in different orders, so they are sorted.
-    for name in sorted(current_entries):
-        entry = current_entries[name]
+    for entry in current_entries:
         if entry.address in addresses:
-            for endpoint in _list_endpoints(entry):
+            for endpoint in endpoints.list_endpoints(entry):
                 holders[endpoint].append(entry)
-    result: dict[str, list[services.Service]] = collections.defaultdict(list)
-    for entry in changed_entries:
-        if entry.name in current_entries:
-            result[entry.name].append(current_entries[entry.name])
-    for endpoint, name in names_by_endpoint.items():
-        for holder in _select_current(holders.get(endpoint, [])):
-            if holder not in result[name]:
-                result[name].append(holder)
-    return result
+    return holders
 
 
 def list_former_pools(
-    holders: collections.abc.Iterable[services.Service],
+    previous: services.Service | None,
+    holders: HoldersByEndpoint,
     entry: services.Service,
     version: int,
 ) -> tuple[services.FormerPool, ...]:
     """Return the former pools of an entry that takes over flows.
 
-    ``holders`` are the entries from :func:`find_holders`, and ``version`` is
-    the version of the catalogue with ``entry``. The pool that got new flows
-    last comes first. The number of the pools has no limit, because an open
-    flow whose pool is not listed is lost, and is even reset where agents
-    inquire about flows. Pools are removed by time instead
+    These are the flows of its ``previous`` version, and those of the entries
+    to which its endpoints belong now. An endpoint belongs to retired entries
+    only if no other entry has it. ``version`` is the version of the catalogue
+    with ``entry``.
+
+    The pool that got new flows last comes first, so the order is the same at
+    all replicas. The number of the pools has no limit, because an open flow
+    whose pool is not listed is lost, and is even reset where agents inquire
+    about flows. Pools are removed by time instead
     (:func:`expire_former_pools`).
     """
+    sources = {previous.name: previous} if previous else {}
+    for endpoint in endpoints.list_endpoints(entry):
+        for holder in _select_current(holders.get(endpoint, [])):
+            sources[holder.name] = holder
+    pools = [
+        pool
+        for source in sources.values()
+        for pool in _list_pools_of_flows(source, version)
+    ]
+    pools.sort(key=lambda pool: (-pool.since_version, pool.pool))
     current_pools = services.get_current_pools(entry)
     result: dict[int, services.FormerPool] = {}
-    for holder in holders:
-        for former in _list_pools_of_flows(holder, version):
-            known = result.get(former.pool)
-            is_newer = known is None or known.since_version < (
-                former.since_version
-            )
-            if is_newer and former.pool not in current_pools:
-                result[former.pool] = former
-    return tuple(
-        sorted(result.values(), key=lambda former: -former.since_version)
-    )
-
-
-def _list_endpoints(
-    entry: services.Service,
-) -> collections.abc.Iterator[Endpoint]:
-    for port in entry.ports:
-        yield entry.protocol, entry.address, port
+    for pool in pools:
+        if pool.pool not in current_pools:
+            result.setdefault(pool.pool, pool)
+    return tuple(result.values())
 
 
 def _select_current(
@@ -126,35 +112,25 @@
     return dataclasses.replace(entry, former=former)
 
 
-def has_expired_former_pools(
-    entries: collections.abc.Iterable[services.Service], expired_version: int
-) -> bool:
-    """Return whether :func:`expire_former_pools` would remove a pool."""
-    return any(
-        former.since_version <= expired_version
-        for entry in entries
-        for former in entry.former
-    )
-
-
 def expire_former_pools(
-    current_entries: EntriesByName, expired_version: int, version: int
-) -> EntriesByName:
-    """Return all entries without the former pools of an old version.
+    entries: Entries, expired_version: int, version: int
+) -> list[services.Service]:
+    """Return the entries that an expiry changes, as they are after it.
 
-    These are the pools that have got no new flows since ``expired_version`` or
-    an earlier version. An entry that changes gets ``version``.
+    It removes the former pools that have got no new flows since
+    ``expired_version`` or an earlier version. The entries get ``version``.
     """
-    entries = dict(current_entries)
-    for entry in current_entries.values():
-        if not has_expired_former_pools((entry,), expired_version):
-            continue
-        former = tuple(
-            former
-            for former in entry.former
-            if former.since_version > expired_version
-        )
-        entries[entry.name] = dataclasses.replace(
-            entry, former=former, version=version
+    changed_entries: list[services.Service] = []
+    for entry in entries:
+        kept_pools = tuple(
+            [
+                former
+                for former in entry.former
+                if former.since_version > expired_version
+            ]
         )
-    return entries
+        if kept_pools != entry.former:
+            changed_entries.append(
+                dataclasses.replace(entry, former=kept_pools, version=version)
+            )
+    return changed_entries
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -95,23 +95,23 @@
         text = packing.unpack(current.text)
         return Found(catalogue_records.Document(current.version, text))
 
-    async def expire_former_pools(self, expired_version: int) -> None:
-        """Remove former pools from the entries if this instance leads.
+    async def expire_former_pools(self, expired_version: int) -> bool:
+        """Remove former pools from the entries; return whether it is done.
 
         These are the pools that have got no new flows since
-        ``expired_version`` or an earlier version. If the removal fails, the
-        reason is written as an event, and the next call tries again.
+        ``expired_version`` or an earlier version. Only the leader removes
+        them. If that fails, the reason is written as an event.
         """
         # A document is stored as its changes to the newest catalogue, so the
         # catalogue must not change while one is written.
         async with self._write_lock:
             if self._log is None or not self._log.is_leader:
-                return
-            entries = self._log.catalogue.entries.values()
-            if not former_pools.has_expired_former_pools(
-                entries, expired_version
+                return False
+            state = self._log.catalogue
+            if not former_pools.expire_former_pools(
+                state.entries.values(), expired_version, state.version
             ):
-                return
+                return True
             request = catalogue_records.Request(
                 f'expiry/{expired_version}',
                 '',
@@ -126,10 +126,12 @@
                     expired_version=expired_version,
                     version=version,
                 )
+                return True
             case Unavailable(reason=reason):
                 self._proc.events.write('expiry-failed', reason=reason)
             case AskLeader():
                 pass
+        return False
 
     async def _put_next(self, document: catalogue_records.Document) -> Outcome:
         if self._log is None or not self._log.is_leader:
--- a/src/gentianspoke/shells/control/pool_expiry.py
+++ b/src/gentianspoke/shells/control/pool_expiry.py
@@ -27,9 +27,12 @@
         return
     interval_s = flow_lifetime_ms / clock.MS_PER_S / CHECKS_PER_LIFETIME
     own_expiry = flow_expiry.FlowExpiry(flow_lifetime_ms)
+    done_version = 0
     while True:
         own_expiry.note_version(log.catalogue.version, proc.clock.now())
         version = own_expiry.find_expired_version(proc.clock.now())
-        if version:
-            await store.expire_former_pools(version)
+        # The entries are searched once for each expired version. A pool that
+        # a retired entry brings back later goes with the next one.
+        if version > done_version and await store.expire_former_pools(version):
+            done_version = version
         await asyncio.sleep(interval_s)
