Decide what an agent's own pool means in one module

The two kinds of own pools were told apart in the state, the agent's shell and the feed updates. own_pools does so now. The number of a known pool is not looked up again with each change of the catalogue, since it never changes. FeedUpdates remembered the pool that it logged last; it is known from the pool before the update. report_refusal takes the service, which both callers have, so the state needs no second way to a pool's number.

--- a/src/gentianspoke/decisions/agent/evidence.py
+++ b/src/gentianspoke/decisions/agent/evidence.py
@@ -1,6 +1,7 @@
 """Observations of a flow's packets, and reports on failed flows."""
 
 from gentianspoke.core import packets
+from gentianspoke.core import services
 from gentianspoke.core import verdicts
 from gentianspoke.decisions.agent import records
 from gentianspoke.decisions.agent import state as agent_state
@@ -123,12 +124,12 @@
 def report_refusal(
     state: State,
     key: packets.FlowKey,
-    service_number: int,
+    service: services.Service,
     fault: verdicts.Fault,
     reason: str,
 ) -> None:
     """Report a refused opening, with the outcome ``REFUSED_NOT_RUN``."""
-    counts = state.counts[state.get_pool_by_number(service_number)]
+    counts = state.counts[state.get_pool(service)]
     evidence: tuple[tuple[str, str | int], ...] = (
         ('open_flows', counts.open_flows),
         ('running', counts.running),
@@ -136,7 +137,7 @@
         ('incarnation', f'{state.number:016x}'),
     )
     outcome = verdicts.Outcome.REFUSED_NOT_RUN
-    _add_report(state, key, service_number, outcome, fault, reason, evidence)
+    _add_report(state, key, service.number, outcome, fault, reason, evidence)
 
 
 def report_unknown_flow(
--- a/src/gentianspoke/decisions/agent/own_pools.py
+++ b/src/gentianspoke/decisions/agent/own_pools.py
@@ -1,5 +1,6 @@
 """The pool that an agent's upstream belongs to."""
 
+import collections.abc
 import dataclasses
 
 from gentianspoke.core import services
@@ -28,15 +29,49 @@
 OwnPool = PoolPerService | NamedPool
 
 
+def make(name: str) -> OwnPool:
+    """Return the own pool before a catalogue is known; ``name`` may be empty.
+
+    ``name`` is that of the pool in the settings, if they name one.
+    """
+    return NamedPool(name) if name else PoolPerService()
+
+
 def update(own_pool: OwnPool, entries: list[services.Service]) -> OwnPool:
     """Return the own pool after a change of the catalogue.
 
-    A number that is known stays known if no entry refers to the pool any more,
-    because the number of a pool never changes.
+    The number of a pool never changes, so it is looked up only once.
     """
     match own_pool:
-        case PoolPerService():
+        case NamedPool(name=name, number=0):
+            return NamedPool(name, services.find_pool_number(entries, name))
+        case _:
             return own_pool
-        case NamedPool(name=name, number=number):
-            found = services.find_pool_number(entries, name)
-            return NamedPool(name, found or number)
+
+
+def get_number(own_pool: OwnPool, service_number: int) -> int:
+    """Return the pool in which an agent serves a service.
+
+    It is 0, which no pool has, if the agent does not know its own pool.
+    """
+    match own_pool:
+        case PoolPerService():
+            return service_number
+        case NamedPool(number=number):
+            return number
+
+
+def list_numbers(
+    own_pool: OwnPool, service_numbers: collections.abc.Iterable[int]
+) -> list[int]:
+    """Return the pools of an agent that knows these services.
+
+    The list is empty if the agent does not know its own pool.
+    """
+    match own_pool:
+        case PoolPerService():
+            return list(service_numbers)
+        case NamedPool(number=0):
+            return []
+        case NamedPool(number=number):
+            return [number]
--- a/src/gentianspoke/decisions/agent/refusal.py
+++ b/src/gentianspoke/decisions/agent/refusal.py
@@ -40,7 +40,7 @@
     evidence.report_refusal(
         state,
         packet.key,
-        service.number,
+        service,
         fault,
         reason,
     )
--- a/src/gentianspoke/decisions/agent/state.py
+++ b/src/gentianspoke/decisions/agent/state.py
@@ -258,15 +258,7 @@
 
         It is 0, which no pool has, if the agent does not know its own pool.
         """
-        return self.get_pool_by_number(service.number)
-
-    def get_pool_by_number(self, service_number: int) -> int:
-        """Return the same for the service with a number."""
-        match self.own_pool:
-            case own_pools.PoolPerService():
-                return service_number
-            case own_pools.NamedPool(number=number):
-                return number
+        return own_pools.get_number(self.own_pool, service.number)
 
     def set_view(self, view: views.View) -> bool:
         """Store a view unless it is older; return whether it was stored.
@@ -335,13 +327,7 @@
 
         The list is empty if the agent does not know its own pool.
         """
-        match self.own_pool:
-            case own_pools.PoolPerService():
-                return list(self.services_by_number)
-            case own_pools.NamedPool(number=0):
-                return []
-            case own_pools.NamedPool(number=number):
-                return [number]
+        return own_pools.list_numbers(self.own_pool, self.services_by_number)
 
     def find_member(self, pool: int, number: int) -> views.Member | None:
         """Return a member of a pool's view, ``None`` if it is not listed."""
--- a/src/gentianspoke/decisions/agent/timeouts.py
+++ b/src/gentianspoke/decisions/agent/timeouts.py
@@ -135,7 +135,7 @@
     evidence.report_refusal(
         state,
         flow.key,
-        flow.service,
+        service,
         cause.fault,
         cause.text,
     )
--- a/src/gentianspoke/shells/agent/agent.py
+++ b/src/gentianspoke/shells/agent/agent.py
@@ -83,7 +83,7 @@
             recovering=recovering,
             recovery_ms=cfg.recovery_ms,
             joining=True,
-            own_pool=_make_own_pool(cfg.pool),
+            own_pool=own_pools.make(cfg.pool),
             draining=not incarnation,
             requests=request_queue.RequestQueue(cfg.schedule_requests),
             cold=cold_start.begin(cfg.cold_openings_per_s, proc.clock.now()),
@@ -351,10 +351,6 @@
     )
 
 
-def _make_own_pool(name: str) -> own_pools.OwnPool:
-    return own_pools.NamedPool(name) if name else own_pools.PoolPerService()
-
-
 def _make_even_load(
     placement: settings.Placement,
 ) -> capacity_records.EvenLoad | None:
--- a/src/gentianspoke/shells/agent/feed_updates.py
+++ b/src/gentianspoke/shells/agent/feed_updates.py
@@ -28,7 +28,6 @@
         self._heartbeat = own_heartbeat
         self._catalogue_entries: dict[str, services.Service] = {}
         self._catalogue_version = 0
-        self._logged_pool: own_pools.OwnPool | None = None
 
     def apply(self, update: feed_client.Update) -> int:
         """Apply a feed update; return the catalogue version in use."""
@@ -84,11 +83,13 @@
         self._catalogue_entries.update(
             (entry.name, entry) for entry in update.entries
         )
+        is_first = not self._catalogue_version
         self._catalogue_version = update.version
         earlier_pool = self._state.own_pool
         self._state.set_catalogue(self._select_services())
         self._proc.events.write('catalogue-in-force', version=update.version)
-        self._log_own_pool()
+        if is_first or self._state.own_pool != earlier_pool:
+            self._log_own_pool()
         if self._state.own_pool != earlier_pool:
             # The view of the pool may have come before its number was known.
             self._heartbeat.announce_now()
@@ -96,15 +97,13 @@
 
     def _log_own_pool(self) -> None:
         match self._state.own_pool:
-            case own_pools.NamedPool(name=name, number=number) as own_pool:
-                if own_pool != self._logged_pool:
-                    self._logged_pool = own_pool
-                    self._proc.events.write(
-                        'pool-known',
-                        pool=name,
-                        number=number,
-                        version=self._catalogue_version,
-                    )
+            case own_pools.NamedPool(name=name, number=number):
+                self._proc.events.write(
+                    'pool-known',
+                    pool=name,
+                    number=number,
+                    version=self._catalogue_version,
+                )
             case own_pools.PoolPerService():
                 pass
 
