--- a/src/gentianspoke/decisions/routing.py
+++ b/src/gentianspoke/decisions/routing.py
@@ -134,8 +134,8 @@
     if service.handshake and service.retired and _is_opening(packet):
         return _refuse_or_drop(service, packet, 'service-retired')
     ranking = _choose_ranking(table, service, key)
-    if not _is_opening(packet) and not _has_responding_member(ranking):
-        ranking = _choose_ranking_of_open_flow(table, service) or ranking
+    if ranking is None or not ranking.live_count:
+        ranking = _choose_without_live_ranking(table, service, ranking, packet)
     if ranking is None:
         return actions.Drop('no-view')
     bucket = hashing.bucket_of(key, service.number)
@@ -174,25 +174,30 @@
     return table.rankings[share.pool] if share else None
 
 
-def _choose_ranking_of_open_flow(
-    table: RouteTable, service: services.Service
+def _choose_without_live_ranking(
+    table: RouteTable,
+    service: services.Service,
+    chosen: member_ranking.Ranking | None,
+    packet: packets.Packet,
 ) -> member_ranking.Ranking | None:
-    """Return the ranking of a pool whose members can search for the owner.
+    """Return the ranking for a packet if ``chosen`` has no live member.
 
-    The pools that get the new flows have no member that responds. The flow
-    may be open in another pool, and any of its members searches all pools.
+    ``chosen`` is the ranking that the shares give. If none of its members
+    responds, a packet of an open flow goes to another pool with one that does.
+    The flow may be open there, and any member searches all pools.
     """
-    for pool in services.get_all_pools(service):
-        ranking = table.rankings.get(pool)
+    if _is_opening(packet):
+        return chosen
+    pools = services.get_all_pools(service)
+    others = [table.rankings.get(pool) for pool in pools]
+    for ranking in (chosen, *others):
         if ranking is not None and _has_responding_member(ranking):
             return ranking
-    return None
+    return chosen
 
 
-def _has_responding_member(ranking: member_ranking.Ranking | None) -> bool:
-    if ranking is None:
-        return False
-    return bool(ranking.live_count) or any(
+def _has_responding_member(ranking: member_ranking.Ranking) -> bool:
+    return any(
         member.state is not views.State.SUSPECT
         for member in ranking.view.members
     )
