--- a/src/gentianspoke/codec/replica.py
+++ b/src/gentianspoke/codec/replica.py
@@ -1,10 +1,10 @@
 """Encoding of the state that control instances store and exchange."""
 
-import collections
 import dataclasses
 
 from gentianspoke.codec import catalogue as catalogue_codec
 from gentianspoke.codec import catalogue_entries
+from gentianspoke.codec import document_cache
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
@@ -13,37 +13,7 @@
 from gentianspoke.generated import replica_pb2
 
 JOURNAL_FORMAT = 1
-# How many encoded documents are kept. The same document is sent to each peer
-# and written to the journal.
-MAX_CACHED_DOCUMENTS = 8
-
-
-class _DocumentCache:
-    """The newest encoded documents, each with the record that holds it.
-
-    Records are immutable, so a record is recognized by its identity.
-    """
-
-    def __init__(self) -> None:
-        self._items: collections.OrderedDict[
-            int, tuple[records.Record, replica_pb2.Record]
-        ] = collections.OrderedDict()
-
-    def find(self, record: records.Record) -> replica_pb2.Record | None:
-        """Return the message of a record, ``None`` if it is not kept."""
-        item = self._items.get(id(record))
-        return item[1] if item is not None and item[0] is record else None
-
-    def store(
-        self, record: records.Record, message: replica_pb2.Record
-    ) -> None:
-        """Keep the message of a record, and discard the oldest one."""
-        self._items[id(record)] = (record, message)
-        while len(self._items) > MAX_CACHED_DOCUMENTS:
-            self._items.popitem(last=False)
-
-
-_document_cache = _DocumentCache()
+_documents = document_cache.DocumentCache()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,7 +114,7 @@
 def _encode_document_record(
     record: records.Record, request: catalogue_records.Request
 ) -> replica_pb2.Record:
-    cached_message = _document_cache.find(record)
+    cached_message = _documents.find(record)
     if cached_message is not None:
         return cached_message
     message = replica_pb2.Record(
@@ -152,7 +122,7 @@
         term=record.term,
         command=catalogue_codec.encode_request(request),
     )
-    _document_cache.store(record, message)
+    _documents.store(record, message)
     return message
 
 
@@ -178,7 +148,7 @@
             )
     record = records.Record(message.index, message.term, payload)
     if message.command.HasField('document'):
-        _document_cache.store(record, message)
+        _documents.store(record, message)
     return record
 
 
