Test the refused removal, and draw documents in one place

The test of replicas with exchanged ports repeated that of documents stored as changes; it is a row of that test now, which also restarts a replica and lets pools expire. All its earlier checks stay.

--- a/tests/control/test_former_pool_expiry.py
+++ b/tests/control/test_former_pool_expiry.py
@@ -9,14 +9,20 @@
 
 import builders
 import control_fakes
+import grpclib
 import pytest
 
+from gentianspoke.codec import catalogue
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue_records
+from gentianspoke.generated import catalogue_grpc
+from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import documents
 from gentianspoke.shells.control import pool_expiry
 from gentianspoke.shells import process
 
+PORT = 31_079
+TIMEOUT_S = 5.0
 # The pools are kept for two lifetimes.
 LIFETIME_MS = 100
 
@@ -61,3 +67,21 @@
         else:
             await asyncio.sleep(4 * LIFETIME_MS / 1_000)
     assert list_former(log) == expected
+
+
+async def test_a_removal_that_a_caller_requests_is_refused():
+    # Only the leader knows how old the versions of the catalogue are.
+    log = control_fakes.FakeLog()
+    put_pools(log, 'p', 'q')
+    request = catalogue_records.Request('key', '', (), expire_former_pools=9)
+    message = catalogue.encode_request(request)
+    async with (
+        control_fakes.run_control('control-1', PORT, log) as control,
+        channel_auth.open_channel(
+            control.address, lambda: control_fakes.KEY_RING, 'test'
+        ) as channel,
+    ):
+        stub = catalogue_grpc.CatalogueStub(channel)
+        with pytest.raises(grpclib.GRPCError, match='by control alone'):
+            await stub.Apply(message, timeout=TIMEOUT_S)
+    assert list_former(log) == ['p']
--- a/tests/decisions/test_documents.py
+++ b/tests/decisions/test_documents.py
@@ -239,16 +239,42 @@
     return make_request(version, *entries).document
 
 
+def draw_document_with_exchanged_ports(rng, version):
+    """Return a whole document whose entries have the ports of others."""
+    entries = draw_document(rng, version).entries
+    ports = rng.sample(range(440, 448), len(entries))
+    exchanged_entries = [
+        dataclasses.replace(entry, ports=(port,))
+        for entry, port in zip(entries, ports, strict=True)
+    ]
+    return make_request(version, *exchanged_entries).document
+
+
+def restart(state):
+    """Return the catalogue of an instance that reads a snapshot of it."""
+    restored = catalogue.Catalogue()
+    restored.restore(state.export())
+    return restored
+
+
 def apply_document(state, document):
     return state.apply(catalogue_records.Request('key', '', (), document))
 
 
+@pytest.mark.parametrize(
+    'draw', [draw_document, draw_document_with_exchanged_ports]
+)
+@pytest.mark.parametrize('restart_interval', [0, 5])
 @pytest.mark.parametrize('seed', range(8))
-def test_a_document_stored_as_changes_has_the_effect_of_the_whole_one(seed):
+def test_a_document_stored_as_changes_has_the_effect_of_the_whole_one(
+    seed, restart_interval, draw
+):
+    # Also guards against former pools that depend on the order in which a
+    # replica has the entries, which a restart changes.
     rng = random.Random(seed)
     whole, changed = catalogue.Catalogue(), catalogue.Catalogue()
     for version in range(1, 30):
-        document = draw_document(rng, version)
+        document = draw(rng, version)
         change = control_documents.build_change(document, changed)
         encoded = codec.encode_document(change)
         assert codec.decode_document(encoded) == change
@@ -257,6 +283,11 @@
         assert changed.entries == whole.entries
         assert changed.pools == whole.pools
         assert packing.unpack(changed.document.text) == document.text
+        if restart_interval and version % restart_interval == 0:
+            changed = restart(changed)
+            for state in (whole, changed):
+                assert apply_expiry(state, version // 2).accepted
+            assert changed.entries == whole.entries
 
 
 def test_a_document_that_changes_one_entry_stores_only_this_entry():
--- a/tests/decisions/test_pool_history.py
+++ b/tests/decisions/test_pool_history.py
@@ -5,8 +5,6 @@
 lost, or reset where agents inquire about flows.
 """
 
-import random
-
 import pytest
 import test_documents
 
@@ -115,36 +113,3 @@
     number = state.entries['a'].number
     state.apply(test_documents.make_request(1, entry('a', 'p')))
     assert services.get_all_pools(state.entries['a'])[1:] == (number,)
-
-
-def draw_document(rng, version):
-    """Return a document whose entries exchange their ports."""
-    names = [name for name in 'abcdef' if rng.random() < 0.7]
-    ports = rng.sample(range(440, 448), len(names))
-    entries = [
-        entry(name, rng.choice('pqr'), port)
-        for name, port in zip(names, ports, strict=True)
-    ]
-    return test_documents.make_request(version, *entries).document
-
-
-@pytest.mark.parametrize('seed', range(8))
-def test_all_replicas_list_the_same_former_pools(seed):
-    # Guards against pools that depend on the order in which a replica has the
-    # entries, or on whether a document was stored as its changes.
-    rng = random.Random(seed)
-    whole, changed = catalogue.Catalogue(), catalogue.Catalogue()
-    for version in range(1, 30):
-        document = draw_document(rng, version)
-        change = test_documents.control_documents.build_change(
-            document, changed
-        )
-        test_documents.apply_document(whole, document)
-        test_documents.apply_document(changed, change)
-        if version % 5 == 0:
-            for state in (whole, changed):
-                test_documents.apply_expiry(state, state.version - 6)
-            restored = catalogue.Catalogue()
-            restored.restore(changed.export())
-            changed = restored
-        assert changed.entries == whole.entries
