Test that former pools have the same order at all replicas

The random documents did not show a dependence on the order of the entries: with the number of the pool left out of the order, none failed. The new test does.

--- a/tests/decisions/test_pool_history.py
+++ b/tests/decisions/test_pool_history.py
@@ -5,12 +5,15 @@
 lost, or reset where agents inquire about flows.
 """
 
+import dataclasses
+
 import pytest
 import test_documents
 
 from gentianspoke.core import services
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import catalogue_records
+from gentianspoke.decisions.control import former_pools
 
 entry = test_documents.make_entry
 LIVE, OTHER = 443, 8_443
@@ -113,3 +116,21 @@
     number = state.entries['a'].number
     state.apply(test_documents.make_request(1, entry('a', 'p')))
     assert services.get_all_pools(state.entries['a'])[1:] == (number,)
+
+
+@pytest.mark.parametrize('order', [('a', 'b'), ('b', 'a')])
+def test_the_order_of_former_pools_does_not_depend_on_that_of_entries(order):
+    # Replicas have the entries in different orders, for example after a start.
+    pools = {'a': 8, 'b': 9}
+    retired_entries = [
+        dataclasses.replace(
+            entry(name, retired=True),
+            version=3,
+            shares=(services.Share(pools[name], 1, name),),
+        )
+        for name in order
+    ]
+    new_entry = entry('c', 'q')
+    holders = former_pools.index_holders(retired_entries, [new_entry])
+    listed = former_pools.list_former_pools(None, holders, new_entry, 4)
+    assert [former.name for former in listed] == ['a', 'b']
