--- a/src/gentianspoke/config/settings.py
+++ b/src/gentianspoke/config/settings.py
@@ -81,10 +81,11 @@
 class ControlSettings:
     """Settings of a control instance, with durations in milliseconds.
 
-    If ``data_folder`` is empty, the instance keeps no log and only tells
-    clients the address of the leader. ``members`` lists the names and
-    addresses of the initial members of the group. If ``join`` is true, an
-    instance with a new folder waits until an operator adds it to the group.
+    If ``data_folder`` is empty, the instance keeps no log and only refers
+    clients to the members of the group and to its leader. ``members`` lists
+    the names and addresses of the initial members of the group. If ``join``
+    is true, an instance with a new folder waits until an operator adds it to
+    the group.
     ``lease_ms`` is the duration of the lease that an accepted heartbeat
     grants. ``member`` is the instance's name in the group, by default the name
     of the instance. If ``tolerate`` is not 0, the group replaces lost members
--- a/src/gentianspoke/shells/control/catalogue_log.py
+++ b/src/gentianspoke/shells/control/catalogue_log.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from gentianspoke.core import known_groups
 from gentianspoke.decisions.control import catalogue as catalogues
 from gentianspoke.decisions.control import catalogue_records
 
@@ -33,8 +34,8 @@
     def leader(self) -> str:
         """Address of the leader as "host:port", empty if none is known."""
 
-    def list_member_addresses(self) -> list[str]:
-        """Return the addresses of all members as "host:port"."""
+    def describe_group(self) -> known_groups.KnownGroup:
+        """Return the addresses of the members and of the leader."""
 
     async def submit(
         self, request: catalogue_records.Request
--- a/src/gentianspoke/shells/control/catalogue_service.py
+++ b/src/gentianspoke/shells/control/catalogue_service.py
@@ -13,6 +13,7 @@
 from gentianspoke.generated import catalogue_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import catalogue_log
+from gentianspoke.shells.control import discovery
 from gentianspoke.shells.control import hub
 from gentianspoke.shells import process
 
@@ -66,9 +67,10 @@
         is_repeated = self._log.catalogue.known_answer(key) is not None
         try:
             answer = await self._log.submit(request)
-        except errors.NotLeaderError as exc:
+        except errors.NotLeaderError:
+            leader = discovery.describe_group(self._proc, self._log).leader
             await stream.send_message(
-                catalogue_pb2.ApplyReply(leader=exc.leader, redirected=True)
+                catalogue_pb2.ApplyReply(leader=leader, redirected=True)
             )
             return
         except errors.ControlError as exc:
@@ -139,7 +141,7 @@
         reply = catalogue_pb2.StatusReply(
             version=version,
             confirmed_age_ms=self._log.get_confirmed_age_ms(),
-            leader=self._log.leader,
+            leader=discovery.describe_group(self._proc, self._log).leader,
             term=self._log.term,
             role='leader' if self._log.is_leader else 'follower',
             evacuated_zones=sorted(self._log.catalogue.evacuated_zones),
--- a/src/gentianspoke/shells/control/documents.py
+++ b/src/gentianspoke/shells/control/documents.py
@@ -4,11 +4,13 @@
 import dataclasses
 
 from gentianspoke.codec import packing
+from gentianspoke.config import units
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control import documents
 from gentianspoke.decisions.control import former_pools
 from gentianspoke import errors
+from gentianspoke.shells.control import discovery
 from gentianspoke.shells.control import replicated_log
 from gentianspoke.shells import process
 
@@ -193,14 +195,11 @@
     proc: process.Process, log: replicated_log.ReplicatedLog | None
 ) -> AskLeader | Unavailable:
     """Return where to send a request, which this instance cannot answer."""
-    leader = ''
-    if log is not None:
-        leader = log.leader.rpartition(':')[0]
-    elif proc.sources.leader is not None:
-        leader = proc.sources.leader[0]
+    leader = discovery.describe_group(proc, log).leader
     if not leader:
         return Unavailable('no leader is known; send the request again')
-    return AskLeader(leader)
+    host, _ = units.parse_address(leader)
+    return AskLeader(host)
 
 
 def build_change(
--- a/src/gentianspoke/shells/control/feed_service.py
+++ b/src/gentianspoke/shells/control/feed_service.py
@@ -14,8 +14,10 @@
 from gentianspoke.generated import feed_pb2
 from gentianspoke.shells.control import calls
 from gentianspoke.shells.control import catalogue_log
+from gentianspoke.shells.control import discovery
 from gentianspoke.shells.control import hub
 from gentianspoke.shells.control import leadership
+from gentianspoke.shells.control import referrals
 from gentianspoke.shells.control import relay
 from gentianspoke.shells.control import subscriber
 from gentianspoke.shells import process
@@ -27,6 +29,7 @@
 # Consumers acknowledge each confirmation. A call ends if nothing arrives from
 # its consumer for this long.
 CONSUMER_TIMEOUT_S = 5.0
+NOT_IN_GROUP = 'this control instance is not in a group yet; ask another'
 
 
 class FeedService(feed_grpc.FeedBase):
@@ -78,8 +81,9 @@
         try:
             grant = self._leadership.announce(announcement)
         except errors.NotLeaderError as exc:
+            group = discovery.describe_group(self._proc, self._log)
             reply = feed_pb2.AnnouncementReply(
-                leader=exc.leader, reason=str(exc)
+                leader=group.leader, reason=str(exc)
             )
         else:
             reply = feed_codec.encode_grant(grant)
@@ -99,10 +103,11 @@
             # An instance whose data folder is empty has no catalogue until a
             # group has added it. That may take long, so the consumer
             # should ask another instance.
-            raise grpclib.GRPCError(
-                grpclib.const.Status.UNAVAILABLE,
-                'this control instance is not in a group yet; ask another',
+            group = discovery.describe_group(self._proc, self._log)
+            await referrals.refer_consumer(
+                self._proc, stream, group, NOT_IN_GROUP
             )
+            return
         subscription = message.subscribe
         self._proc.events.observe(subscription.logical)
         feed_subscriber = subscriber.Subscriber(
@@ -196,14 +201,16 @@
         self, feed_subscriber: subscriber.Subscriber
     ) -> feed_pb2.FollowReply:
         views_age_ms = self._find_views_age_ms()
+        group = discovery.describe_group(self._proc, self._log)
         confirmation = feed_pb2.Confirmation(
             age_ms=max(self._log.get_confirmed_age_ms(), views_age_ms or 0),
             catalogue_version=self._log.catalogue.version,
             digest=feed_subscriber.compute_digest(),
             logical=self._proc.events.logical,
             complete=views_age_ms is not None,
-            sources=self._log.list_member_addresses(),
-            leader=self._log.leader,
+            sources=group.addresses,
+            leader=group.leader,
+            group_version=group.version,
         )
         return feed_pb2.FollowReply(confirmation=confirmation)
 
--- a/src/gentianspoke/shells/control/joining.py
+++ b/src/gentianspoke/shells/control/joining.py
@@ -36,7 +36,8 @@
     while control_settings.tolerate:
         await asyncio.sleep(REQUEST_INTERVAL_S)
         member_addresses = [
-            units.parse_address(text) for text in log.list_member_addresses()
+            units.parse_address(text)
+            for text in log.describe_group().addresses
         ]
         for address in dict.fromkeys(
             (*proc.sources.list_addresses(), *member_addresses)
--- a/src/gentianspoke/shells/control/main.py
+++ b/src/gentianspoke/shells/control/main.py
@@ -1,12 +1,16 @@
 """The control process, from its settings to its planned stop."""
 
+import collections.abc
+import contextlib
 import typing
 
 from gentianspoke.config import settings
+from gentianspoke.config import units
 from gentianspoke import errors
 from gentianspoke.net import batched_writes
 from gentianspoke.shells import channel_auth
 from gentianspoke.shells.control import catalogue_service
+from gentianspoke.shells.control import discovery
 from gentianspoke.shells.control import feed_service
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import hub
@@ -18,6 +22,7 @@
 from gentianspoke.shells.control import operations
 from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import pool_expiry
+from gentianspoke.shells.control import referrals
 from gentianspoke.shells.control import relay
 from gentianspoke.shells.control import replica_service
 from gentianspoke.shells.control import replicated_log
@@ -33,7 +38,7 @@
     """Run a control instance until a planned stop.
 
     An instance without a data folder keeps no log. It follows the feed of
-    the others, to tell clients the leader's address. Raises
+    the others, to refer clients to the group and to its leader. Raises
     :class:`gentianspoke.errors.SettingsError` if the settings are those of
     another role.
     """
@@ -47,7 +52,7 @@
             )
     async with process.run_process(cfg, 'control') as proc:
         if not control_settings.data_folder:
-            await _run_without_log(proc, own_front_end)
+            await _run_without_log(proc, control_settings, own_front_end)
             return
         with open_log.open_log(proc, control_settings) as log:
             await _run_with_log(proc, log, control_settings, own_front_end)
@@ -55,12 +60,23 @@
 
 async def _run_without_log(
     proc: process.Process,
+    control_settings: settings.ControlSettings,
     own_front_end: front_end.FrontEnd[operations.Operations],
 ) -> None:
+    services: list[typing.Any] = [
+        discovery.DiscoveryService(proc, None),
+        referrals.ReferringFeed(proc),
+        referrals.ReferringMembers(proc),
+        referrals.ReferringCatalogue(proc),
+    ]
     async with (
+        _serve(proc, services, control_settings.listen),
         process.run_tasks(
+            discovery.SeedExchange(proc, None, control_settings.listen).run(),
             feed_client.follow_feeds(
-                proc, 'observer', lambda update: _handle_update(proc, update)
+                proc,
+                referrals.OBSERVER,
+                lambda update: _handle_update(proc, update),
             ),
         ),
         own_front_end.serve(proc, operations.create_operations(proc, None)),
@@ -101,14 +117,11 @@
         catalogue_service.CatalogueService(proc, log, feed_hub),
         replica_service.ReplicaService(proc, log),
         members_service.MembersService(proc, log),
+        discovery.DiscoveryService(proc, log),
     ]
     own_operations = operations.create_operations(proc, log)
-    server = batched_writes.Server(services)
-    channel_auth.protect_server(
-        server, proc.get_current_ring, on_refused=proc.log_refused_call
-    )
-    await server.start(*control_settings.listen)
     async with (
+        _serve(proc, services, control_settings.listen),
         process.run_tasks(
             log.run(),
             log.tick(),
@@ -120,6 +133,7 @@
             feed_hub.watch_catalogue(),
             monitor.report_state(proc, log),
             joining.request_membership(proc, log, control_settings),
+            discovery.SeedExchange(proc, log, control_settings.listen).run(),
             pool_expiry.expire(
                 proc,
                 log,
@@ -132,6 +146,19 @@
     ):
         await proc.stop.wait()
         proc.life.advance('stop')
+
+
+@contextlib.asynccontextmanager
+async def _serve(
+    proc: process.Process, services: list[typing.Any], listen: units.Address
+) -> collections.abc.AsyncIterator[None]:
+    """Serve gRPC services to other processes during the ``with`` block."""
+    server = batched_writes.Server(services)
+    channel_auth.protect_server(
+        server, proc.get_current_ring, on_refused=proc.log_refused_call
+    )
+    await server.start(*listen)
+    yield
     server.close()
     await server.wait_closed()
 
--- a/src/gentianspoke/shells/control/members_service.py
+++ b/src/gentianspoke/shells/control/members_service.py
@@ -11,6 +11,7 @@
 from gentianspoke.generated import replica_grpc
 from gentianspoke.generated import replica_pb2
 from gentianspoke.shells.control import calls
+from gentianspoke.shells.control import discovery
 from gentianspoke.shells.control import forming
 from gentianspoke.shells.control import peers
 from gentianspoke.shells.control import replicated_log
@@ -39,7 +40,7 @@
         state = self._log.replica.state
         await stream.send_message(
             replica_pb2.MembersReply(
-                leader='' if self._log.is_leader else self._log.leader,
+                leader='' if self._log.is_leader else self._find_leader(),
                 term=state.term,
                 commit_index=state.commit_index,
                 members=[
@@ -96,6 +97,9 @@
             stream, messages.RemoveMember(request.instance)
         )
 
+    def _find_leader(self) -> str:
+        return discovery.describe_group(self._proc, self._log).leader
+
     def _is_of_another_group(self, identity: formation.Identity) -> bool:
         # A member that was removed while it was not running still has its
         # old group, which shares members with this one. Such a member may
@@ -116,7 +120,7 @@
     ) -> None:
         reply = replica_pb2.MemberChangeReply(accepted=True)
         if not self._log.is_leader:
-            reply = replica_pb2.MemberChangeReply(leader=self._log.leader)
+            reply = replica_pb2.MemberChangeReply(leader=self._find_leader())
         else:
             for effect in await self._log.step(event):
                 match effect:
--- a/src/gentianspoke/shells/control/replicated_log.py
+++ b/src/gentianspoke/shells/control/replicated_log.py
@@ -13,6 +13,7 @@
 import typing
 
 from gentianspoke import clock
+from gentianspoke.core import known_groups
 from gentianspoke.decisions.control import catalogue_records
 from gentianspoke.decisions.control.replica import effects
 from gentianspoke.decisions.control.replica import group as groups
@@ -141,9 +142,18 @@
         member = self.group.find(state.leader)
         return member.address if member else ''
 
-    def list_member_addresses(self) -> list[str]:
-        """Return the addresses of all members as "host:port"."""
-        return [member.address for member in self.group.members]
+    def describe_group(self) -> known_groups.KnownGroup:
+        """Return the addresses of the members and of the leader.
+
+        The version counts committed records only, since another leader may
+        replace the record of an uncommitted change.
+        """
+        state = self.replica.state
+        return known_groups.KnownGroup(
+            addresses=tuple(member.address for member in self.group.members),
+            leader=self.leader,
+            version=min(state.log.group_index, state.commit_index),
+        )
 
     def get_confirmed_age_ms(self) -> int:
         """Return the ms since a majority last confirmed this instance."""
--- a/src/gentianspoke/shells/feed_client.py
+++ b/src/gentianspoke/shells/feed_client.py
@@ -17,6 +17,7 @@
 
 from gentianspoke import clock
 from gentianspoke.codec import feed as feed_codec
+from gentianspoke.codec import known_groups
 from gentianspoke.config import settings
 from gentianspoke.config import units
 from gentianspoke.core import services
@@ -32,6 +33,9 @@
 # The client leaves a source that has sent nothing for this time, or whose last
 # confirmation by a majority is this old.
 MAX_STALENESS_MS = 1_500
+# The age of the confirmation that a source reports which no majority has ever
+# confirmed.
+UNCONFIRMED_AGE_MS = 10**12
 # Timeout of the first reply. It is shorter than MAX_STALENESS_MS because a
 # working source replies at once.
 FIRST_REPLY_TIMEOUT_MS = 1_000
@@ -233,7 +237,16 @@
 
     def _on_confirmation(self, message: feed_pb2.Confirmation) -> None:
         self._proc.events.observe(message.logical)
-        self._proc.sources.store_reported(message.sources, message.leader)
+        self._proc.sources.store_reported(
+            known_groups.decode_known_group(
+                message.sources, message.leader, message.group_version
+            )
+        )
+        if message.without_feed:
+            raise errors.ControlError(
+                'the source has no feed; it referred to'
+                f' {len(message.sources)} control instances'
+            )
         if message.age_ms >= MAX_STALENESS_MS:
             self._raise_if_unconfirmed(message.age_ms)
             return
--- a/tests/local_log.py
+++ b/tests/local_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentianspoke.core import known_groups
 from gentianspoke.decisions.control import catalogue
 from gentianspoke.decisions.control import catalogue_records
 
@@ -17,6 +18,7 @@
         self.knows_group = True
         # The leader's address. Tests that redirect requests set it.
         self.leader = ''
+        self.member_addresses: tuple[str, ...] = ()
         self._applied = asyncio.Condition()
 
     async def submit(
@@ -39,6 +41,6 @@
         """Return 0, since no majority has to confirm the state."""
         return 0
 
-    def list_member_addresses(self) -> list[str]:
-        """Return no address, since there is no other member."""
-        return []
+    def describe_group(self) -> known_groups.KnownGroup:
+        """Return a group without members, which names the leader."""
+        return known_groups.KnownGroup(self.member_addresses, self.leader)
