--- a/src/gentianspoke/shells/agent/heartbeat.py
+++ b/src/gentianspoke/shells/agent/heartbeat.py
@@ -75,6 +75,8 @@
                 await asyncio.sleep(MIN_HEARTBEAT_INTERVAL_S)
                 if leader:
                     await self._announce_to(units.parse_address(leader))
+            # Without this pause, a loop over no addresses never ends.
+            await asyncio.sleep(MIN_HEARTBEAT_INTERVAL_S)
 
     async def _announce_to(self, address: units.Address) -> str:
         """Send heartbeats to an instance until it fails or does not lead.
