--- a/specs/catalogue_log.py
+++ b/specs/catalogue_log.py
@@ -28,11 +28,12 @@
 idempotency key.
 """
 
+import functools
 import itertools
 
-from gentianspoke.decisions.control.replica import lost_members
-
+from specs import catalogue_invariants as invariants
 from specs import catalogue_state as states
+from specs import catalogue_voters
 from specs import checking
 
 Bounds = states.Bounds
@@ -58,7 +59,7 @@
         self.mistake = mistake
         node_count = bounds.voters + bounds.spares
         self.numbers = range(node_count)
-        self.initial_voters = tuple(range(bounds.voters))
+        self.rules = catalogue_voters.VoterRules(bounds, mistake)
         nodes = (Node(match_indexes=(0,) * node_count),) * node_count
         self.initial: tuple = State(
             nodes,
@@ -72,15 +73,17 @@
             bounds.stops,
         )
         self.invariants: checking.Invariants = {
-            'one-leader-per-term': _has_one_leader_per_term,
-            'committed-logs-agree': self._committed_logs_agree,
-            'leader-has-what-was-committed': self._leader_is_complete,
-            'what-was-committed-is-on-a-disk': _is_durable,
-            'one-winner-per-version': _has_one_winner,
-            'one-answer-per-key': _has_one_answer,
+            'one-leader-per-term': invariants.has_one_leader_per_term,
+            'committed-logs-agree': invariants.committed_logs_agree,
+            'leader-has-what-was-committed': invariants.leader_is_complete,
+            'what-was-committed-is-on-a-disk': invariants.is_durable,
+            'one-winner-per-version': invariants.has_one_winner,
+            'one-answer-per-key': invariants.has_one_answer,
         }
         if bounds.stops:
-            self.invariants['a-quorum-survives'] = self._has_quorum
+            self.invariants['a-quorum-survives'] = functools.partial(
+                invariants.has_quorum, self.rules
+            )
 
     def successors(self, state: tuple) -> Steps:
         """Return all steps that are possible in a state."""
@@ -101,27 +104,24 @@
             steps.extend(self._list_appends(state, number))
         if state.crashes:
             steps.append(self._crash(state, number))
-        if state.losses and self._may_lose_disk(state, number):
+        if state.losses and self.rules.may_lose_disk(state, number):
             steps.append(self._lose_disk(state, number))
-        if state.stops and self._may_stop(state, number):
+        if state.stops and self.rules.may_stop(state, number):
             steps.append(_stop(state, number))
         if self.mistake is Mistake.ANSWERS_NOT_IN_SNAPSHOT:
             steps.extend(self._list_snapshots(state, number))
         steps.extend(_list_disk_steps(state, number))
         return steps
 
-    def _find_voters(self, node: Node) -> tuple[int, ...]:
-        return states.find_voters(node.log, self.initial_voters)
-
     def _list_elections(self, state: State, number: int) -> Steps:
         node = state.nodes[number]
         if node.term >= self.bounds.terms or node.leads:
             return []
         if not node.can_write:
             return []
-        if not self._may_campaign(node, number):
+        if not self.rules.may_campaign(node, number):
             return []
-        voters = self._find_voters(node)
+        voters = self.rules.find_voters(node)
         term = node.term + 1
         willing_voters = [
             other
@@ -139,18 +139,6 @@
                 )
         return steps
 
-    def _may_campaign(self, node: Node, number: int) -> bool:
-        """Return whether an instance votes, as far as it knows for certain.
-
-        One that lost its vote by a change that may be uncommitted may still
-        ask for votes, since nobody else may have the change.
-        """
-        committed_log = node.log[: node.commit_index]
-        return number in self._find_voters(node) or (
-            number in states.find_voters(committed_log, self.initial_voters)
-            and self.mistake is not Mistake.ONLY_VOTERS_CAMPAIGN
-        )
-
     def _grants_vote(
         self, state: State, number: int, candidate: int, term: int
     ) -> bool:
@@ -167,9 +155,9 @@
             return False
         if self.mistake is Mistake.VOTE_IGNORES_LOG:
             return True
-        return _find_log_end(state.nodes[candidate].log) >= _find_log_end(
-            node.log
-        )
+        return states.find_log_end(
+            state.nodes[candidate].log
+        ) >= states.find_log_end(node.log)
 
     def _hold_election(
         self,
@@ -183,7 +171,7 @@
             nodes[voter] = _record_vote(
                 nodes[voter], term, number, self.mistake
             )
-        voters = states.build_group(self._find_voters(nodes[number]))
+        voters = states.build_group(self.rules.find_voters(nodes[number]))
         wins = voters.is_majority({number, *granting_voters})
         if wins:
             nodes[number] = nodes[number]._replace(
@@ -245,12 +233,12 @@
             and self.mistake is not Mistake.TWO_CHANGES_AT_ONCE
         ):
             return []
-        voters = self._find_voters(node)
+        voters = self.rules.find_voters(node)
         steps: Steps = []
         for other in self.numbers:
-            if other in voters and self._may_remove(state, other, number):
+            if other in voters and self.rules.may_remove(state, other, number):
                 new_voters = tuple(voter for voter in voters if voter != other)
-            elif self._may_join(state, number, other, voters):
+            elif self.rules.may_join(state, number, other, voters):
                 new_voters = tuple(sorted((*voters, other)))
                 if self.mistake is Mistake.SWAP_IN_ONE_CHANGE:
                     removed = next(
@@ -266,53 +254,6 @@
             steps.append(self._propose(state, number, record, label))
         return steps
 
-    def _may_remove(self, state: State, other: int, leader: int) -> bool:
-        voters = self._find_voters(state.nodes[leader])
-        if self.bounds.stops and self._has_spare_voter(voters):
-            return True
-        if other == leader or len(voters) < 2:
-            return False
-        if self.bounds.tolerate is None:
-            return True
-        if self.mistake is Mistake.SILENT_MEMBER_REMOVED:
-            return True
-        return state.nodes[other].disk_lost
-
-    def _may_join(
-        self, state: State, number: int, other: int, voters: tuple[int, ...]
-    ) -> bool:
-        if other in voters or not state.nodes[other].is_up:
-            return False
-        if other < self.bounds.voters and not self.bounds.stops:
-            return False
-        node = state.nodes[number]
-        return node.match_indexes[other] >= node.commit_index
-
-    def _has_spare_voter(self, voters: tuple[int, ...]) -> bool:
-        tolerate = self.bounds.tolerate
-        if tolerate is None:
-            return False
-        return len(voters) > lost_members.compute_min_voters(tolerate)
-
-    def _may_stop(self, state: State, number: int) -> bool:
-        """Return whether an instance that stops as planned may end.
-
-        It waits until a leader knows of its stop and has sent it all records,
-        and until the change that took its vote is committed.
-        """
-        node = state.nodes[number]
-        voters = self._find_voters(node)
-        if self.mistake is Mistake.STOP_BEFORE_VOTE_IS_TAKEN:
-            return self._has_spare_voter(voters)
-        is_acknowledged = any(
-            other.leads and other.log == node.log for other in state.nodes
-        )
-        committed_log = node.log[: node.commit_index]
-        is_committed = Kind.VOTERS not in {
-            record.kind for record in node.log[len(committed_log) :]
-        }
-        return is_acknowledged and is_committed and number not in voters
-
     def _propose(
         self, state: State, number: int, record: Record, label: str
     ) -> checking.Step:
@@ -439,7 +380,7 @@
 
     def _advance_commit(self, state: State, number: int) -> State:
         node = state.nodes[number]
-        group = states.build_group(self._find_voters(node))
+        group = states.build_group(self.rules.find_voters(node))
         agreed_index = group.get_majority_value(
             dict(enumerate(node.match_indexes)), 0
         )
@@ -482,23 +423,6 @@
         node = state.nodes[number]._replace(is_up=True)
         return f'{number} restarts', _replace_node(state, number, node)
 
-    def _may_lose_disk(self, state: State, number: int) -> bool:
-        """Return whether the bounds allow the loss of a voter's disk.
-
-        The voters are those of the newest committed change of voters, so the
-        replacement of a member counts once it is committed. Where
-        ``Bounds.tolerate`` is not set, the voters without a lost disk must
-        remain a majority.
-        """
-        voters = states.find_voters(state.committed, self.initial_voters)
-        if number not in voters:
-            return False
-        if self.bounds.tolerate is not None:
-            total_lost = sum(node.disk_lost for node in state.nodes)
-            return total_lost < self.bounds.tolerate
-        lost_count = sum(state.nodes[voter].disk_lost for voter in voters) + 1
-        return lost_count <= (len(voters) - 1) // 2
-
     def _lose_disk(self, state: State, number: int) -> checking.Step:
         empty_node = Node(
             is_up=False, disk_lost=True, match_indexes=(0,) * len(state.nodes)
@@ -517,45 +441,6 @@
         label = f'{number} takes a snapshot'
         return [(label, _replace_node(state, number, compacted))]
 
-    def _committed_logs_agree(self, state: dict) -> bool:
-        committed = state['committed']
-        return all(
-            _logs_agree(node.log[: node.commit_index], committed)
-            for node in state['nodes']
-        )
-
-    def _has_quorum(self, state: dict) -> bool:
-        """Return whether the instances that remain can elect a leader."""
-        remaining = {
-            number: node
-            for number, node in enumerate(state['nodes'])
-            if not node.is_gone
-        }
-        for number, node in remaining.items():
-            voters = self._find_voters(node)
-            granting_voters = {
-                voter
-                for voter in voters
-                if voter in remaining
-                and _find_log_end(remaining[voter].log)
-                <= _find_log_end(node.log)
-            }
-            group = states.build_group(voters)
-            if self._may_campaign(node, number) and group.is_majority(
-                granting_voters
-            ):
-                return True
-        return False
-
-    def _leader_is_complete(self, state: dict) -> bool:
-        newest_term = max(node.term for node in state['nodes'])
-        committed = state['committed']
-        return all(
-            node.log[: len(committed)] == committed
-            for node in state['nodes']
-            if node.leads and node.term == newest_term
-        )
-
 
 def _list_disk_steps(state: State, number: int) -> Steps:
     node = state.nodes[number]
@@ -591,34 +476,6 @@
     return f'{number} stops for good', after._replace(stops=state.stops - 1)
 
 
-def _has_one_leader_per_term(state: dict) -> bool:
-    terms = [node.term for node in state['nodes'] if node.leads]
-    return len(terms) == len(set(terms))
-
-
-def _is_durable(state: dict) -> bool:
-    committed = state['committed']
-    return any(
-        node.log[: node.synced][: len(committed)] == committed
-        for node in state['nodes']
-        if not node.is_gone
-    )
-
-
-def _has_one_winner(state: dict) -> bool:
-    winners = [
-        kind
-        for kind, accepted, version in state['answers']
-        if accepted and version
-    ]
-    return len(set(winners)) <= 1
-
-
-def _has_one_answer(state: dict) -> bool:
-    kinds = [kind for kind, _, _ in state['answers']]
-    return len(kinds) == len(set(kinds))
-
-
 def _record_vote(
     node: Node, term: int, candidate: int, mistake: Mistake | None
 ) -> Node:
@@ -633,14 +490,6 @@
     )
 
 
-def _find_log_end(log: states.Log) -> tuple[int, int]:
-    """Return the term of a log's last record and the log's length.
-
-    A voter does not vote for a candidate whose log has a lower pair.
-    """
-    return (log[-1].term if log else 0, len(log))
-
-
 def _build_append(node: Node, number: int) -> tuple:
     """Return the sender of an append, its term, its log and commit index."""
     return (number, node.term, node.log, node.commit_index)
@@ -656,11 +505,6 @@
     return sent
 
 
-def _logs_agree(first: states.Log, second: states.Log) -> bool:
-    shared_length = min(len(first), len(second))
-    return first[:shared_length] == second[:shared_length]
-
-
 def _replace_node(state: State, number: int, node: Node) -> State:
     return state._replace(nodes=_replace_item(state.nodes, number, node))
 
--- a/specs/catalogue_state.py
+++ b/specs/catalogue_state.py
@@ -174,6 +174,14 @@
     return initial_voters
 
 
+def find_log_end(log: Log) -> tuple[int, int]:
+    """Return the term of a log's last record and the log's length.
+
+    A voter does not vote for a candidate whose log has a lower pair.
+    """
+    return (log[-1].term if log else 0, len(log))
+
+
 @functools.lru_cache(maxsize=None)
 def compute_answers(
     log: Log, dropped: int, mistake: Mistake | None
