--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -43,7 +43,7 @@
         return self.reported_age_ms
 
 
-def make_process(name, feeds=(), role=None):
+def make_process(name, feeds=(), role=None, grace_ms=0):
     """Return a ``Process`` without files, signals or a metrics page."""
     role = role or settings.EntrySettings((HOST, 1))
     cfg = settings.Settings(
@@ -53,7 +53,7 @@
         log_file=None,
         log_level='INFO',
         metrics=None,
-        grace_ms=0,
+        grace_ms=grace_ms,
         feeds=tuple(feeds),
         role=role,
     )
